--- /dev/null
+++ b/cmd/cmd.go
@@ -0,0 +1,68 @@
+// Package cmd holds the command line: each command has a file that parses,
+// wires and hands over.
+package cmd
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+)
+
+// Exit codes of all commands.
+const (
+	exitOK       = subcommands.ExitSuccess
+	exitFailure  = subcommands.ExitFailure
+	exitUsage    = subcommands.ExitUsageError
+	exitRefused  = subcommands.ExitStatus(3)
+	exitConflict = subcommands.ExitStatus(4)
+	exitInDoubt  = subcommands.ExitStatus(5)
+)
+
+// streams are where a command writes.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Run runs the command that the arguments name and returns its exit code.
+func Run(args []string, out, err io.Writer) int {
+	st := streams{
+		out: out,
+		err: err,
+	}
+	fs := flag.NewFlagSet("lynxfold", flag.ContinueOnError)
+	fs.SetOutput(err)
+	cd := subcommands.NewCommander(fs, "lynxfold")
+	cd.Output = out
+	cd.Error = err
+	cd.Register(cd.HelpCommand(), "")
+	cd.Register(&nodeCommand{streams: st}, "")
+	cd.Register(&checkCommand{streams: st}, "")
+	cd.Register(&applyCommand{streams: st}, "")
+	cd.Register(&statusCommand{streams: st}, "")
+	cd.Register(&quickstartCommand{streams: st}, "")
+	cd.Register(&standinCommand{streams: st}, "")
+	if fs.Parse(args) != nil {
+		return int(exitUsage)
+	}
+	return int(cd.Execute(context.Background()))
+}
+
+// untilSignal ends its context on SIGINT or SIGTERM.
+func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+}
+
+func newLog(wr io.Writer, level string) zerolog.Logger {
+	le, err := zerolog.ParseLevel(level)
+	if err != nil {
+		le = zerolog.InfoLevel
+	}
+	return zerolog.New(wr).Level(le).With().Timestamp().Logger()
+}
--- /dev/null
+++ b/cmd/node.go
@@ -0,0 +1,64 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"lynxfold/cmd/process"
+	"lynxfold/io/ini"
+)
+
+// nodeCommand runs one node.
+type nodeCommand struct {
+	streams
+	settings string
+	check    bool
+}
+
+func (*nodeCommand) Name() string     { return "node" }
+func (*nodeCommand) Synopsis() string { return "run the node of one host" }
+
+func (*nodeCommand) Usage() string {
+	return `lynxfold node --settings FILE [--check]
+
+Runs the node of one host until SIGTERM, then drains it.
+
+Examples:
+  lynxfold node --settings node.ini
+  lynxfold node --settings node.ini --check
+
+`
+}
+
+func (co *nodeCommand) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&co.settings, "settings", "", "`file` with the node's settings")
+	fs.BoolVar(&co.check, "check", false, "check the settings and stop")
+}
+
+func (co *nodeCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if co.settings == "" {
+		_, _ = fmt.Fprintln(co.err, "node: --settings is needed")
+		return exitUsage
+	}
+	se, err := ini.Load(co.settings)
+	if err != nil {
+		_, _ = fmt.Fprintln(co.err, err)
+		return exitRefused
+	}
+	if co.check {
+		_, _ = fmt.Fprintln(co.out, "settings are valid")
+		return exitOK
+	}
+	ctx, cancel := untilSignal(ctx)
+	defer cancel()
+	pr, err := process.New(se, newLog(co.err, se.Log.Level))
+	if err != nil {
+		_, _ = fmt.Fprintln(co.err, err)
+		return exitFailure
+	}
+	pr.Run(ctx)
+	return exitOK
+}
--- /dev/null
+++ b/cmd/process/control.go
@@ -0,0 +1,209 @@
+package process
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
+	"lynxfold/core/link"
+	"lynxfold/core/wire"
+	"lynxfold/io/ini"
+	"lynxfold/io/node"
+	"lynxfold/io/platform"
+)
+
+const (
+	// tickEvery is the step of time of the control goroutine.
+	tickEvery = 100 * time.Millisecond
+	// inboxSize bounds the events that wait for the control goroutine.
+	inboxSize = 1024
+	// probeAfter and answerWithin find a silent link within 2 s.
+	probeAfter   = time.Second
+	answerWithin = 800 * time.Millisecond
+	dialBase     = 200 * time.Millisecond
+	dialCap      = 5 * time.Second
+)
+
+// Control owns all control state of a node and runs on one goroutine.
+type Control struct {
+	member   *datacentre.Member
+	links    *node.Links
+	versions *platform.Versions
+	log      zerolog.Logger
+	counters *controlCounters
+
+	inbox   chan datacentre.Event
+	linkBox chan node.Event
+	stop    chan struct{}
+	jobs    sync.WaitGroup
+	view    atomic.Pointer[datacentre.View]
+	hello   atomic.Pointer[wire.Hello]
+	known   platform.ETag
+}
+
+func newControl(
+	se *ini.Settings,
+	ad addresses,
+	id identity,
+	di *node.Dialer,
+	vs *platform.Versions,
+	co *controlCounters,
+	log zerolog.Logger,
+) *Control {
+	contacts := make([]string, 0, len(se.Link.Contacts))
+	for _, ap := range se.Link.Contacts {
+		contacts = append(contacts, ap.String())
+	}
+	ct := &Control{
+		versions: vs,
+		log:      log,
+		counters: co,
+		inbox:    make(chan datacentre.Event, inboxSize),
+		linkBox:  make(chan node.Event, inboxSize),
+		stop:     make(chan struct{}),
+	}
+	ct.member = datacentre.New(datacentre.Config{
+		Mesh:          se.Mesh.Name,
+		Host:          se.Host.ID,
+		DataCentre:    se.Host.DataCentre,
+		Address:       ad.advertise,
+		RemoteAddress: ad.remote,
+		Incarnation:   id.incarnation,
+		Contacts:      contacts,
+		ReadEvery:     readEvery(se),
+		DialBase:      dialBase,
+		DialCap:       dialCap,
+		Rand:          id.rand(),
+	})
+	ct.hello.Store(ct.member.Hello())
+	ct.view.Store(&datacentre.View{Config: contract.Empty()})
+	ct.links = node.NewLinks(node.LinksConfig{
+		Mesh:   se.Mesh.Name,
+		Dialer: di,
+		Watch: link.Config{
+			ProbeAfter:   probeAfter,
+			AnswerWithin: answerWithin,
+		},
+		Hello: ct.hello.Load,
+		Emit:  ct.emitLink,
+	})
+	return ct
+}
+
+// readEvery is the time between two reads that keeps the whole fleet under its budget.
+func readEvery(se *ini.Settings) time.Duration {
+	return time.Duration(float64(se.Mesh.FleetSize) / se.Platform.ReadsPerSecond * float64(time.Second))
+}
+
+// View is what traffic reads.
+func (ct *Control) View() *datacentre.View { return ct.view.Load() }
+
+// Emit passes an event to the control goroutine; after the end it is dropped.
+func (ct *Control) Emit(ev datacentre.Event) {
+	select {
+	case ct.inbox <- ev:
+	case <-ct.stop:
+	}
+}
+
+func (ct *Control) emitLink(ev node.Event) {
+	select {
+	case ct.linkBox <- ev:
+	case <-ct.stop:
+	}
+}
+
+// run is the control goroutine.
+func (ct *Control) run() {
+	ti := time.NewTicker(tickEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case ev := <-ct.inbox:
+			ct.step(ev, time.Now())
+		case ev := <-ct.linkBox:
+			now := time.Now()
+			for _, me := range ct.links.Handle(ev, now) {
+				ct.step(me, now)
+			}
+		case now := <-ti.C:
+			ct.links.Tick(now)
+			ct.step(datacentre.Tick{}, now)
+		case <-ct.stop:
+			return
+		}
+	}
+}
+
+func (ct *Control) step(ev datacentre.Event, now time.Time) {
+	for _, ac := range ct.member.Step(ev, now) {
+		ct.execute(ac)
+	}
+	ct.hello.Store(ct.member.Hello())
+}
+
+func (ct *Control) execute(ac datacentre.Action) {
+	switch ac := ac.(type) {
+	case datacentre.Send:
+		ct.links.Send(ac.Peer, ac.Message)
+	case datacentre.Dial:
+		ct.links.Dial(ac.Address)
+	case datacentre.CloseLink:
+		ct.links.CloseLink(ac.Peer)
+	case datacentre.Publish:
+		ct.view.Store(ac.View)
+	case datacentre.ReadPlatform:
+		ct.jobs.Go(func() { ct.read(ac) })
+	case datacentre.Introduce:
+	case datacentre.Note:
+		ct.note(ac)
+	}
+}
+
+// read reads the platform beside the control goroutine; one read runs at a time.
+func (ct *Control) read(ac datacentre.ReadPlatform) {
+	deltas, whole, known, err := ct.versions.Since(ac.After, ct.known)
+	if err == nil {
+		ct.known = known
+	}
+	ct.counters.read(err)
+	ct.Emit(datacentre.PlatformRead{
+		Deltas: deltas,
+		Whole:  whole,
+		Err:    err,
+	})
+}
+
+func (ct *Control) note(no datacentre.Note) {
+	ct.counters.note(no)
+	ev := ct.log.Info()
+	if no.Err != nil || no.Kind == datacentre.NoteInvariant {
+		ev = ct.log.Error().Err(no.Err)
+	}
+	ev.Str("reason", string(no.Kind)).
+		Str("peer", string(no.Peer)).
+		Uint64("config_version", uint64(no.Version)).
+		Msg("control decision")
+}
+
+// upstreamChanged passes the state of this host's upstream to the member.
+func (ct *Control) upstreamChanged(an host.Announcement) {
+	ct.Emit(datacentre.LocalUpstream{
+		Service:     an.Service,
+		Slots:       an.Slots,
+		Connections: an.Connections,
+		State:       an.State,
+	})
+}
+
+// end stops the control goroutine and its jobs.
+func (ct *Control) end() {
+	ct.links.Close()
+	close(ct.stop)
+	ct.jobs.Wait()
+}
--- /dev/null
+++ b/cmd/process/process.go
@@ -0,0 +1,349 @@
+// Package process wires one node: the control goroutine, the gate and the
+// listeners for callers, upstreams, operators and other nodes.
+package process
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
+	"lynxfold/io/caller"
+	"lynxfold/io/ini"
+	"lynxfold/io/node"
+	"lynxfold/io/operator"
+	"lynxfold/io/platform"
+	"lynxfold/io/upstream"
+)
+
+// identity is what tells this process from others on the same host.
+type identity struct {
+	incarnation host.Incarnation
+}
+
+func newIdentity() identity {
+	return identity{incarnation: host.Incarnation(time.Now().UnixNano())}
+}
+
+func (id identity) rand() *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(id.incarnation), rand.Uint64()))
+}
+
+// sockets are the listeners of a node.
+type sockets struct {
+	link     net.Listener
+	caller   net.Listener
+	upstream net.Listener
+	operator net.Listener
+}
+
+// addresses are where a node is reached.
+type addresses struct {
+	advertise string
+	// remote is empty when nodes of other data centres use the same address.
+	remote string
+}
+
+// listen opens all sockets, or none.
+func listen(se *ini.Settings) (*sockets, error) {
+	so := &sockets{}
+	for _, it := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{address: se.Link.Listen.String(), into: &so.link},
+		{address: se.Caller.Listen.String(), into: &so.caller},
+		{address: se.Upstream.Listen.String(), into: &so.upstream},
+		{address: se.Operator.Listen.String(), into: &so.operator},
+	} {
+		li, err := net.Listen("tcp", it.address)
+		if err != nil {
+			so.close()
+			return nil, errors.Wrapf(err, "listen on %s", it.address)
+		}
+		*it.into = li
+	}
+	return so, nil
+}
+
+func (so *sockets) close() {
+	for _, li := range []net.Listener{so.link, so.caller, so.upstream, so.operator} {
+		if li != nil {
+			_ = li.Close()
+		}
+	}
+}
+
+// addressesOf takes the port that the system chose when the settings leave it open.
+func addressesOf(se *ini.Settings, so *sockets) addresses {
+	ad := addresses{advertise: se.Link.Advertise.String()}
+	if se.Link.Advertise.Port() == 0 {
+		ad.advertise = so.link.Addr().String()
+	}
+	if se.Link.AdvertiseRemote.IsValid() {
+		ad.remote = se.Link.AdvertiseRemote.String()
+	}
+	return ad
+}
+
+// Process is one node.
+type Process struct {
+	settings *ini.Settings
+	sockets  *sockets
+	control  *Control
+	gate     *upstream.Gate
+	client   *upstream.Client
+	lanes    *node.Lanes
+	caller   *caller.Server
+	operator *operator.Server
+	announce *upstream.Listener
+	listener *node.Listener
+	log      zerolog.Logger
+	done     sync.WaitGroup
+}
+
+// New opens a node's sockets and wires it; Run starts it.
+func New(se *ini.Settings, log zerolog.Logger) (*Process, error) {
+	so, err := listen(se)
+	if err != nil {
+		return nil, err
+	}
+	log = log.With().
+		Str("host", string(se.Host.ID)).
+		Str("data_centre", string(se.Host.DataCentre)).
+		Logger()
+	co := dig.New()
+	for _, constructor := range []any{
+		func() *ini.Settings { return se },
+		func() *sockets { return so },
+		func() zerolog.Logger { return log },
+		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
+		newDialer, newPlatform, platform.NewVersions, newControl,
+		upstream.NewClient, newGate, upstream.NewListener,
+		node.NewLanes, newCaller, newOperator, newListener,
+		newProcess,
+	} {
+		if err := co.Provide(constructor); err != nil {
+			so.close()
+			return nil, errors.Wrap(err, "wire node")
+		}
+	}
+	var pr *Process
+	if err := co.Invoke(func(it *Process) { pr = it }); err != nil {
+		so.close()
+		return nil, errors.Wrap(err, "wire node")
+	}
+	return pr, nil
+}
+
+// parts are everything that a process starts and stops.
+type parts struct {
+	dig.In
+
+	Settings *ini.Settings
+	Sockets  *sockets
+	Control  *Control
+	Gate     *upstream.Gate
+	Client   *upstream.Client
+	Lanes    *node.Lanes
+	Caller   *caller.Server
+	Operator *operator.Server
+	Announce *upstream.Listener
+	Listener *node.Listener
+	Log      zerolog.Logger
+}
+
+func newProcess(pa parts) *Process {
+	return &Process{
+		settings: pa.Settings,
+		sockets:  pa.Sockets,
+		control:  pa.Control,
+		gate:     pa.Gate,
+		client:   pa.Client,
+		lanes:    pa.Lanes,
+		caller:   pa.Caller,
+		operator: pa.Operator,
+		announce: pa.Announce,
+		listener: pa.Listener,
+		log:      pa.Log,
+	}
+}
+
+// dialTimeout bounds the opening of a connection to another node.
+const dialTimeout = 2 * time.Second
+
+func newDialer() *node.Dialer { return &node.Dialer{Timeout: dialTimeout} }
+
+func newPlatform(se *ini.Settings) *platform.Client {
+	return platform.NewClient(platform.Config{
+		TableURL:  se.Platform.TableURL,
+		ObjectURL: se.Platform.ObjectURL,
+		Timeout:   se.Platform.Timeout,
+	})
+}
+
+// comeBack is when a refused caller is told to come back.
+const comeBack = time.Second
+
+func newGate(se *ini.Settings, id identity, ct *Control, cl *upstream.Client) *upstream.Gate {
+	return upstream.NewGate(upstream.GateConfig{
+		Core: host.Config{
+			Incarnation:  id.incarnation,
+			QueuePerSlot: se.Upstream.QueuePerSlot,
+			ComeBack:     comeBack,
+		},
+		LapseAfter: se.Upstream.LapseAfter,
+		Changed:    ct.upstreamChanged,
+		Client:     cl,
+	})
+}
+
+func newCaller(
+	se *ini.Settings,
+	id identity,
+	ct *Control,
+	ga *upstream.Gate,
+	la *node.Lanes,
+	set *metrics.Set,
+	log zerolog.Logger,
+) *caller.Server {
+	return caller.New(caller.Config{
+		Host:            se.Host.ID,
+		Incarnation:     id.incarnation,
+		DataCentre:      se.Host.DataCentre,
+		View:            ct.View,
+		Local:           ga,
+		Remote:          la,
+		MaxHeaderBytes:  se.Caller.MaxHeaderBytes,
+		MaxBodyBytes:    se.Caller.MaxBodyBytes,
+		MaxConnections:  se.Caller.MaxConnections,
+		RetryPerSuccess: se.Caller.RetryPerSuccess,
+		Rand:            id.rand(),
+		Log:             log,
+		Counters:        caller.NewCounters(set),
+	})
+}
+
+func newOperator(se *ini.Settings, ct *Control, vs *platform.Versions, set *metrics.Set) *operator.Server {
+	return operator.New(operator.Config{
+		Host:       se.Host.ID,
+		DataCentre: se.Host.DataCentre,
+		View:       ct.View,
+		Acceptor:   vs,
+		Accepted: func(de *contract.Delta) {
+			ct.Emit(datacentre.Accepted{Delta: de})
+		},
+		Metrics: set,
+	})
+}
+
+func newListener(so *sockets, ct *Control, ga *upstream.Gate, co *controlCounters, log zerolog.Logger) *node.Listener {
+	return node.NewListener(so.link, node.ListenerConfig{
+		Control: ct.links.Accept,
+		Lane:    func(nc *node.Conn) { node.ServeLane(nc, ga) },
+		Refused: func(err error) {
+			co.refusedConn()
+			log.Debug().Err(err).Msg("connection refused")
+		},
+	})
+}
+
+// Addresses are where the node listens, as they were opened.
+type Addresses struct {
+	Link     string `json:"link"`
+	Caller   string `json:"caller"`
+	Upstream string `json:"upstream"`
+	Operator string `json:"operator"`
+}
+
+// Addresses returns where the node listens.
+func (pr *Process) Addresses() Addresses {
+	return Addresses{
+		Link:     pr.sockets.link.Addr().String(),
+		Caller:   pr.sockets.caller.Addr().String(),
+		Upstream: pr.sockets.upstream.Addr().String(),
+		Operator: pr.sockets.operator.Addr().String(),
+	}
+}
+
+// Run serves until the context ends, then drains: new calls are refused,
+// calls in flight are answered, and the links are closed last.
+func (pr *Process) Run(ctx context.Context) {
+	pr.start("control", func() error { pr.control.run(); return nil })
+	pr.start("link", pr.listener.Serve)
+	pr.start("upstream", func() error { return pr.announce.Serve(pr.sockets.upstream) })
+	pr.start("caller", func() error { return pr.caller.Serve(pr.sockets.caller) })
+	pr.start("operator", func() error { return pr.operator.Serve(pr.sockets.operator) })
+	pr.start("tick", func() error { pr.tickGate(ctx); return nil })
+	pr.log.Info().Interface("addresses", pr.Addresses()).Msg("node started")
+	<-ctx.Done()
+	pr.drain()
+}
+
+func (pr *Process) start(step string, run func() error) {
+	pr.done.Go(func() {
+		if err := run(); err != nil {
+			pr.log.Debug().Err(err).Str("step", step).Msg("step ended")
+		}
+	})
+}
+
+func (pr *Process) tickGate(ctx context.Context) {
+	ti := time.NewTicker(tickEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ti.C:
+			pr.gate.Tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (pr *Process) drain() {
+	pr.log.Info().Msg("node drains")
+	ctx, cancel := context.WithTimeout(context.Background(), pr.settings.Caller.DrainWithin)
+	defer cancel()
+	pr.control.Emit(datacentre.Leave{})
+	pr.gate.Drain()
+	pr.stop("caller", pr.caller.Shutdown)
+	pr.waitGate(ctx)
+	pr.stop("upstream", pr.announce.Shutdown)
+	pr.stop("operator", pr.operator.Shutdown)
+	pr.lanes.Close()
+	pr.control.links.Close()
+	pr.listener.Close()
+	pr.control.end()
+	pr.client.Close()
+	pr.done.Wait()
+	pr.log.Info().Int("cut", pr.gate.Running()).Msg("node ended")
+}
+
+func (pr *Process) stop(step string, shutdown func() error) {
+	if err := shutdown(); err != nil {
+		pr.log.Warn().Err(err).Str("step", step).Msg("step did not end cleanly")
+	}
+}
+
+// waitGate waits until the upstream runs nothing more.
+func (pr *Process) waitGate(ctx context.Context) {
+	ti := time.NewTicker(tickEvery / 10)
+	defer ti.Stop()
+	for pr.gate.Running() > 0 {
+		select {
+		case <-ti.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/quickstart.go
@@ -0,0 +1,250 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"lynxfold/cmd/process"
+	"lynxfold/core/contract"
+	"lynxfold/io/ini"
+	"lynxfold/io/operator"
+	platformstandin "lynxfold/io/platform/standin"
+	upstreamstandin "lynxfold/io/upstream/standin"
+)
+
+// quickstartCommand runs a whole small mesh in one process on loopback.
+type quickstartCommand struct {
+	streams
+	level string
+}
+
+func (*quickstartCommand) Name() string     { return "quickstart" }
+func (*quickstartCommand) Synopsis() string { return "run a small mesh on this machine to try it out" }
+
+func (*quickstartCommand) Usage() string {
+	return `lynxfold quickstart
+
+Runs a stand-in platform, three nodes in two data centres and their upstreams
+in one process on loopback, until Ctrl-C.
+
+Example:
+  go run . quickstart
+
+`
+}
+
+func (co *quickstartCommand) SetFlags(fs *flag.FlagSet) {
+	fs.StringVar(&co.level, "log-level", "warn", "least `level` that is logged")
+}
+
+// demoHost is one host of the demonstration.
+type demoHost struct {
+	name       string
+	dataCentre string
+	service    string
+}
+
+var demoHosts = []demoHost{
+	{name: "press-hall-1", dataCentre: "press-hall", service: "lookup"},
+	{name: "curing-room-1", dataCentre: "curing-room", service: "booking"},
+	{name: "curing-room-2", dataCentre: "curing-room", service: "lookup"},
+}
+
+const (
+	demoSlots = 20
+	demoWork  = 2 * time.Millisecond
+	// demoReady bounds the wait for the demonstration to be usable.
+	demoReady = 15 * time.Second
+)
+
+// demoDocument has one idempotent lookup and one non-idempotent booking.
+const demoDocument = `{
+  "services": [{"name": "lookup"}, {"name": "booking"}],
+  "contracts": [
+    {"name": "read", "idempotent": true, "timeout_ms": 2000, "retries": 2},
+    {"name": "book", "timeout_ms": 5000, "retries": 1}
+  ],
+  "routes": [
+    {"name": "results", "path_prefix": "/results", "methods": ["GET"], "service": "lookup", "contract": "read"},
+    {"name": "bookings", "path_prefix": "/bookings", "methods": ["POST"], "service": "booking", "contract": "book"}
+  ]
+}`
+
+// demo is the running demonstration.
+type demo struct {
+	platform *platformstandin.Server
+	url      string
+	nodes    []*process.Process
+	stops    []func()
+	done     sync.WaitGroup
+}
+
+func (co *quickstartCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, cancel := untilSignal(ctx)
+	defer cancel()
+	de := &demo{}
+	defer de.stop()
+	if err := de.start(co); err != nil {
+		_, _ = fmt.Fprintln(co.err, err)
+		return exitFailure
+	}
+	if err := de.ready(ctx); err != nil {
+		_, _ = fmt.Fprintln(co.err, err)
+		return exitFailure
+	}
+	de.print(co)
+	<-ctx.Done()
+	return exitOK
+}
+
+func (de *demo) start(co *quickstartCommand) error {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	de.url = "http://" + li.Addr().String()
+	de.platform = platformstandin.New()
+	de.done.Go(func() { _ = de.platform.Serve(li) })
+	de.stops = append(de.stops, func() { _ = de.platform.Shutdown() })
+	for _, dh := range demoHosts {
+		if err := de.startHost(co, dh); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (de *demo) startHost(co *quickstartCommand, dh demoHost) error {
+	contacts := ""
+	if len(de.nodes) > 0 {
+		contacts = "contacts = " + de.nodes[0].Addresses().Link
+	}
+	text := fmt.Sprintf(`
+[mesh]
+name = quickstart
+fleet_size = %d
+[host]
+id = %s
+data_centre = %s
+[link]
+listen = 127.0.0.1:0
+%s
+[caller]
+listen = 127.0.0.1:0
+[upstream]
+listen = 127.0.0.1:0
+[operator]
+listen = 127.0.0.1:0
+[platform]
+table_url = %s
+object_url = %s
+`, len(demoHosts), dh.name, dh.dataCentre, contacts, de.url, de.url)
+	se, err := ini.Parse(dh.name, []byte(text))
+	if err != nil {
+		return err
+	}
+	pr, err := process.New(se, newLog(co.err, co.level))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	de.done.Go(func() { pr.Run(ctx) })
+	de.nodes = append(de.nodes, pr)
+	de.stops = append(de.stops, cancel)
+	sv, err := upstreamstandin.Start("127.0.0.1:0", upstreamstandin.Config{
+		Name:          dh.name,
+		Service:       dh.service,
+		Slots:         demoSlots,
+		Work:          demoWork,
+		ColdFactor:    1,
+		AnnounceTo:    "http://" + pr.Addresses().Upstream,
+		AnnounceEvery: announceEvery,
+	})
+	if err != nil {
+		return err
+	}
+	de.stops = append(de.stops, sv.Stop)
+	return nil
+}
+
+// ready has the demonstration's document accepted and waits until every node
+// can serve every route.
+func (de *demo) ready(ctx context.Context) error {
+	err := request("POST", "http://"+de.nodes[0].Addresses().Operator+"/api/config", operator.ConfigBody{
+		Document: []byte(demoDocument),
+	}, nil)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, demoReady)
+	defer cancel()
+	for !de.serves() {
+		select {
+		case <-time.After(announceEvery / 10):
+		case <-ctx.Done():
+			return &NotReadyError{}
+		}
+	}
+	return nil
+}
+
+// NotReadyError reports a demonstration that did not become usable.
+type NotReadyError struct{}
+
+func (er *NotReadyError) Error() string { return "the demonstration did not become ready" }
+
+func (de *demo) serves() bool {
+	for _, pr := range de.nodes {
+		var st operator.Status
+		if request("GET", "http://"+pr.Addresses().Operator+"/api/status", nil, &st) != nil {
+			return false
+		}
+		if st.Version == 0 || !allServed(st.Services) {
+			return false
+		}
+	}
+	return true
+}
+
+func allServed(services []operator.ServiceStatus) bool {
+	want := map[contract.ServiceName]int{}
+	for _, dh := range demoHosts {
+		want[contract.ServiceName(dh.service)]++
+	}
+	for _, se := range services {
+		if se.Upstreams != want[se.Service] {
+			return false
+		}
+	}
+	return len(services) == len(want)
+}
+
+func (de *demo) print(co *quickstartCommand) {
+	ad := de.nodes[0].Addresses()
+	_, _ = fmt.Fprintf(co.out, `lynxfold runs: 3 nodes in 2 data centres, version 1 in force
+
+console   http://%s/
+callers   http://%s/
+platform  %s
+
+An idempotent lookup:
+  curl -i http://%s/results/cube-17
+A non-idempotent booking, through two nodes and over a link:
+  curl -i -X POST -d 'cube 17' http://%s/bookings
+
+Ctrl-C ends it.
+`, ad.Operator, ad.Caller, de.url, ad.Caller, ad.Caller)
+}
+
+func (de *demo) stop() {
+	for i := len(de.stops) - 1; i >= 0; i-- {
+		de.stops[i]()
+	}
+	de.done.Wait()
+}
--- /dev/null
+++ b/core/contract/document.go
@@ -0,0 +1,134 @@
+// Package contract holds the configuration of a mesh: its document, the checks
+// on it, the compiled snapshot that traffic reads, and the deltas between versions.
+package contract
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Version numbers accepted configurations; 0 is the empty configuration.
+type Version uint64
+
+// ServiceName names a service.
+type ServiceName string
+
+// RouteName names a route.
+type RouteName string
+
+// TermsName names the terms that a route's calls are made under.
+type TermsName string
+
+// Class tells short calls from long transfers.
+type Class string
+
+// Classes of calls.
+const (
+	ClassLookup Class = "lookup"
+	ClassBulk   Class = "bulk"
+)
+
+// Document is the configuration that operators write.
+type Document struct {
+	Services  []Service `json:"services"`
+	Contracts []Terms   `json:"contracts"`
+	Routes    []Route   `json:"routes"`
+}
+
+// Service is a set of upstreams that answer the same calls.
+type Service struct {
+	Name        ServiceName `json:"name"`
+	Description string      `json:"description,omitempty"`
+}
+
+// Terms say how calls may be made: the contract between caller and upstream.
+type Terms struct {
+	Name TermsName `json:"name"`
+	// Idempotent calls may be repeated; all others run at most once.
+	Idempotent bool `json:"idempotent,omitempty"`
+	// Keyed calls need an Idempotency-Key and get their first answer again.
+	Keyed bool `json:"keyed,omitempty"`
+	// TimeoutMS bounds a call from its arrival, in milliseconds.
+	TimeoutMS int64 `json:"timeout_ms"`
+	// Retries is the highest number of further attempts.
+	Retries int `json:"retries,omitempty"`
+	// HedgeAfterMS starts a second attempt of an idempotent call, in
+	// milliseconds after the first; 0 means never.
+	HedgeAfterMS int64 `json:"hedge_after_ms,omitempty"`
+	Class        Class `json:"class,omitempty"`
+}
+
+// Timeout is the time that a call may take.
+func (te Terms) Timeout() time.Duration {
+	return time.Duration(te.TimeoutMS) * time.Millisecond
+}
+
+// HedgeAfter is the delay before a hedge; 0 means never.
+func (te Terms) HedgeAfter() time.Duration {
+	return time.Duration(te.HedgeAfterMS) * time.Millisecond
+}
+
+// Route sends calls that match a path prefix and method to a service.
+type Route struct {
+	Name       RouteName   `json:"name"`
+	PathPrefix string      `json:"path_prefix"`
+	Methods    []string    `json:"methods,omitempty"`
+	Service    ServiceName `json:"service"`
+	Contract   TermsName   `json:"contract"`
+	// Fallback is the route taken when the service has no usable upstream.
+	Fallback RouteName `json:"fallback,omitempty"`
+}
+
+// ParseDocument reads a document and rejects fields that it does not know.
+func ParseDocument(data []byte) (*Document, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	var doc Document
+	if err := dec.Decode(&doc); err != nil {
+		return nil, &SyntaxError{Detail: err.Error()}
+	}
+	if dec.More() {
+		return nil, &SyntaxError{Detail: "data after the end of the document"}
+	}
+	doc.normalise()
+	return &doc, nil
+}
+
+// Encode writes the canonical JSON form of the document.
+func (doc *Document) Encode() []byte {
+	data, err := json.Marshal(doc)
+	if err != nil {
+		panic(err) // a Document holds only types that always marshal
+	}
+	return data
+}
+
+// Clone copies the document's lists; the elements are values.
+func (doc *Document) Clone() *Document {
+	return &Document{
+		Services:  slices.Clone(doc.Services),
+		Contracts: slices.Clone(doc.Contracts),
+		Routes:    slices.Clone(doc.Routes),
+	}
+}
+
+// normalise sorts the lists by name and fills in defaults.
+func (doc *Document) normalise() {
+	for i := range doc.Contracts {
+		if doc.Contracts[i].Class == "" {
+			doc.Contracts[i].Class = ClassLookup
+		}
+	}
+	slices.SortStableFunc(doc.Services, func(a, b Service) int {
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+	slices.SortStableFunc(doc.Contracts, func(a, b Terms) int {
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+	slices.SortStableFunc(doc.Routes, func(a, b Route) int {
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+}
--- /dev/null
+++ b/core/contract/errors.go
@@ -0,0 +1,81 @@
+package contract
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault names what is wrong with one field of a document.
+type Fault string
+
+// Faults of fields.
+const (
+	FaultMissing            Fault = "missing"
+	FaultBadName            Fault = "bad_name"
+	FaultDuplicate          Fault = "duplicate"
+	FaultUnknownService     Fault = "unknown_service"
+	FaultUnknownContract    Fault = "unknown_contract"
+	FaultUnknownRoute       Fault = "unknown_route"
+	FaultCyclicFallback     Fault = "cyclic_fallback"
+	FaultImpossibleDeadline Fault = "impossible_deadline"
+	FaultOutOfRange         Fault = "out_of_range"
+	FaultBadPath            Fault = "bad_path"
+	FaultBadMethod          Fault = "bad_method"
+	FaultContradiction      Fault = "contradiction"
+	FaultOverlap            Fault = "overlap"
+)
+
+// SyntaxError reports a document that is not JSON of the expected shape.
+type SyntaxError struct {
+	Detail string
+}
+
+func (er *SyntaxError) Error() string {
+	return "document syntax: " + er.Detail
+}
+
+// FieldError reports one wrong field by its path, such as routes[2].service.
+type FieldError struct {
+	Path   string `json:"path"`
+	Fault  Fault  `json:"fault"`
+	Detail string `json:"detail"`
+}
+
+func (er *FieldError) Error() string {
+	return fmt.Sprintf("%s: %s: %s", er.Path, er.Fault, er.Detail)
+}
+
+// ValidationError holds every wrong field of a document.
+type ValidationError struct {
+	Fields []FieldError
+}
+
+func (er *ValidationError) Error() string {
+	lines := make([]string, 0, len(er.Fields))
+	for i := range er.Fields {
+		lines = append(lines, er.Fields[i].Error())
+	}
+	return "invalid document: " + strings.Join(lines, "; ")
+}
+
+// DeltaError reports a delta that does not fit the document it was applied to.
+type DeltaError struct {
+	Base   Version
+	Result Version
+	Detail string
+}
+
+func (er *DeltaError) Error() string {
+	return fmt.Sprintf("delta %d to %d: %s", er.Base, er.Result, er.Detail)
+}
+
+// DigestError reports content that does not have the digest it came with.
+type DigestError struct {
+	Version Version
+	Want    Digest
+	Got     Digest
+}
+
+func (er *DigestError) Error() string {
+	return fmt.Sprintf("version %d: digest is %s, want %s", er.Version, er.Got, er.Want)
+}
--- /dev/null
+++ b/core/contract/validate.go
@@ -0,0 +1,202 @@
+package contract
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+)
+
+// Bounds on documents.
+const (
+	maxTimeoutMS   = 10 * 60 * 1000
+	maxRetries     = 5
+	maxItems       = 20_000
+	maxDescription = 1_000
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]{1,16}$`)
+	pathPattern   = regexp.MustCompile(`^/[A-Za-z0-9._~/%-]*$`)
+)
+
+// checker collects the faults of one document.
+type checker struct {
+	doc       *Document
+	services  map[ServiceName]bool
+	contracts map[TermsName]bool
+	routes    map[RouteName]Route
+	fields    []FieldError
+}
+
+// Validate checks the whole document and reports every fault at once.
+func (doc *Document) Validate() error {
+	ch := &checker{
+		doc:       doc,
+		services:  map[ServiceName]bool{},
+		contracts: map[TermsName]bool{},
+		routes:    map[RouteName]Route{},
+	}
+	ch.checkSizes()
+	ch.checkServices()
+	ch.checkContracts()
+	ch.checkRoutes()
+	ch.checkFallbacks()
+	ch.checkOverlaps()
+	if len(ch.fields) == 0 {
+		return nil
+	}
+	return &ValidationError{Fields: ch.fields}
+}
+
+func (ch *checker) add(path string, fa Fault, format string, args ...any) {
+	ch.fields = append(ch.fields, FieldError{
+		Path:   path,
+		Fault:  fa,
+		Detail: fmt.Sprintf(format, args...),
+	})
+}
+
+func (ch *checker) checkSizes() {
+	total := len(ch.doc.Services) + len(ch.doc.Contracts) + len(ch.doc.Routes)
+	if total > maxItems {
+		ch.add("document", FaultOutOfRange, "%d items, at most %d", total, maxItems)
+	}
+}
+
+func (ch *checker) checkName(path, name string, seen bool) {
+	switch {
+	case name == "":
+		ch.add(path, FaultMissing, "a name is needed")
+	case !namePattern.MatchString(name):
+		ch.add(path, FaultBadName, "%q: use up to 63 lower-case letters, digits and hyphens", name)
+	case seen:
+		ch.add(path, FaultDuplicate, "%q is there twice", name)
+	}
+}
+
+func (ch *checker) checkServices() {
+	for i, se := range ch.doc.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		ch.checkName(path+".name", string(se.Name), ch.services[se.Name])
+		ch.services[se.Name] = true
+		if len(se.Description) > maxDescription {
+			ch.add(path+".description", FaultOutOfRange, "at most %d bytes", maxDescription)
+		}
+	}
+}
+
+func (ch *checker) checkContracts() {
+	for i, te := range ch.doc.Contracts {
+		path := fmt.Sprintf("contracts[%d]", i)
+		ch.checkName(path+".name", string(te.Name), ch.contracts[te.Name])
+		ch.contracts[te.Name] = true
+		ch.checkTerms(path, te)
+	}
+}
+
+func (ch *checker) checkTerms(path string, te Terms) {
+	if te.TimeoutMS <= 0 || te.TimeoutMS > maxTimeoutMS {
+		ch.add(path+".timeout_ms", FaultImpossibleDeadline, "%d: use 1 to %d", te.TimeoutMS, maxTimeoutMS)
+	}
+	if te.Retries < 0 || te.Retries > maxRetries {
+		ch.add(path+".retries", FaultOutOfRange, "%d: use 0 to %d", te.Retries, maxRetries)
+	}
+	if te.HedgeAfterMS < 0 || (te.HedgeAfterMS > 0 && te.HedgeAfterMS >= te.TimeoutMS) {
+		ch.add(path+".hedge_after_ms", FaultImpossibleDeadline, "%d: use less than timeout_ms", te.HedgeAfterMS)
+	}
+	if te.HedgeAfterMS > 0 && !te.Idempotent {
+		ch.add(path+".hedge_after_ms", FaultContradiction, "only idempotent calls may be hedged")
+	}
+	if te.Keyed && te.Idempotent {
+		ch.add(path+".keyed", FaultContradiction, "idempotent calls need no key")
+	}
+	if te.Class != ClassLookup && te.Class != ClassBulk {
+		ch.add(path+".class", FaultOutOfRange, "%q: use lookup or bulk", te.Class)
+	}
+}
+
+func (ch *checker) checkRoutes() {
+	for i, ro := range ch.doc.Routes {
+		path := fmt.Sprintf("routes[%d]", i)
+		_, seen := ch.routes[ro.Name]
+		ch.checkName(path+".name", string(ro.Name), seen)
+		ch.routes[ro.Name] = ro
+		ch.checkRoute(path, ro)
+	}
+}
+
+func (ch *checker) checkRoute(path string, ro Route) {
+	if !pathPattern.MatchString(ro.PathPrefix) || strings.Contains(ro.PathPrefix, "//") {
+		ch.add(path+".path_prefix", FaultBadPath, "%q: use an absolute path", ro.PathPrefix)
+	}
+	for j, me := range ro.Methods {
+		if !methodPattern.MatchString(me) {
+			ch.add(fmt.Sprintf("%s.methods[%d]", path, j), FaultBadMethod, "%q: use upper-case letters", me)
+		}
+	}
+	if !ch.services[ro.Service] {
+		ch.add(path+".service", FaultUnknownService, "%q is not a service of this document", ro.Service)
+	}
+	if !ch.contracts[ro.Contract] {
+		ch.add(path+".contract", FaultUnknownContract, "%q is not a contract of this document", ro.Contract)
+	}
+}
+
+func (ch *checker) checkFallbacks() {
+	for i, ro := range ch.doc.Routes {
+		path := fmt.Sprintf("routes[%d].fallback", i)
+		if ro.Fallback == "" {
+			continue
+		}
+		if _, ok := ch.routes[ro.Fallback]; !ok {
+			ch.add(path, FaultUnknownRoute, "%q is not a route of this document", ro.Fallback)
+			continue
+		}
+		if ch.cyclic(ro) {
+			ch.add(path, FaultCyclicFallback, "%q leads back to itself", ro.Fallback)
+		}
+	}
+}
+
+// cyclic follows the fallbacks of a route for at most one step per route.
+func (ch *checker) cyclic(ro Route) bool {
+	next := ro
+	for range ch.doc.Routes {
+		fb, ok := ch.routes[next.Fallback]
+		if !ok {
+			return false
+		}
+		if fb.Name == ro.Name {
+			return true
+		}
+		next = fb
+	}
+	return true
+}
+
+func (ch *checker) checkOverlaps() {
+	type key struct {
+		prefix string
+		method string
+	}
+	taken := map[key]RouteName{}
+	for i, ro := range ch.doc.Routes {
+		methods := ro.Methods
+		if len(methods) == 0 {
+			methods = []string{""}
+		}
+		for _, me := range methods {
+			ke := key{prefix: trimPrefix(ro.PathPrefix), method: me}
+			if other, ok := taken[ke]; ok {
+				ch.add(fmt.Sprintf("routes[%d].path_prefix", i), FaultOverlap, "route %q matches the same calls", other)
+				continue
+			}
+			taken[ke] = ro.Name
+		}
+	}
+}
+
+func trimPrefix(prefix string) string {
+	return strings.TrimRight(prefix, "/")
+}
--- /dev/null
+++ b/io/ini/document.go
@@ -0,0 +1,40 @@
+package ini
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Document writes a settings file that holds every key with its meaning and default.
+func Document() string {
+	var sb strings.Builder
+	sb.WriteString("# Settings of a lynxfold node. Required keys have example values;\n")
+	sb.WriteString("# the others stand as comments with their defaults.\n")
+	section := ""
+	for _, ke := range keys() {
+		if ke.section != section {
+			section = ke.section
+			fmt.Fprintf(&sb, "\n[%s]\n", section)
+		}
+		fmt.Fprintf(&sb, "# %s\n", ke.help)
+		if ke.required {
+			fmt.Fprintf(&sb, "%s = %s\n", ke.name, examples[ke.section+"."+ke.name])
+			continue
+		}
+		fmt.Fprintf(&sb, "; %s = %s\n", ke.name, ke.fallback)
+	}
+	return sb.String()
+}
+
+// examples are values of the required keys for the documented file.
+var examples = map[string]string{
+	"mesh.name":           "szeged",
+	"host.id":             "press-hall-1",
+	"host.data_centre":    "press-hall",
+	"link.listen":         "127.0.0.1:7400",
+	"caller.listen":       "127.0.0.1:7401",
+	"upstream.listen":     "127.0.0.1:7402",
+	"operator.listen":     "127.0.0.1:7403",
+	"platform.table_url":  "http://127.0.0.1:7300",
+	"platform.object_url": "http://127.0.0.1:7300",
+}
--- /dev/null
+++ b/io/ini/keys.go
@@ -0,0 +1,371 @@
+package ini
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
+)
+
+// key is one setting: where it stands, what it means and how it is read.
+type key struct {
+	section  string
+	name     string
+	help     string
+	fallback string
+	required bool
+	remedy   string
+	set      func(se *Settings, text string) error
+}
+
+var (
+	errNotAddress  = errors.New("not an address")
+	errNotDuration = errors.New("not a duration")
+	errNotNumber   = errors.New("not a number in range")
+	errNotName     = errors.New("not a name")
+	errNotURL      = errors.New("not a URL")
+	errNotFile     = errors.New("not a readable file")
+	errNotLevel    = errors.New("not a level")
+	errNotToken    = errors.New("not a token line")
+)
+
+// Remedies for values that can't be read.
+const (
+	remedyName     = "use up to 63 lower-case letters, digits and hyphens"
+	remedyAddress  = "use an IP address and port, such as 10.0.0.5:7400"
+	remedyDuration = "use a number and a unit, such as 500ms or 3s"
+	remedyCount    = "use a whole number above 0"
+	remedyRate     = "use a number above 0"
+	remedyURL      = "use a URL such as http://10.0.0.2:7000"
+	remedyFile     = "use the path of a file that this process can read"
+	remedyLevel    = "use debug, info, warn or error"
+	remedyTokens   = "use NAME ROLE DIGEST, separated by commas; ROLE is read or change, DIGEST the SHA-256 of the token in hexadecimal"
+)
+
+var (
+	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	tokenPattern = regexp.MustCompile(`^[a-z0-9-]+ (read|change) [0-9a-f]{64}$`)
+)
+
+// keys lists every setting in the order of the documented file.
+func keys() []key {
+	var all []key
+	all = append(all, identityKeys()...)
+	all = append(all, linkKeys()...)
+	all = append(all, callerKeys()...)
+	all = append(all, upstreamKeys()...)
+	all = append(all, operatorKeys()...)
+	all = append(all, platformKeys()...)
+	all = append(all, tlsKeys()...)
+	return all
+}
+
+func identityKeys() []key {
+	return []key{
+		{
+			section: "mesh", name: "name", required: true, remedy: remedyName,
+			help: "Name of the mesh; nodes of another mesh are refused.",
+			set:  name(func(se *Settings) *string { return &se.Mesh.Name }),
+		},
+		{
+			section: "mesh", name: "fleet_size", fallback: "50", remedy: remedyCount,
+			help: "Expected number of hosts; bounds the reads of a node that sees few others.",
+			set:  count(func(se *Settings) *int { return &se.Mesh.FleetSize }),
+		},
+		{
+			section: "host", name: "id", required: true, remedy: remedyName,
+			help: "Name of this host; the same after every restart.",
+			set: func(se *Settings, text string) error {
+				se.Host.ID = host.ID(text)
+				return checkName(text)
+			},
+		},
+		{
+			section: "host", name: "data_centre", required: true, remedy: remedyName,
+			help: "Data centre of this host.",
+			set: func(se *Settings, text string) error {
+				se.Host.DataCentre = datacentre.Name(text)
+				return checkName(text)
+			},
+		},
+	}
+}
+
+func linkKeys() []key {
+	return []key{
+		{
+			section: "link", name: "listen", required: true, remedy: remedyAddress,
+			help: "Address on which other nodes reach this one.",
+			set:  address(func(se *Settings) *netip.AddrPort { return &se.Link.Listen }),
+		},
+		{
+			section: "link", name: "advertise", remedy: remedyAddress,
+			help: "Address told to other nodes; the listen address when empty.",
+			set:  address(func(se *Settings) *netip.AddrPort { return &se.Link.Advertise }),
+		},
+		{
+			section: "link", name: "advertise_remote", remedy: remedyAddress,
+			help: "Address told to nodes of other data centres; the advertised address when empty.",
+			set:  address(func(se *Settings) *netip.AddrPort { return &se.Link.AdvertiseRemote }),
+		},
+		{
+			section: "link", name: "contacts", remedy: remedyAddress + ", separated by commas",
+			help: "Addresses of nodes to try first, separated by commas.",
+			set:  setContacts,
+		},
+	}
+}
+
+func callerKeys() []key {
+	return []key{
+		{
+			section: "caller", name: "listen", required: true, remedy: remedyAddress,
+			help: "Address on which callers reach this node.",
+			set:  address(func(se *Settings) *netip.AddrPort { return &se.Caller.Listen }),
+		},
+		{
+			section: "caller", name: "max_header_bytes", fallback: "16384", remedy: remedyCount,
+			help: "Largest request header, in bytes.",
+			set:  count(func(se *Settings) *int { return &se.Caller.MaxHeaderBytes }),
+		},
+		{
+			section: "caller", name: "max_body_bytes", fallback: "134217728", remedy: remedyCount,
+			help: "Largest request body, in bytes.",
+			set:  count(func(se *Settings) *int { return &se.Caller.MaxBodyBytes }),
+		},
+		{
+			section: "caller", name: "max_connections", fallback: "4096", remedy: remedyCount,
+			help: "Most connections of callers at once.",
+			set:  count(func(se *Settings) *int { return &se.Caller.MaxConnections }),
+		},
+		{
+			section: "caller", name: "drain_within", fallback: "30s", remedy: remedyDuration,
+			help: "How long a node that stops waits for calls in flight.",
+			set:  duration(func(se *Settings) *time.Duration { return &se.Caller.DrainWithin }),
+		},
+		{
+			section: "caller", name: "retry_per_success", fallback: "0.1", remedy: remedyRate,
+			help: "Retries that one success of a service pays for.",
+			set:  rate(func(se *Settings) *float64 { return &se.Caller.RetryPerSuccess }),
+		},
+	}
+}
+
+func upstreamKeys() []key {
+	return []key{
+		{
+			section: "upstream", name: "listen", required: true, remedy: remedyAddress,
+			help: "Address on which this host's upstream announces itself.",
+			set:  address(func(se *Settings) *netip.AddrPort { return &se.Upstream.Listen }),
+		},
+		{
+			section: "upstream", name: "lapse_after", fallback: "2s", remedy: remedyDuration,
+			help: "An upstream that has not announced itself for this long takes no new calls.",
+			set:  duration(func(se *Settings) *time.Duration { return &se.Upstream.LapseAfter }),
+		},
+		{
+			section: "upstream", name: "queue_per_slot", fallback: "2", remedy: remedyCount,
+			help: "Calls that may wait for each slot of the upstream.",
+			set:  count(func(se *Settings) *int { return &se.Upstream.QueuePerSlot }),
+		},
+	}
+}
+
+func operatorKeys() []key {
+	return []key{
+		{
+			section: "operator", name: "listen", required: true, remedy: remedyAddress,
+			help: "Address of the console and its API.",
+			set:  address(func(se *Settings) *netip.AddrPort { return &se.Operator.Listen }),
+		},
+		{
+			section: "operator", name: "tokens", remedy: remedyTokens,
+			help: "Operators' tokens as NAME ROLE DIGEST, separated by commas; everybody may change when empty and the address is a loopback one.",
+			set:  setTokens,
+		},
+		{
+			section: "operator", name: "cert_file", remedy: remedyFile,
+			help: "Certificate of the console, PEM; read again on SIGHUP.",
+			set:  file(func(se *Settings) *string { return &se.Operator.CertFile }),
+		},
+		{
+			section: "operator", name: "key_file", remedy: remedyFile,
+			help: "Private key of the console, PEM; read again on SIGHUP.",
+			set:  file(func(se *Settings) *string { return &se.Operator.KeyFile }),
+		},
+	}
+}
+
+func platformKeys() []key {
+	return []key{
+		{
+			section: "platform", name: "table_url", required: true, remedy: remedyURL,
+			help: "URL of the platform's transactional table.",
+			set:  link(func(se *Settings) *string { return &se.Platform.TableURL }),
+		},
+		{
+			section: "platform", name: "object_url", required: true, remedy: remedyURL,
+			help: "URL of the platform's object store.",
+			set:  link(func(se *Settings) *string { return &se.Platform.ObjectURL }),
+		},
+		{
+			section: "platform", name: "timeout", fallback: "2s", remedy: remedyDuration,
+			help: "Longest wait for one answer of the platform.",
+			set:  duration(func(se *Settings) *time.Duration { return &se.Platform.Timeout }),
+		},
+		{
+			section: "platform", name: "reads_per_second", fallback: "20", remedy: remedyRate,
+			help: "Reads a second that the whole fleet may make.",
+			set:  rate(func(se *Settings) *float64 { return &se.Platform.ReadsPerSecond }),
+		},
+		{
+			section: "platform", name: "keyed_writes_per_second", fallback: "200", remedy: remedyRate,
+			help: "Writes a second that the whole fleet may make for keyed calls.",
+			set:  rate(func(se *Settings) *float64 { return &se.Platform.KeyedWritesPerSecond }),
+		},
+	}
+}
+
+func tlsKeys() []key {
+	return []key{
+		{
+			section: "tls", name: "cert_file", remedy: remedyFile,
+			help: "Certificate of this node, PEM; turns on mutual TLS between nodes.",
+			set:  file(func(se *Settings) *string { return &se.TLS.CertFile }),
+		},
+		{
+			section: "tls", name: "key_file", remedy: remedyFile,
+			help: "Private key of this node, PEM.",
+			set:  file(func(se *Settings) *string { return &se.TLS.KeyFile }),
+		},
+		{
+			section: "tls", name: "ca_file", remedy: remedyFile,
+			help: "Certificates that other nodes' certificates must be signed by, PEM.",
+			set:  file(func(se *Settings) *string { return &se.TLS.CAFile }),
+		},
+		{
+			section: "log", name: "level", fallback: "info", remedy: remedyLevel,
+			help: "Least level that is logged: debug, info, warn or error.",
+			set:  setLevel,
+		},
+	}
+}
+
+func checkName(text string) error {
+	if !namePattern.MatchString(text) {
+		return errNotName
+	}
+	return nil
+}
+
+func name(field func(*Settings) *string) func(*Settings, string) error {
+	return func(se *Settings, text string) error {
+		*field(se) = text
+		return checkName(text)
+	}
+}
+
+func address(field func(*Settings) *netip.AddrPort) func(*Settings, string) error {
+	return func(se *Settings, text string) error {
+		ap, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return errNotAddress
+		}
+		*field(se) = ap
+		return nil
+	}
+}
+
+func setContacts(se *Settings, text string) error {
+	for part := range strings.SplitSeq(text, ",") {
+		ap, err := netip.ParseAddrPort(strings.TrimSpace(part))
+		if err != nil {
+			return errNotAddress
+		}
+		se.Link.Contacts = append(se.Link.Contacts, ap)
+	}
+	return nil
+}
+
+func setTokens(se *Settings, text string) error {
+	for part := range strings.SplitSeq(text, ",") {
+		line := strings.Join(strings.Fields(part), " ")
+		if !tokenPattern.MatchString(line) {
+			return errNotToken
+		}
+		se.Operator.Tokens = append(se.Operator.Tokens, line)
+	}
+	return nil
+}
+
+func setLevel(se *Settings, text string) error {
+	switch text {
+	case "debug", "info", "warn", "error":
+		se.Log.Level = text
+		return nil
+	}
+	return errNotLevel
+}
+
+func duration(field func(*Settings) *time.Duration) func(*Settings, string) error {
+	return func(se *Settings, text string) error {
+		du, err := time.ParseDuration(text)
+		if err != nil || du <= 0 {
+			return errNotDuration
+		}
+		*field(se) = du
+		return nil
+	}
+}
+
+func count(field func(*Settings) *int) func(*Settings, string) error {
+	return func(se *Settings, text string) error {
+		nu, err := strconv.Atoi(text)
+		if err != nil || nu <= 0 {
+			return errNotNumber
+		}
+		*field(se) = nu
+		return nil
+	}
+}
+
+func rate(field func(*Settings) *float64) func(*Settings, string) error {
+	return func(se *Settings, text string) error {
+		nu, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(nu > 0) || nu > 1e9 {
+			return errNotNumber
+		}
+		*field(se) = nu
+		return nil
+	}
+}
+
+func link(field func(*Settings) *string) func(*Settings, string) error {
+	return func(se *Settings, text string) error {
+		ur, err := url.Parse(text)
+		if err != nil || ur.Host == "" || (ur.Scheme != "http" && ur.Scheme != "https") {
+			return errNotURL
+		}
+		*field(se) = strings.TrimRight(text, "/")
+		return nil
+	}
+}
+
+func file(field func(*Settings) *string) func(*Settings, string) error {
+	return func(se *Settings, text string) error {
+		fi, err := os.Open(text)
+		if err != nil {
+			return errNotFile
+		}
+		*field(se) = text
+		return fi.Close()
+	}
+}
--- /dev/null
+++ b/io/platform/standin/server.go
@@ -0,0 +1,278 @@
+// Package standin is a small table and object store in memory that takes the
+// platform's place in demonstrations and tests. It can be made to fail.
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"lynxfold/io/platform"
+)
+
+// Faults are what the stand-in does wrong.
+type Faults struct {
+	// Down refuses everything.
+	Down bool `json:"down"`
+	// DelayMS holds every answer back, in milliseconds.
+	DelayMS int64 `json:"delay_ms"`
+	// LoseReplies closes the connection of that many writes after they took effect.
+	LoseReplies int `json:"lose_replies"`
+	// LateWrites makes that many writes take effect only after DelayMS, their replies lost.
+	LateWrites int `json:"late_writes"`
+}
+
+// Counts are what the stand-in was asked for.
+type Counts struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Objects int64 `json:"objects"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	mu      sync.Mutex
+	rows    map[platform.Key]platform.Row
+	objects map[string][]byte
+	state   uint64
+	faults  Faults
+	counts  Counts
+	http    *fasthttp.Server
+}
+
+// New builds an empty stand-in.
+func New() *Server {
+	sv := &Server{
+		rows:    map[platform.Key]platform.Row{},
+		objects: map[string][]byte{},
+	}
+	ro := router.New()
+	ro.GET("/table/rows/{key:*}", sv.failing(sv.read))
+	ro.GET("/table/list", sv.failing(sv.list))
+	ro.POST("/table/transactions", sv.failing(sv.transact))
+	ro.PUT("/objects/{name}", sv.failing(sv.putObject))
+	ro.GET("/objects/{name}", sv.failing(sv.getObject))
+	ro.PUT("/faults", sv.setFaults)
+	ro.GET("/counts", sv.getCounts)
+	sv.http = &fasthttp.Server{
+		Handler:               ro.Handler,
+		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    64 << 20,
+	}
+	return sv
+}
+
+// Serve answers on a listener until Shutdown.
+func (sv *Server) Serve(li net.Listener) error { return sv.http.Serve(li) }
+
+// Shutdown ends Serve.
+func (sv *Server) Shutdown() error { return sv.http.Shutdown() }
+
+// SetFaults replaces the faults.
+func (sv *Server) SetFaults(fa Faults) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.faults = fa
+}
+
+// Counts returns what was asked for so far.
+func (sv *Server) Counts() Counts {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.counts
+}
+
+// Rows returns the rows whose key starts with a prefix, by key.
+func (sv *Server) Rows(prefix platform.Key) []platform.Row {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.listLocked(prefix, "", len(sv.rows))
+}
+
+func (sv *Server) failing(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		sv.mu.Lock()
+		fa := sv.faults
+		sv.mu.Unlock()
+		time.Sleep(time.Duration(fa.DelayMS) * time.Millisecond)
+		if fa.Down {
+			ctx.Error("down", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		next(ctx)
+	}
+}
+
+func (sv *Server) read(ctx *fasthttp.RequestCtx) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.counts.Reads++
+	row, ok := sv.rows[platform.Key(pathValue(ctx, "key"))]
+	if !ok {
+		ctx.Error("no such row", fasthttp.StatusNotFound)
+		return
+	}
+	ctx.Response.Header.Set(fasthttp.HeaderETag, string(row.ETag))
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == string(row.ETag) {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(row.Value)
+}
+
+func (sv *Server) list(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	limit, err := strconv.Atoi(string(args.Peek("limit")))
+	if err != nil || limit <= 0 {
+		ctx.Error("bad limit", fasthttp.StatusBadRequest)
+		return
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.counts.Reads++
+	rows := sv.listLocked(platform.Key(args.Peek("prefix")), platform.Key(args.Peek("after")), limit)
+	writeJSON(ctx, fasthttp.StatusOK, struct {
+		Rows []platform.Row `json:"rows"`
+	}{
+		Rows: rows,
+	})
+}
+
+func (sv *Server) listLocked(prefix, after platform.Key, limit int) []platform.Row {
+	rows := []platform.Row{}
+	for _, key := range slices.Sorted(maps.Keys(sv.rows)) {
+		if strings.HasPrefix(string(key), string(prefix)) && key > after && len(rows) < limit {
+			rows = append(rows, sv.rows[key])
+		}
+	}
+	return rows
+}
+
+func (sv *Server) transact(ctx *fasthttp.RequestCtx) {
+	var body struct {
+		Writes []platform.Write `json:"writes"`
+	}
+	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.counts.Writes++
+	if sv.faults.LateWrites > 0 {
+		sv.faults.LateWrites--
+		delay := time.Duration(sv.faults.DelayMS) * time.Millisecond
+		time.AfterFunc(delay, func() { sv.applyLate(body.Writes) })
+		loseReply(ctx)
+		return
+	}
+	key, ok := sv.applyLocked(body.Writes)
+	if sv.faults.LoseReplies > 0 {
+		sv.faults.LoseReplies--
+		loseReply(ctx)
+		return
+	}
+	if !ok {
+		writeJSON(ctx, fasthttp.StatusPreconditionFailed, struct {
+			Key platform.Key `json:"key"`
+		}{
+			Key: key,
+		})
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+}
+
+func (sv *Server) applyLate(writes []platform.Write) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.applyLocked(writes)
+}
+
+// applyLocked makes all writes, or none and returns the key that did not fit.
+func (sv *Server) applyLocked(writes []platform.Write) (platform.Key, bool) {
+	for _, wr := range writes {
+		row, ok := sv.rows[wr.Key]
+		if wr.IfAbsent && ok || wr.IfMatch != "" && row.ETag != wr.IfMatch {
+			return wr.Key, false
+		}
+	}
+	for _, wr := range writes {
+		sv.state++
+		sv.rows[wr.Key] = platform.Row{
+			Key:   wr.Key,
+			ETag:  platform.ETag(strconv.Quote(strconv.FormatUint(sv.state, 10))),
+			Value: wr.Value,
+		}
+	}
+	return "", true
+}
+
+func (sv *Server) putObject(ctx *fasthttp.RequestCtx) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.counts.Objects++
+	name := pathValue(ctx, "name")
+	if _, ok := sv.objects[name]; ok {
+		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+		return
+	}
+	sv.objects[name] = slices.Clone(ctx.PostBody())
+	ctx.SetStatusCode(fasthttp.StatusCreated)
+}
+
+func (sv *Server) getObject(ctx *fasthttp.RequestCtx) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.counts.Objects++
+	data, ok := sv.objects[pathValue(ctx, "name")]
+	if !ok {
+		ctx.Error("no such object", fasthttp.StatusNotFound)
+		return
+	}
+	ctx.SetBody(data)
+}
+
+func (sv *Server) setFaults(ctx *fasthttp.RequestCtx) {
+	var fa Faults
+	if err := json.Unmarshal(ctx.PostBody(), &fa); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	sv.SetFaults(fa)
+}
+
+func (sv *Server) getCounts(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, fasthttp.StatusOK, sv.Counts())
+}
+
+// loseReply closes the connection without an answer.
+func loseReply(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+func pathValue(ctx *fasthttp.RequestCtx, name string) string {
+	text, _ := ctx.UserValue(name).(string)
+	return text
+}
--- /dev/null
+++ b/io/platform/types.go
@@ -0,0 +1,82 @@
+// Package platform speaks to the platform's transactional table and object
+// store: JSON over HTTP with conditional requests.
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Key names a row of the table, as a path such as config/current.
+type Key string
+
+// ETag names one state of a row.
+type ETag string
+
+// ObjectName names an object.
+type ObjectName string
+
+// Row is one row of the table.
+type Row struct {
+	Key   Key             `json:"key"`
+	ETag  ETag            `json:"etag"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Write is one conditional write of a transaction.
+type Write struct {
+	Key   Key             `json:"key"`
+	Value json.RawMessage `json:"value"`
+	// IfMatch is the state that the row must have; empty means any.
+	IfMatch ETag `json:"if_match,omitempty"`
+	// IfAbsent means that the row must not exist.
+	IfAbsent bool `json:"if_absent,omitempty"`
+}
+
+// NotFoundError reports a row or object that is not there.
+type NotFoundError struct {
+	Name string
+}
+
+func (er *NotFoundError) Error() string { return fmt.Sprintf("%s is not there", er.Name) }
+
+// ConflictError reports a write whose condition did not hold; nothing was written.
+type ConflictError struct {
+	Key Key
+}
+
+func (er *ConflictError) Error() string { return fmt.Sprintf("row %s is in another state", er.Key) }
+
+// UnavailableError reports a request that certainly had no effect.
+type UnavailableError struct {
+	Doing string
+	Err   error
+}
+
+func (er *UnavailableError) Error() string {
+	return fmt.Sprintf("platform unavailable: %s: %v", er.Doing, er.Err)
+}
+
+// Unwrap returns the cause.
+func (er *UnavailableError) Unwrap() error { return er.Err }
+
+// InDoubtError reports a write that may have taken effect.
+type InDoubtError struct {
+	Doing string
+	Err   error
+}
+
+func (er *InDoubtError) Error() string {
+	return fmt.Sprintf("outcome in doubt: %s: %v", er.Doing, er.Err)
+}
+
+// Unwrap returns the cause.
+func (er *InDoubtError) Unwrap() error { return er.Err }
+
+// StatusError reports an unexpected HTTP status.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+func (er *StatusError) Error() string { return fmt.Sprintf("status %d: %s", er.Status, er.Body) }
--- /dev/null
+++ b/io/platform/versions.go
@@ -0,0 +1,187 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lynxfold/core/contract"
+)
+
+// Keys of the configuration's rows.
+const (
+	keyCurrent    Key = "config/current"
+	prefixVersion Key = "config/versions/"
+)
+
+// maxListed bounds the versions read at once; beyond it the whole document is read.
+const maxListed = 100
+
+// Submission is one operator's request to accept a document.
+type Submission struct {
+	// ID tells a lost reply from a lost race; it is unique.
+	ID       string
+	Operator string
+	Base     *contract.Snapshot
+	Document *contract.Document
+	// SubmittedAt is recorded with the version.
+	SubmittedAt time.Time
+}
+
+// VersionRow is what the table holds of one accepted version.
+type VersionRow struct {
+	Version    contract.Version `json:"version"`
+	Submission string           `json:"submission"`
+	Operator   string           `json:"operator"`
+	AcceptedAt time.Time        `json:"accepted_at"`
+	Delta      *contract.Delta  `json:"delta"`
+}
+
+// currentRow points at the highest version.
+type currentRow struct {
+	Version contract.Version `json:"version"`
+	Digest  contract.Digest  `json:"digest"`
+}
+
+// Versions reads and accepts configuration versions.
+type Versions struct {
+	client *Client
+}
+
+// NewVersions builds the store of versions over a client.
+func NewVersions(cl *Client) *Versions { return &Versions{client: cl} }
+
+func versionKey(ve contract.Version) Key {
+	return prefixVersion + Key(fmt.Sprintf("%020d", ve))
+}
+
+func objectOf(di contract.Digest) ObjectName { return ObjectName("config-" + string(di)) }
+
+// Accept stores the submission as the next version. It fails with a
+// contract.ValidationError, a ConflictError, an UnavailableError or an InDoubtError.
+func (vs *Versions) Accept(su Submission) (*contract.Delta, error) {
+	next, err := contract.Compile(su.Base.Version+1, su.Document)
+	if err != nil {
+		return nil, err
+	}
+	if err := vs.client.PutObject(objectOf(next.Digest), contract.Pack(next.Document)); err != nil {
+		return nil, &UnavailableError{Doing: "store document", Err: err}
+	}
+	de := contract.Diff(su.Base, next)
+	err = vs.client.Transact(vs.writes(su, de))
+	var doubt *InDoubtError
+	if errors.As(err, &doubt) {
+		return vs.resolve(su, de, doubt)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return de, nil
+}
+
+// writes creates the version's row and moves the current one. The create
+// decides a race; the current row only saves reads.
+func (vs *Versions) writes(su Submission, de *contract.Delta) []Write {
+	row := mustJSON(VersionRow{
+		Version:    de.Result,
+		Submission: su.ID,
+		Operator:   su.Operator,
+		AcceptedAt: su.SubmittedAt,
+		Delta:      de,
+	})
+	current := mustJSON(currentRow{
+		Version: de.Result,
+		Digest:  de.Digest,
+	})
+	return []Write{
+		{
+			Key:      versionKey(de.Result),
+			Value:    row,
+			IfAbsent: true,
+		},
+		{
+			Key:   keyCurrent,
+			Value: current,
+		},
+	}
+}
+
+// resolve reads the row of a version whose write had no reply.
+func (vs *Versions) resolve(su Submission, de *contract.Delta, doubt *InDoubtError) (*contract.Delta, error) {
+	ro, err := vs.client.Read(versionKey(de.Result))
+	var missing *NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		return nil, doubt // the write may still arrive
+	case err != nil:
+		return nil, doubt
+	}
+	var row VersionRow
+	if err := json.Unmarshal(ro.Value, &row); err != nil {
+		return nil, doubt
+	}
+	if row.Submission != su.ID {
+		return nil, &ConflictError{Key: ro.Key}
+	}
+	return de, nil
+}
+
+// Since reads what leads on from a version: the deltas in order, or the whole
+// document when there are too many.
+func (vs *Versions) Since(ve contract.Version, known ETag) (deltas []*contract.Delta, whole *contract.Snapshot, et ETag, err error) {
+	ro, changed, err := vs.client.ReadIfChanged(keyCurrent, known)
+	var missing *NotFoundError
+	if errors.As(err, &missing) {
+		return nil, nil, "", nil
+	}
+	if err != nil || !changed {
+		return nil, nil, known, err
+	}
+	var cur currentRow
+	if err := json.Unmarshal(ro.Value, &cur); err != nil {
+		return nil, nil, "", &UnavailableError{Doing: "read current version", Err: err}
+	}
+	if cur.Version <= ve {
+		return nil, nil, ro.ETag, nil
+	}
+	if cur.Version-ve > maxListed {
+		whole, err = vs.whole(cur)
+		return nil, whole, ro.ETag, err
+	}
+	deltas, err = vs.deltas(ve)
+	return deltas, nil, ro.ETag, err
+}
+
+func (vs *Versions) whole(cur currentRow) (*contract.Snapshot, error) {
+	data, err := vs.client.GetObject(objectOf(cur.Digest))
+	if err != nil {
+		return nil, err
+	}
+	return contract.Unpack(cur.Version, cur.Digest, data)
+}
+
+func (vs *Versions) deltas(after contract.Version) ([]*contract.Delta, error) {
+	rows, err := vs.client.List(prefixVersion, versionKey(after), maxListed)
+	if err != nil {
+		return nil, err
+	}
+	deltas := make([]*contract.Delta, 0, len(rows))
+	for _, ro := range rows {
+		var row VersionRow
+		if err := json.Unmarshal(ro.Value, &row); err != nil {
+			return nil, &UnavailableError{Doing: "read version rows", Err: err}
+		}
+		deltas = append(deltas, row.Delta)
+	}
+	return deltas, nil
+}
+
+func mustJSON(va any) json.RawMessage {
+	data, err := json.Marshal(va)
+	if err != nil {
+		panic(err) // rows hold only types that always marshal
+	}
+	return data
+}
--- /dev/null
+++ b/io/upstream/announce.go
@@ -0,0 +1,117 @@
+package upstream
+
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/host"
+)
+
+// announcementBody is the JSON that an upstream posts to its host's node.
+type announcementBody struct {
+	Service     contract.ServiceName `json:"service"`
+	Address     string               `json:"address"`
+	Slots       int                  `json:"slots"`
+	Connections int                  `json:"connections"`
+	State       string               `json:"state"`
+	InFlight    int                  `json:"in_flight"`
+}
+
+// AnnouncementError reports an announcement that can't be taken.
+type AnnouncementError struct {
+	Field  string
+	Detail string
+}
+
+func (er *AnnouncementError) Error() string {
+	return "announcement: " + er.Field + ": " + er.Detail
+}
+
+// Bounds on announcements.
+const (
+	maxSlots         = 100_000
+	maxAnnounceBytes = 4 << 10
+	announceTimeout  = 5 * time.Second
+)
+
+// Listener takes announcements.
+type Listener struct {
+	gate *Gate
+	http *fasthttp.Server
+}
+
+// NewListener builds the announcements' listener for a gate.
+func NewListener(ga *Gate) *Listener {
+	ls := &Listener{gate: ga}
+	ro := router.New()
+	ro.POST("/announce", ls.announce)
+	ls.http = &fasthttp.Server{
+		Handler:               ro.Handler,
+		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    maxAnnounceBytes,
+		ReadTimeout:           announceTimeout,
+		IdleTimeout:           time.Minute,
+		CloseOnShutdown:       true,
+	}
+	return ls
+}
+
+// Serve answers on a listener until Shutdown.
+func (ls *Listener) Serve(li net.Listener) error { return ls.http.Serve(li) }
+
+// Shutdown ends Serve.
+func (ls *Listener) Shutdown() error { return ls.http.Shutdown() }
+
+func (ls *Listener) announce(ctx *fasthttp.RequestCtx) {
+	an, err := parseAnnouncement(ctx.PostBody())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	ls.gate.Announce(an)
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func parseAnnouncement(data []byte) (host.Announcement, error) {
+	var body announcementBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return host.Announcement{}, &AnnouncementError{Field: "body", Detail: err.Error()}
+	}
+	if body.Service == "" {
+		return host.Announcement{}, &AnnouncementError{Field: "service", Detail: "missing"}
+	}
+	if _, err := netip.ParseAddrPort(body.Address); err != nil {
+		return host.Announcement{}, &AnnouncementError{Field: "address", Detail: "use an IP address and port"}
+	}
+	if body.Slots <= 0 || body.Slots > maxSlots {
+		return host.Announcement{}, &AnnouncementError{Field: "slots", Detail: "out of range"}
+	}
+	if body.Connections < 0 || body.InFlight < 0 {
+		return host.Announcement{}, &AnnouncementError{Field: "connections", Detail: "out of range"}
+	}
+	st, ok := states[body.State]
+	if !ok {
+		return host.Announcement{}, &AnnouncementError{Field: "state", Detail: "use ready, draining or gone"}
+	}
+	return host.Announcement{
+		Service:     body.Service,
+		Address:     body.Address,
+		Slots:       host.Slots(body.Slots),
+		Connections: body.Connections,
+		State:       st,
+		InFlight:    body.InFlight,
+	}, nil
+}
+
+// states are the words for an upstream's states.
+var states = map[string]host.State{
+	"ready":    host.StateReady,
+	"draining": host.StateDraining,
+	"gone":     host.StateGone,
+}
--- /dev/null
+++ b/io/upstream/reply.go
@@ -0,0 +1,28 @@
+// Package upstream speaks to the backend server on this host: it takes its
+// announcements and passes calls to it through the host's gate.
+package upstream
+
+import (
+	"io"
+
+	"lynxfold/core/host"
+	"lynxfold/core/wire"
+)
+
+// Reply is how an attempt ended at a gate: a response or a refusal.
+type Reply struct {
+	Response *wire.Response
+	// Body follows a response whose body is not in it; it must be closed.
+	Body    io.ReadCloser
+	Refusal *wire.Refusal
+}
+
+// Refuse builds a reply without a response.
+func Refuse(re host.Reason, notRun bool) Reply {
+	return Reply{
+		Refusal: &wire.Refusal{
+			Reason: string(re),
+			NotRun: notRun,
+		},
+	}
+}
