feat: events, actions and messages for membership, floors and bounded resync

Cause: the thin path had no way to say who opened a link, to refuse a join with other addresses, to give a floor back, or to tell the gate a new incarnation. Conclusion: types only; the decisions follow.

--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -68,17 +68,19 @@
 		stop:     make(chan struct{}),
 	}
 	ct.member = datacentre.New(datacentre.Config{
-		Mesh:          se.Mesh.Name,
-		Host:          se.Host.ID,
-		DataCentre:    se.Host.DataCentre,
-		Address:       ad.advertise,
-		RemoteAddress: ad.remote,
-		Incarnation:   id.incarnation,
-		Contacts:      contacts,
-		ReadEvery:     readEvery(se),
-		DialBase:      dialBase,
-		DialCap:       dialCap,
-		Rand:          id.rand(),
+		Mesh:           se.Mesh.Name,
+		Host:           se.Host.ID,
+		DataCentre:     se.Host.DataCentre,
+		Address:        ad.advertise,
+		RemoteAddress:  ad.remote,
+		Incarnation:    id.incarnation,
+		Contacts:       contacts,
+		FleetSize:      se.Mesh.FleetSize,
+		ReadsPerSecond: se.Platform.ReadsPerSecond,
+		DialBase:       dialBase,
+		DialCap:        dialCap,
+		Rand:           id.rand(),
+		StartedAt:      time.Now(),
 	})
 	ct.hello.Store(ct.member.Hello())
 	ct.view.Store(&datacentre.View{Config: contract.Empty()})
@@ -95,11 +97,6 @@
 	return ct
 }
 
-// readEvery is the time between two reads that keeps the whole fleet under its budget.
-func readEvery(se *ini.Settings) time.Duration {
-	return time.Duration(float64(se.Mesh.FleetSize) / se.Platform.ReadsPerSecond * float64(time.Second))
-}
-
 // View is what traffic reads.
 func (ct *Control) View() *datacentre.View { return ct.view.Load() }
 
--- a/core/datacentre/events.go
+++ b/core/datacentre/events.go
@@ -21,9 +21,12 @@
 type LinkOpened struct {
 	Peer  host.ID
 	Hello *wire.Hello
+	// Address is what a Dial action asked for; empty when the peer opened the link.
+	Address string
 }
 
-// LinkClosed says that the control link to a peer is gone.
+// LinkClosed says that the last control link to a peer is gone, for whatever
+// reason: reset, silent or closed by either end.
 type LinkClosed struct {
 	Peer host.ID
 }
@@ -64,6 +67,12 @@
 	Err error
 }
 
+// Introduced brings the result of an Introduce action.
+type Introduced struct {
+	// Err is the reason when the row could not be written.
+	Err error
+}
+
 // Leave starts the node's own departure.
 type Leave struct{}
 
@@ -75,6 +84,7 @@
 func (LocalUpstream) isEvent() {}
 func (Accepted) isEvent()      {}
 func (PlatformRead) isEvent()  {}
+func (Introduced) isEvent()    {}
 func (Leave) isEvent()         {}
 
 // Send passes a message to a peer over its control link.
@@ -88,7 +98,8 @@
 	Address string
 }
 
-// CloseLink ends the control link to a peer.
+// CloseLink ends the control link to a peer once the messages that were sent
+// before it are written.
 type CloseLink struct {
 	Peer host.ID
 }
@@ -101,22 +112,37 @@
 // ReadPlatform reads the versions after one from the platform's table.
 type ReadPlatform struct {
 	After contract.Version
-	// Introductions asks for the contacts too.
+	// Introductions asks for the contacts too: a list of all introduction rows.
 	Introductions bool
+	// Fresh asks for a read that leaves out a kept ETag.
+	Fresh bool
+	// Whole asks for the whole document instead of deltas.
+	Whole bool
 }
 
-// Introduce writes the introduction row of this data centre.
+// Introduce writes the introduction row of this data centre by a conditional write.
 type Introduce struct {
-	Addresses []string
+	DataCentre Name
+	Addresses  []string
+}
+
+// Reincarnate tells the gate the host's new incarnation: attempts at an earlier
+// one are refused from now on.
+type Reincarnate struct {
+	Incarnation host.Incarnation
 }
 
 // Note records a decision for logs, counters and explanations.
 type Note struct {
-	Kind    NoteKind
+	Kind NoteKind
+	// Peer is the host that the note is about, or that a message came from.
 	Peer    host.ID
 	Version contract.Version
-	Err     error
-	At      time.Time
+	// DataCentre and Grounds are set for the kinds that need them.
+	DataCentre Name
+	Grounds    Grounds
+	Err        error
+	At         time.Time
 }
 
 // NoteKind names a decision.
@@ -129,6 +155,19 @@
 	NoteHostAlive      NoteKind = "host_alive"
 	NoteHostDead       NoteKind = "host_dead"
 	NoteHostLeft       NoteKind = "host_left"
+	NoteHostSuspect    NoteKind = "host_suspect"
+	NoteRefuted        NoteKind = "suspicion_refuted"
+	NoteReincarnated   NoteKind = "reincarnated"
+	NoteLinkRefused    NoteKind = "link_refused"
+	NoteResyncRefused  NoteKind = "resync_refused"
+	NoteGapFilled      NoteKind = "gap_filled"
+	NoteFloorKnown     NoteKind = "floor_known"
+	NoteFloorUnmet     NoteKind = "floor_unmet"
+	NoteGrounds        NoteKind = "grounds_taken"
+	NoteReadFailed     NoteKind = "platform_read_failed"
+	NoteSeparated      NoteKind = "data_centre_separated"
+	NoteRejoined       NoteKind = "data_centre_rejoined"
+	NoteBadMessage     NoteKind = "bad_message"
 	NoteInvariant      NoteKind = "invariant_violation"
 )
 
@@ -138,4 +177,5 @@
 func (Publish) isAction()      {}
 func (ReadPlatform) isAction() {}
 func (Introduce) isAction()    {}
+func (Reincarnate) isAction()  {}
 func (Note) isAction()         {}
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -25,12 +25,16 @@
 	Incarnation   host.Incarnation
 	// Contacts are link addresses to try first.
 	Contacts []string
-	// ReadEvery is the time between two reads of the platform's table.
-	ReadEvery time.Duration
+	// FleetSize is how many hosts the mesh has at most.
+	FleetSize int
+	// ReadsPerSecond is the budget of platform reads of all hosts together.
+	ReadsPerSecond float64
 	// DialBase and DialCap bound the backoff between dials of one address.
 	DialBase time.Duration
 	DialCap  time.Duration
 	Rand     *rand.Rand
+	// StartedAt is when the process started.
+	StartedAt time.Time
 }
 
 // Member is one node's knowledge of the mesh. It is driven by one goroutine.
--- a/core/datacentre/spread.go
+++ b/core/datacentre/spread.go
@@ -180,8 +180,8 @@
 
 func (me *Member) platformRead(ev PlatformRead, now time.Time) {
 	me.reading = false
-	half := me.cfg.ReadEvery / 2
-	me.readAt = now.Add(half + time.Duration(me.cfg.Rand.Int64N(int64(me.cfg.ReadEvery))))
+	every := time.Duration(float64(me.cfg.FleetSize) / me.cfg.ReadsPerSecond * float64(time.Second))
+	me.readAt = now.Add(every/2 + time.Duration(me.cfg.Rand.Int64N(int64(every))))
 	for _, ad := range ev.Contacts {
 		me.contact(ad)
 	}
--- a/core/datacentre/types.go
+++ b/core/datacentre/types.go
@@ -19,11 +19,32 @@
 	Incarnation host.Incarnation
 	Service     contract.ServiceName
 	Slots       host.Slots
+	Connections int
+	// Suspect hosts do not answer some neighbour; prefer others.
+	Suspect bool
 }
 
+// Grounds says why a version may be in force after a start.
+type Grounds string
+
+// Grounds for a version after a start. Until a node has grounds it has nothing
+// in force, and answers calls as not run.
+const (
+	GroundsNone Grounds = ""
+	// GroundsPlatform: the table's current version was read.
+	GroundsPlatform Grounds = "platform"
+	// GroundsFloor: neighbours remembered the highest version of this host.
+	GroundsFloor Grounds = "floor"
+	// GroundsNeighbours: nobody remembered; the highest version among the
+	// neighbours reached within the bounded wait.
+	GroundsNeighbours Grounds = "neighbours"
+)
+
 // View is what traffic reads: the configuration in force and the usable
 // upstreams. It never changes once published.
 type View struct {
-	Config    *contract.Snapshot
+	Config *contract.Snapshot
+	// Grounds is empty until the node may put a version in force.
+	Grounds   Grounds
 	Upstreams map[contract.ServiceName][]Upstream
 }
