feat: membership, floors, bounded resync and readers in the core; deltas cost what they change

Cause: the thin path told all host records to every link, took a lost link for a death, kept no floor, polled without regard to what it saw, and compiled the whole document for each delta. Its digest depended on whether an empty list was nil, so a delta that the accepting node had built was refused by others for good (found by the randomised run). Change: suspicion with refutation, only inside a data centre; links along a hash ring with fingers, two holders for each other data centre; records compared by digests of buckets; resync under a byte budget; joins limited; floors given back by neighbours; readers by rendezvous hashing under the budget; separated data centres out of the view; the view copied by service; digests by item and part.

--- a/core/contract/pack.go
+++ b/core/contract/pack.go
@@ -29,12 +29,12 @@
 	if err != nil {
 		return nil, &SyntaxError{Detail: err.Error()}
 	}
-	if got := DigestOf(text); got != want {
-		return nil, &DigestError{Version: ve, Want: want, Got: got}
-	}
 	doc, err := ParseDocument(text)
 	if err != nil {
 		return nil, err
 	}
+	if got := doc.Digest(); got != want {
+		return nil, &DigestError{Version: ve, Want: want, Got: got}
+	}
 	return Compile(ve, doc)
 }
--- a/core/contract/snapshot.go
+++ b/core/contract/snapshot.go
@@ -5,15 +5,18 @@
 	"strings"
 )
 
-// Snapshot is one compiled configuration. It never changes once built.
+// Snapshot is one compiled configuration. It never changes once built; a
+// snapshot made by a delta shares what the delta left alone.
 type Snapshot struct {
 	Version  Version
 	Digest   Digest
 	Document *Document
 
-	services map[ServiceName]Service
-	byName   map[RouteName]*Target
-	byPrefix map[string][]*Target
+	digests  digests
+	services table[Service]
+	terms    table[Terms]
+	targets  table[*Target]
+	prefixes table[[]*Target]
 }
 
 // Target is a route with the service and terms that it depends on.
@@ -41,45 +44,108 @@
 	if err := doc.Validate(); err != nil {
 		return nil, err
 	}
+	ch := changeOf(&Document{}, doc)
 	sn := &Snapshot{
 		Version:  ve,
-		Digest:   doc.Digest(),
 		Document: doc,
-		services: map[ServiceName]Service{},
-		byName:   map[RouteName]*Target{},
-		byPrefix: map[string][]*Target{},
+		digests:  ch.digests(&digests{}),
 	}
-	sn.index()
+	sn.Digest = sn.digests.total()
+	sn.index(&Snapshot{}, ch)
 	return sn, nil
 }
 
-func (sn *Snapshot) index() {
-	terms := map[TermsName]Terms{}
-	for _, te := range sn.Document.Contracts {
-		terms[te.Name] = te
-	}
-	for _, se := range sn.Document.Services {
-		sn.services[se.Name] = se
-	}
-	for _, ro := range sn.Document.Routes {
-		ta := &Target{
-			Route:   ro,
-			Service: sn.services[ro.Service],
-			Terms:   terms[ro.Contract],
+// index builds the tables from those of a base.
+func (sn *Snapshot) index(base *Snapshot, ch *change) {
+	sn.services = base.services.edit(byName(ch.putServices, serviceKey), ch.removeServices)
+	sn.terms = base.terms.edit(byName(ch.putContracts, termsKey), ch.removeContracts)
+	fresh := base.dependents(ch)
+	for _, ro := range ch.putRoutes {
+		fresh[string(ro.Name)] = &Target{Route: ro}
+	}
+	for _, name := range ch.removeRoutes {
+		delete(fresh, name)
+	}
+	for _, ta := range fresh {
+		ta.Service, _ = sn.services.get(string(ta.Route.Service))
+		ta.Terms, _ = sn.terms.get(string(ta.Route.Contract))
+	}
+	sn.targets = base.targets.edit(fresh, ch.removeRoutes)
+	for _, ta := range fresh {
+		ta.Fallback, _ = sn.targets.get(string(ta.Route.Fallback))
+	}
+	sn.prefixes = base.editPrefixes(fresh, ch.removeRoutes)
+}
+
+// dependents are new targets for the routes that a change touches through their
+// service, terms or fallback.
+func (sn *Snapshot) dependents(ch *change) map[string]*Target {
+	services := byName(ch.putServices, serviceKey)
+	terms := byName(ch.putContracts, termsKey)
+	touched := byName(ch.putRoutes, routeKey)
+	for _, name := range ch.removeRoutes {
+		touched[name] = Route{}
+	}
+	fresh := map[string]*Target{}
+	for grown := true; grown; {
+		grown = false
+		sn.targets.all(func(name string, ta *Target) bool {
+			if _, done := touched[name]; done {
+				return true
+			}
+			_, byService := services[string(ta.Route.Service)]
+			_, byTerms := terms[string(ta.Route.Contract)]
+			_, byFallback := touched[string(ta.Route.Fallback)]
+			if byService || byTerms || byFallback {
+				touched[name] = ta.Route
+				fresh[name] = &Target{Route: ta.Route}
+				grown = true
+			}
+			return true
+		})
+	}
+	return fresh
+}
+
+// editPrefixes replaces the targets of changed routes in the lists by prefix.
+func (sn *Snapshot) editPrefixes(fresh map[string]*Target, remove []string) table[[]*Target] {
+	lists := map[string][]*Target{}
+	list := func(prefix string) []*Target {
+		if ls, ok := lists[prefix]; ok {
+			return ls
+		}
+		ls, _ := sn.prefixes.get(prefix)
+		return slices.Clone(ls)
+	}
+	drop := func(name string) {
+		if old, ok := sn.targets.get(name); ok {
+			prefix := trimPrefix(old.Route.PathPrefix)
+			lists[prefix] = slices.DeleteFunc(list(prefix), func(ta *Target) bool { return ta == old })
 		}
-		prefix := trimPrefix(ro.PathPrefix)
-		sn.byName[ro.Name] = ta
-		sn.byPrefix[prefix] = append(sn.byPrefix[prefix], ta)
 	}
-	for _, ta := range sn.byName {
-		ta.Fallback = sn.byName[ta.Route.Fallback]
+	for _, name := range remove {
+		drop(name)
+	}
+	for name := range fresh {
+		drop(name)
 	}
+	for _, ta := range fresh {
+		prefix := trimPrefix(ta.Route.PathPrefix)
+		lists[prefix] = append(list(prefix), ta)
+	}
+	var empty []string
+	for prefix, ls := range lists {
+		if len(ls) == 0 {
+			empty = append(empty, prefix)
+			delete(lists, prefix)
+		}
+	}
+	return sn.prefixes.edit(lists, empty)
 }
 
 // Service finds a service by name.
 func (sn *Snapshot) Service(name ServiceName) (Service, bool) {
-	se, ok := sn.services[name]
-	return se, ok
+	return sn.services.get(string(name))
 }
 
 // Match finds the route with the longest prefix for a method and path; a route
@@ -87,7 +153,8 @@
 func (sn *Snapshot) Match(method, path string) *Target {
 	path = strings.TrimRight(path, "/")
 	for {
-		if ta := pickMethod(sn.byPrefix[path], method); ta != nil {
+		targets, _ := sn.prefixes.get(path)
+		if ta := pickMethod(targets, method); ta != nil {
 			return ta
 		}
 		cut := strings.LastIndexByte(path, '/')
@@ -112,14 +179,18 @@
 	return any
 }
 
-// CheckRoutes reports the routes whose service the snapshot does not hold.
-// It is an invariant: the list is always empty.
+// CheckRoutes reports the routes whose service, terms or fallback the snapshot
+// does not hold. It is an invariant: the list is always empty.
 func (sn *Snapshot) CheckRoutes() []RouteName {
 	var dangling []RouteName
-	for name, ta := range sn.byName {
-		if _, ok := sn.services[ta.Route.Service]; !ok {
-			dangling = append(dangling, name)
+	sn.targets.all(func(name string, ta *Target) bool {
+		se, ok := sn.services.get(string(ta.Route.Service))
+		te, known := sn.terms.get(string(ta.Route.Contract))
+		fallback, _ := sn.targets.get(string(ta.Route.Fallback))
+		if !ok || !known || se != ta.Service || te != ta.Terms || fallback != ta.Fallback {
+			dangling = append(dangling, RouteName(name))
 		}
-	}
+		return true
+	})
 	return dangling
 }
--- a/core/contract/validate.go
+++ b/core/contract/validate.go
@@ -20,22 +20,28 @@
 	pathPattern   = regexp.MustCompile(`^/[A-Za-z0-9._~/%-]*$`)
 )
 
-// checker collects the faults of one document.
+// checker collects the faults of one document, or of the items that a change put.
 type checker struct {
-	doc       *Document
-	services  map[ServiceName]bool
-	contracts map[TermsName]bool
-	routes    map[RouteName]Route
-	fields    []FieldError
+	doc         *Document
+	hasService  func(name ServiceName) bool
+	hasContract func(name TermsName) bool
+	route       func(name RouteName) (Route, bool)
+	// count is how many routes a chain of fallbacks can have at most.
+	count  int
+	fields []FieldError
 }
 
 // Validate checks the whole document and reports every fault at once.
 func (doc *Document) Validate() error {
+	services := byName(doc.Services, serviceKey)
+	contracts := byName(doc.Contracts, termsKey)
+	routes := byName(doc.Routes, routeKey)
 	ch := &checker{
-		doc:       doc,
-		services:  map[ServiceName]bool{},
-		contracts: map[TermsName]bool{},
-		routes:    map[RouteName]Route{},
+		doc:         doc,
+		count:       len(doc.Routes),
+		hasService:  func(name ServiceName) bool { _, ok := services[string(name)]; return ok },
+		hasContract: func(name TermsName) bool { _, ok := contracts[string(name)]; return ok },
+		route:       func(name RouteName) (Route, bool) { ro, ok := routes[string(name)]; return ro, ok },
 	}
 	ch.checkSizes()
 	ch.checkServices()
@@ -76,10 +82,11 @@
 }
 
 func (ch *checker) checkServices() {
+	seen := map[ServiceName]bool{}
 	for i, se := range ch.doc.Services {
 		path := fmt.Sprintf("services[%d]", i)
-		ch.checkName(path+".name", string(se.Name), ch.services[se.Name])
-		ch.services[se.Name] = true
+		ch.checkName(path+".name", string(se.Name), seen[se.Name])
+		seen[se.Name] = true
 		if len(se.Description) > maxDescription {
 			ch.add(path+".description", FaultOutOfRange, "at most %d bytes", maxDescription)
 		}
@@ -87,10 +94,11 @@
 }
 
 func (ch *checker) checkContracts() {
+	seen := map[TermsName]bool{}
 	for i, te := range ch.doc.Contracts {
 		path := fmt.Sprintf("contracts[%d]", i)
-		ch.checkName(path+".name", string(te.Name), ch.contracts[te.Name])
-		ch.contracts[te.Name] = true
+		ch.checkName(path+".name", string(te.Name), seen[te.Name])
+		seen[te.Name] = true
 		ch.checkTerms(path, te)
 	}
 }
@@ -117,11 +125,11 @@
 }
 
 func (ch *checker) checkRoutes() {
+	seen := map[RouteName]bool{}
 	for i, ro := range ch.doc.Routes {
 		path := fmt.Sprintf("routes[%d]", i)
-		_, seen := ch.routes[ro.Name]
-		ch.checkName(path+".name", string(ro.Name), seen)
-		ch.routes[ro.Name] = ro
+		ch.checkName(path+".name", string(ro.Name), seen[ro.Name])
+		seen[ro.Name] = true
 		ch.checkRoute(path, ro)
 	}
 }
@@ -135,10 +143,10 @@
 			ch.add(fmt.Sprintf("%s.methods[%d]", path, j), FaultBadMethod, "%q: use upper-case letters", me)
 		}
 	}
-	if !ch.services[ro.Service] {
+	if !ch.hasService(ro.Service) {
 		ch.add(path+".service", FaultUnknownService, "%q is not a service of this document", ro.Service)
 	}
-	if !ch.contracts[ro.Contract] {
+	if !ch.hasContract(ro.Contract) {
 		ch.add(path+".contract", FaultUnknownContract, "%q is not a contract of this document", ro.Contract)
 	}
 }
@@ -149,7 +157,7 @@
 		if ro.Fallback == "" {
 			continue
 		}
-		if _, ok := ch.routes[ro.Fallback]; !ok {
+		if _, ok := ch.route(ro.Fallback); !ok {
 			ch.add(path, FaultUnknownRoute, "%q is not a route of this document", ro.Fallback)
 			continue
 		}
@@ -162,8 +170,8 @@
 // cyclic follows the fallbacks of a route for at most one step per route.
 func (ch *checker) cyclic(ro Route) bool {
 	next := ro
-	for range ch.doc.Routes {
-		fb, ok := ch.routes[next.Fallback]
+	for range ch.count {
+		fb, ok := ch.route(next.Fallback)
 		if !ok {
 			return false
 		}
@@ -175,6 +183,7 @@
 	return true
 }
 
+// checkOverlaps finds routes that match the same calls.
 func (ch *checker) checkOverlaps() {
 	type key struct {
 		prefix string
--- /dev/null
+++ b/core/datacentre/main_test.go
@@ -0,0 +1,9 @@
+package datacentre_test
+
+import (
+	"testing"
+
+	"lynxfold/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -10,7 +10,6 @@
 
 	"lynxfold/core/contract"
 	"lynxfold/core/host"
-	"lynxfold/core/link"
 	"lynxfold/core/wire"
 )
 
@@ -41,29 +40,41 @@
 type Member struct {
 	cfg     Config
 	self    *wire.Host
-	hosts   map[host.ID]*wire.Host
-	links   map[host.ID]bool
-	dials   map[string]*dial
-	config  *contract.Snapshot
-	kept    []*contract.Delta
-	readAt  time.Time
-	reading bool
+	hosts   map[host.ID]*record
+	centres map[Name]*centre
+	sum     uint64
+	alive   int
 	leaving bool
-	changed bool
-	acts    []Action
-}
 
-// dial is what is known of an address without a link.
-type dial struct {
-	backoff link.Backoff
-	at      time.Time
-	pending bool
-}
+	links    map[host.ID]*peer
+	dials    map[string]*dial
+	contacts map[string]bool
+	wants    map[host.ID]bool
+	wantsAt  time.Time
+	stale    bool
+	avoid    map[host.ID]time.Time
+	knockAt  time.Time
+	joins    bucket
+
+	suspects map[host.ID]bool
+	lost     map[host.ID]time.Time
+	stepAt   time.Time
+	graceBy  time.Time
 
-// keptDeltas bounds the deltas kept for neighbours with a gap.
-const keptDeltas = 256
+	reaches  map[Name]*reach
+	sync     comparison
+	noticeAt time.Time
+	queue    []answer
+	resync   bucket
+
+	spread spread
+	start  start
+	reads  reads
+	view   viewBuilder
+	acts   []Action
+}
 
-// New builds a member with the empty configuration in force.
+// New builds a member that has nothing in force.
 func New(cfg Config) *Member {
 	self := &wire.Host{
 		Id:            string(cfg.Host),
@@ -73,32 +84,58 @@
 		Incarnation:   uint64(cfg.Incarnation),
 	}
 	me := &Member{
-		cfg:    cfg,
-		self:   self,
-		hosts:  map[host.ID]*wire.Host{cfg.Host: self},
-		links:  map[host.ID]bool{},
-		dials:  map[string]*dial{},
-		config: contract.Empty(),
+		cfg:      cfg,
+		hosts:    map[host.ID]*record{},
+		centres:  map[Name]*centre{},
+		links:    map[host.ID]*peer{},
+		dials:    map[string]*dial{},
+		contacts: map[string]bool{},
+		wants:    map[host.ID]bool{},
+		avoid:    map[host.ID]time.Time{},
+		suspects: map[host.ID]bool{},
+		lost:     map[host.ID]time.Time{},
+		reaches:  map[Name]*reach{},
+		spread:   newSpread(),
+		start:    newStart(cfg.StartedAt),
+		view:     newViewBuilder(),
+		joins: bucket{
+			perSecond: joinsPerSecond,
+			burst:     joinBurst,
+			left:      joinBurst,
+		},
+		resync: bucket{
+			perSecond: resyncBytesPerSecond,
+			burst:     resyncBurst,
+			left:      resyncBurst,
+		},
 	}
+	me.self = self
+	me.put(self, cfg.StartedAt)
 	for _, ad := range cfg.Contacts {
 		me.contact(ad)
 	}
+	me.reads.at = cfg.StartedAt.Add(me.jitter(me.readPeriod(mostReads)))
 	return me
 }
 
 // Hello is what this node says first on a new link.
 func (me *Member) Hello() *wire.Hello {
 	return &wire.Hello{
-		Mesh:    me.cfg.Mesh,
-		Host:    proto.CloneOf(me.self),
-		Version: uint64(me.config.Version),
-		Digest:  string(me.config.Digest),
+		Mesh:        me.cfg.Mesh,
+		Host:        proto.CloneOf(me.self),
+		Version:     uint64(me.spread.held.Version),
+		Digest:      string(me.spread.held.Digest),
+		Members:     me.sum,
+		Settled:     me.settled(),
+		MemberCount: uint32(me.alive),
 	}
 }
 
-// Step feeds one event and returns what to do.
+// Step feeds one event and returns what to do. Messages come before the view
+// that they announce, so that neighbours remember a version before it is in force.
 func (me *Member) Step(ev Event, now time.Time) []Action {
 	me.acts = nil
+	me.noticePause(now)
 	switch ev := ev.(type) {
 	case Tick:
 		me.tick(now)
@@ -111,24 +148,39 @@
 	case Received:
 		me.received(ev, now)
 	case LocalUpstream:
-		me.localUpstream(ev)
+		me.localUpstream(ev, now)
 	case Accepted:
-		me.offer(ev.Delta, "", now)
+		me.offer(ev.Delta, ev.Delta.Encode(), "", now)
 	case PlatformRead:
 		me.platformRead(ev, now)
+	case Introduced:
+		me.introduced(ev, now)
 	case Leave:
-		me.leave()
+		me.leave(now)
 	}
+	me.chooseLinks(now)
+	me.serve(now)
+	me.settle(now)
 	me.publish()
 	return me.acts
 }
 
 func (me *Member) do(ac Action) { me.acts = append(me.acts, ac) }
 
-func (me *Member) note(ki NoteKind, peer host.ID, ve contract.Version, err error, now time.Time) {
+// note records a decision about a host.
+func (me *Member) note(ki NoteKind, peer host.ID, now time.Time) {
+	me.do(Note{
+		Kind: ki,
+		Peer: peer,
+		At:   now,
+	})
+}
+
+// noteVersion records a decision about a version.
+func (me *Member) noteVersion(ki NoteKind, ve contract.Version, from host.ID, err error, now time.Time) {
 	me.do(Note{
 		Kind:    ki,
-		Peer:    peer,
+		Peer:    from,
 		Version: ve,
 		Err:     err,
 		At:      now,
@@ -136,60 +188,89 @@
 }
 
 func (me *Member) tick(now time.Time) {
-	if !me.reading && !now.Before(me.readAt) {
-		me.reading = true
-		me.do(ReadPlatform{
-			After:         me.config.Version,
-			Introductions: len(me.links) == 0,
-		})
+	me.confirmSuspects(now)
+	me.accuseLost(now)
+	me.tickReach(now)
+	me.dialDue(now)
+	me.knock(now)
+	me.tickSpread(now)
+	me.tickNotice(now)
+	me.tickReads(now)
+	me.forgetGone(now)
+}
+
+func (me *Member) received(ev Received, now time.Time) {
+	pe := me.links[ev.Peer]
+	if pe == nil {
+		return // a refused link, or one that has just closed
 	}
-	for _, ad := range slices.Sorted(maps.Keys(me.dials)) {
-		di := me.dials[ad]
-		if di.pending || now.Before(di.at) || me.linkedTo(ad) {
-			continue
-		}
-		di.pending = true
-		me.do(Dial{Address: ad})
+	switch ki := ev.Message.GetKind().(type) {
+	case *wire.Control_Members:
+		me.receivedMembers(ki.Members, ev.Peer, now)
+	case *wire.Control_Update:
+		me.update(ki.Update, ev.Peer, now)
+	case *wire.Control_Notice:
+		me.noticed(pe, ki.Notice, now)
+	case *wire.Control_Pull:
+		me.pulled(ev.Peer, ki.Pull, now)
+	case *wire.Control_Whole:
+		me.whole(ki.Whole, ev.Peer, now)
+	case *wire.Control_MemberDigest:
+		me.compared(ki.MemberDigest, ev.Peer, now)
+	case *wire.Control_MemberPull:
+		me.enqueue(answer{
+			peer:    ev.Peer,
+			centre:  Name(ki.MemberPull.GetDataCentre()),
+			buckets: ki.MemberPull.GetBuckets(),
+		}, now)
+	case *wire.Control_Floor:
+		me.floorGiven(pe, ki.Floor, now)
+	case *wire.Control_LinkEnd:
+		me.linkEnds(pe, ki.LinkEnd, now)
+	case *wire.Control_Reach:
+		me.reachStated(ki.Reach, ev.Peer, now)
+	default:
+		me.note(NoteBadMessage, ev.Peer, now)
 	}
 }
 
-// publish hands out a new view when the last event changed it.
-func (me *Member) publish() {
-	if !me.changed {
-		return
-	}
-	me.changed = false
-	me.do(Publish{View: me.view()})
+// peers lists the linked peers in a fixed order.
+func (me *Member) peers() []host.ID { return slices.Sorted(maps.Keys(me.links)) }
+
+func (me *Member) send(id host.ID, ms *wire.Control) {
+	me.do(Send{
+		Peer:    id,
+		Message: ms,
+	})
 }
 
-func (me *Member) view() *View {
-	vi := &View{
-		Config:    me.config,
-		Upstreams: map[contract.ServiceName][]Upstream{},
-	}
-	for _, id := range slices.Sorted(maps.Keys(me.hosts)) {
-		ho := me.hosts[id]
-		if ho.GetStatus() != wire.Status_STATUS_ALIVE {
-			continue
-		}
-		for _, up := range ho.GetUpstreams() {
-			if up.GetState() != wire.UpstreamState_UPSTREAM_STATE_READY {
-				continue
-			}
-			name := contract.ServiceName(up.GetService())
-			vi.Upstreams[name] = append(vi.Upstreams[name], me.upstreamOf(ho, up))
-		}
+// jitter draws a time between 0 and a span.
+func (me *Member) jitter(span time.Duration) time.Duration {
+	return time.Duration(me.cfg.Rand.Int64N(int64(max(span, 1))))
+}
+
+// bucket is a budget that refills with time.
+type bucket struct {
+	perSecond float64
+	burst     float64
+	left      float64
+	at        time.Time
+}
+
+// refill adds what has come in since the last call.
+func (bu *bucket) refill(now time.Time) {
+	if !bu.at.IsZero() && now.After(bu.at) {
+		bu.left = min(bu.burst, bu.left+bu.perSecond*now.Sub(bu.at).Seconds())
 	}
-	return vi
+	bu.at = now
 }
 
-func (me *Member) upstreamOf(ho *wire.Host, up *wire.Upstream) Upstream {
-	return Upstream{
-		Host:        host.ID(ho.GetId()),
-		DataCentre:  Name(ho.GetDataCentre()),
-		Address:     me.addressOf(ho),
-		Incarnation: host.Incarnation(ho.GetIncarnation()),
-		Service:     contract.ServiceName(up.GetService()),
-		Slots:       host.Slots(up.GetSlots()),
+// take spends one unit when there is one.
+func (bu *bucket) take(now time.Time) bool {
+	bu.refill(now)
+	if bu.left < 1 {
+		return false
 	}
+	bu.left--
+	return true
 }
--- a/core/datacentre/members.go
+++ b/core/datacentre/members.go
@@ -1,86 +1,15 @@
 package datacentre
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"lynxfold/core/host"
-	"lynxfold/core/link"
 	"lynxfold/core/wire"
 )
 
-func (me *Member) contact(address string) {
-	if address == "" || address == me.cfg.Address || me.dials[address] != nil {
-		return
-	}
-	me.dials[address] = &dial{
-		backoff: link.Backoff{
-			Base: me.cfg.DialBase,
-			Cap:  me.cfg.DialCap,
-		},
-	}
-}
-
-// addressOf is where this node reaches another host.
-func (me *Member) addressOf(ho *wire.Host) string {
-	if ho.GetDataCentre() != string(me.cfg.DataCentre) && ho.GetRemoteAddress() != "" {
-		return ho.GetRemoteAddress()
-	}
-	return ho.GetAddress()
-}
-
-func (me *Member) linkedTo(address string) bool {
-	for id := range me.links {
-		if ho := me.hosts[id]; ho != nil && me.addressOf(ho) == address {
-			return true
-		}
-	}
-	return false
-}
-
-func (me *Member) linkOpened(ev LinkOpened, now time.Time) {
-	me.links[ev.Peer] = true
-	if di := me.dials[me.addressOf(ev.Hello.GetHost())]; di != nil {
-		di.pending = false
-		di.backoff.Reset()
-	}
-	me.merge([]*wire.Host{ev.Hello.GetHost()}, ev.Peer, now)
-	me.do(Send{
-		Peer:    ev.Peer,
-		Message: me.allMembers(),
-	})
-	me.compare(ev.Peer, ev.Hello.GetVersion())
-}
-
-func (me *Member) linkClosed(peer host.ID, now time.Time) {
-	delete(me.links, peer)
-	ho := me.hosts[peer]
-	if ho == nil || ho.GetStatus() != wire.Status_STATUS_ALIVE {
-		return
-	}
-	if di := me.dials[me.addressOf(ho)]; di != nil {
-		di.pending = false
-		di.at = di.backoff.Next(now, me.cfg.Rand)
-	}
-	dead := proto.CloneOf(ho)
-	dead.Status = wire.Status_STATUS_DEAD
-	me.hosts[peer] = dead
-	me.changed = true
-	me.note(NoteHostDead, peer, 0, nil, now)
-	me.tellMembers([]*wire.Host{dead}, "")
-}
-
-func (me *Member) dialFailed(address string, now time.Time) {
-	if di := me.dials[address]; di != nil {
-		di.pending = false
-		di.at = di.backoff.Next(now, me.cfg.Rand)
-	}
-}
-
-func (me *Member) localUpstream(ev LocalUpstream) {
+func (me *Member) localUpstream(ev LocalUpstream, now time.Time) {
 	up := &wire.Upstream{
 		Service:     string(ev.Service),
 		Slots:       uint32(ev.Slots),
@@ -90,97 +19,97 @@
 	if len(me.self.GetUpstreams()) == 1 && proto.Equal(me.self.GetUpstreams()[0], up) {
 		return
 	}
-	me.updateSelf(func(ho *wire.Host) { ho.Upstreams = []*wire.Upstream{up} })
+	me.updateSelf(now, func(ho *wire.Host) { ho.Upstreams = []*wire.Upstream{up} })
 }
 
-func (me *Member) leave() {
+func (me *Member) leave(now time.Time) {
 	me.leaving = true
-	me.updateSelf(func(ho *wire.Host) { ho.Status = wire.Status_STATUS_LEFT })
+	me.updateSelf(now, func(ho *wire.Host) { ho.Status = wire.Status_STATUS_LEFT })
 }
 
 // updateSelf replaces the node's own record by a newer one and spreads it.
-func (me *Member) updateSelf(change func(ho *wire.Host)) {
+func (me *Member) updateSelf(now time.Time, change func(ho *wire.Host)) {
 	ho := proto.CloneOf(me.self)
-	change(ho)
 	ho.Sequence++
+	change(ho)
 	me.self = ho
-	me.hosts[me.cfg.Host] = ho
-	me.changed = true
+	me.put(ho, now)
 	me.tellMembers([]*wire.Host{ho}, "")
 }
 
-// newer tells whether record a replaces record b of the same host.
-func newer(a, b *wire.Host) bool {
-	if a.GetIncarnation() != b.GetIncarnation() {
-		return a.GetIncarnation() > b.GetIncarnation()
-	}
-	if a.GetSequence() != b.GetSequence() {
-		return a.GetSequence() > b.GetSequence()
-	}
-	return a.GetStatus() > b.GetStatus()
-}
-
-// merge takes in host records and passes the newer ones on.
-func (me *Member) merge(hosts []*wire.Host, from host.ID, now time.Time) {
+// merge takes in host records and returns the newer ones.
+func (me *Member) merge(hosts []*wire.Host, from host.ID, now time.Time) []*wire.Host {
 	var news []*wire.Host
 	for _, ho := range hosts {
 		id := host.ID(ho.GetId())
-		if id == me.cfg.Host {
-			me.refute(ho)
-			continue
+		switch {
+		case id == "" || ho.GetDataCentre() == "" || ho.GetAddress() == "":
+			me.note(NoteBadMessage, from, now)
+		case id == me.cfg.Host:
+			me.refute(ho, now)
+		default:
+			if up := me.mergeHost(id, ho, now); up != nil {
+				news = append(news, up)
+			}
 		}
-		old := me.hosts[id]
-		if old != nil && !newer(ho, old) {
-			continue
-		}
-		me.hosts[id] = ho
-		me.changed = true
-		news = append(news, ho)
-		me.contact(me.addressOf(ho))
-		me.noteStatus(id, ho, now)
-	}
-	if len(news) > 0 {
-		me.tellMembers(news, from)
 	}
+	return news
 }
 
-func (me *Member) noteStatus(id host.ID, ho *wire.Host, now time.Time) {
+// mergeHost stores a newer record and returns it. A death that this node has
+// not found itself counts as a suspicion, so that a host that lives can refute.
+func (me *Member) mergeHost(id host.ID, ho *wire.Host, now time.Time) *wire.Host {
+	old := me.hosts[id]
+	if old != nil && old.live() && ho.GetStatus() == wire.Status_STATUS_DEAD {
+		ho = withStatus(ho, wire.Status_STATUS_SUSPECT)
+	}
+	if old != nil && !newer(ho, old.ho) {
+		return nil
+	}
+	wasLive := old != nil && old.live()
+	re := me.put(ho, now)
 	switch ho.GetStatus() {
+	case wire.Status_STATUS_SUSPECT:
+		me.suspect(re, now)
 	case wire.Status_STATUS_ALIVE:
-		me.note(NoteHostAlive, id, 0, nil, now)
+		if !wasLive {
+			me.note(NoteHostAlive, id, now)
+		}
 	case wire.Status_STATUS_DEAD:
-		me.note(NoteHostDead, id, 0, nil, now)
+		me.note(NoteHostDead, id, now)
 	case wire.Status_STATUS_LEFT:
-		me.note(NoteHostLeft, id, 0, nil, now)
-	case wire.Status_STATUS_SUSPECT:
+		me.note(NoteHostLeft, id, now)
 	}
+	return ho
 }
 
-// refute answers a false claim about this host with a newer record.
-func (me *Member) refute(ho *wire.Host) {
+// refute answers a false claim about this host with a newer record. A claim with
+// a higher incarnation comes from an earlier process on this host whose clock
+// was ahead: the host goes above it and tells its gate.
+func (me *Member) refute(ho *wire.Host, now time.Time) {
 	if me.leaving || !newer(ho, me.self) {
 		return
 	}
-	me.updateSelf(func(self *wire.Host) { self.Sequence = max(self.Sequence, ho.GetSequence()) })
-}
-
-func (me *Member) allMembers() *wire.Control {
-	hosts := make([]*wire.Host, 0, len(me.hosts))
-	for _, id := range slices.Sorted(maps.Keys(me.hosts)) {
-		hosts = append(hosts, me.hosts[id])
+	if ho.GetIncarnation() > me.self.GetIncarnation() {
+		in := ho.GetIncarnation() + 1
+		me.do(Reincarnate{Incarnation: host.Incarnation(in)})
+		me.note(NoteReincarnated, me.cfg.Host, now)
+		me.updateSelf(now, func(self *wire.Host) {
+			self.Incarnation = in
+			self.Sequence = 0
+		})
+		return
 	}
-	return membersMessage(hosts)
+	me.note(NoteRefuted, me.cfg.Host, now)
+	me.updateSelf(now, func(self *wire.Host) { self.Sequence = ho.GetSequence() + 1 })
 }
 
+// tellMembers passes records on to every linked peer but one.
 func (me *Member) tellMembers(hosts []*wire.Host, except host.ID) {
-	for _, peer := range slices.Sorted(maps.Keys(me.links)) {
-		if peer == except {
-			continue
+	for _, id := range me.peers() {
+		if id != except {
+			me.send(id, membersMessage(hosts))
 		}
-		me.do(Send{
-			Peer:    peer,
-			Message: membersMessage(hosts),
-		})
 	}
 }
 
--- /dev/null
+++ b/core/datacentre/random_test.go
@@ -0,0 +1,132 @@
+package datacentre
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lynxfold/core/host"
+)
+
+// converged is how long a mesh may take to agree once faults have ceased.
+const converged = 90 * time.Second
+
+// TestRandomFaults drives several members through random faults and checks the
+// invariants of the configuration and of membership throughout.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		wo := newWorld(worldConfig{
+			seed:    rapid.Uint64().Draw(rt, "seed"),
+			centres: rapid.IntRange(2, 3).Draw(rt, "centres"),
+			hosts:   rapid.IntRange(4, 8).Draw(rt, "hosts"),
+			loss:    rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "loss"),
+			double:  rapid.SampledFrom([]float64{0, 0.1}).Draw(rt, "double"),
+			reorder: rapid.Bool().Draw(rt, "reorder"),
+		})
+		wo.startAll()
+		wo.run(time.Duration(rapid.IntRange(0, 5000).Draw(rt, "warm")) * time.Millisecond)
+		for range rapid.IntRange(1, 10).Draw(rt, "ops") {
+			randomOp(rt, wo)
+			wo.run(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "pass")) * time.Millisecond)
+		}
+		ceaseFaults(wo)
+		wo.converge(converged)
+		wo.checkReads()
+		if len(wo.faults) > 0 {
+			rt.Fatalf("faults: %q", wo.faults)
+		}
+	})
+}
+
+func randomOp(rt *rapid.T, wo *world) {
+	id := rapid.SampledFrom(wo.order).Draw(rt, "host")
+	ho := wo.nodes[id]
+	switch op := rapid.SampledFrom([]string{
+		"accept", "accept", "race", "lost_reply", "kill", "herd", "restart", "clock", "pause", "resume",
+		"partition", "heal", "platform_down", "platform_up", "drain", "upstream", "leave", "reset",
+	}).Draw(rt, "op"); op {
+	case "accept":
+		wo.accept(id, false)
+	case "race":
+		wo.accept(id, false)
+		wo.accept(rapid.SampledFrom(wo.order).Draw(rt, "rival"), false)
+	case "lost_reply":
+		wo.accept(id, true)
+	case "kill":
+		wo.kill(id)
+	case "herd":
+		for _, other := range wo.order {
+			if wo.nodes[other].dc == ho.dc {
+				wo.kill(other)
+				wo.startHost(other, wo.seeds()...)
+			}
+		}
+	case "restart":
+		wo.kill(id)
+		wo.startHost(id, wo.seeds()...)
+	case "clock":
+		wo.kill(id)
+		ho.clock -= time.Hour
+		wo.startHost(id, wo.seeds()...)
+	case "pause":
+		if ho.member != nil {
+			wo.pause(id)
+		}
+	case "resume":
+		wo.resume(id)
+	case "partition":
+		wo.separate(ho.dc, wo.nodes[rapid.SampledFrom(wo.order).Draw(rt, "far")].dc)
+	case "heal":
+		wo.heal()
+	case "platform_down":
+		wo.platformDown = true
+	case "platform_up":
+		wo.platformDown = false
+	case "drain", "upstream":
+		ho.up.State = host.StateReady
+		if op == "drain" {
+			ho.up.State = host.StateDraining
+		}
+		wo.step(ho, *ho.up)
+	case "leave":
+		if ho.member != nil && !ho.paused {
+			ho.left = true
+			wo.step(ho, Leave{})
+		}
+	case "reset":
+		wo.closeAll(id, time.Millisecond)
+	}
+}
+
+// ceaseFaults ends all faults: everything runs and is connected again. Hosts
+// that left are ended.
+func ceaseFaults(wo *world) {
+	wo.heal()
+	wo.platformDown = false
+	wo.cfg.loss = 0
+	for _, id := range wo.order {
+		ho := wo.nodes[id]
+		if ho.left {
+			wo.kill(id)
+		}
+		if ho.paused {
+			wo.resume(id)
+		}
+	}
+}
+
+// TestHealthyMeshAgrees is the base line of the randomised runs.
+func TestHealthyMeshAgrees(t *testing.T) {
+	wo := newWorld(worldConfig{
+		seed:    7,
+		centres: 3,
+		hosts:   12,
+	})
+	wo.startAll()
+	wo.converge(converged)
+	assert.Assert(t, wo.accept("host-5", false))
+	wo.converge(time.Second)
+	assert.Equal(t, len(wo.faults), 0, "%q", wo.faults)
+}
