feat: gate ledger, call outcomes and choice of upstream as pure decisions

Cause: the first path dispatched and retried without remembering attempts, so that a lost link left every doubt open, and the choice looked at nothing but outstanding calls. Change: core/host keeps a bounded ledger with tombstones and kept answers, counts calls that the upstream may still work on, and orders its queue by class and deadline. core/call resolves doubts by asking the gate, plans retries within a budget, hedges, and chooses by outstanding calls, latency and load. The io packages are adapted as little as needed to the new events and actions.

--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -2,61 +2,144 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
+	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 )
 
-// Chooser picks upstreams by what this node has in flight to each of them.
+// ChooserConfig sets up a chooser.
+type ChooserConfig struct {
+	DataCentre datacentre.Name
+	Rand       *rand.Rand
+}
+
+// Chooser picks upstreams by what this node has seen of each of them. What
+// upstreams say of their own health or load has no part in it.
 type Chooser struct {
-	local       datacentre.Name
-	rnd         *rand.Rand
-	outstanding map[host.ID]int
+	cfg   ChooserConfig
+	pools map[contract.ServiceName]*pool
+	peers map[host.ID]*peer
+	// distances are round trips to data centres.
+	distances map[datacentre.Name]time.Duration
 }
 
 // NewChooser builds a chooser for callers in a data centre.
-func NewChooser(local datacentre.Name, rnd *rand.Rand) *Chooser {
+func NewChooser(cfg ChooserConfig) *Chooser {
 	return &Chooser{
-		local:       local,
-		rnd:         rnd,
-		outstanding: map[host.ID]int{},
-	}
-}
-
-// Pick returns the better of two random candidates that were not tried yet,
-// from the own data centre when it has any.
-func (ch *Chooser) Pick(all []datacentre.Upstream, tried map[host.ID]bool) (datacentre.Upstream, bool) {
-	var near, far []datacentre.Upstream
-	for _, up := range all {
-		switch {
-		case tried[up.Host]:
-		case up.DataCentre == ch.local:
-			near = append(near, up)
-		default:
-			far = append(far, up)
-		}
+		cfg:       cfg,
+		pools:     map[contract.ServiceName]*pool{},
+		peers:     map[host.ID]*peer{},
+		distances: map[datacentre.Name]time.Duration{},
+	}
+}
+
+// Observation is what an attempt showed of its upstream.
+type Observation struct {
+	Result Result
+	// Latency is from the start of the attempt to the head of its answer.
+	Latency time.Duration
+	// LoadPermille is the gate's load on its answer, in thousandths of its
+	// slots; it counts when HasLoad is set.
+	LoadPermille uint32
+	HasLoad      bool
+	// Abandoned attempts say nothing about the upstream.
+	Abandoned bool
+	// Bulk attempts say nothing about its latency.
+	Bulk bool
+}
+
+// Pick returns the better of two random upstreams that were not tried yet. It
+// takes data centres in the order of their distance, as many as the load needs.
+// The list is the view's own: it is recognised by its first element.
+func (ch *Chooser) Pick(
+	name contract.ServiceName,
+	all []datacentre.Upstream,
+	tried []host.ID,
+	now time.Time,
+) (datacentre.Upstream, bool) {
+	if len(all) == 0 {
+		return datacentre.Upstream{}, false
 	}
-	if len(near) == 0 {
-		near = far
+	po := ch.pool(name, all, now)
+	a := ch.sample(po, po.prefix(), tried, now)
+	if a == nil {
+		a = ch.sample(po, len(po.peers), tried, now)
 	}
-	if len(near) == 0 {
+	if a == nil {
 		return datacentre.Upstream{}, false
 	}
-	a := near[ch.rnd.IntN(len(near))]
-	b := near[ch.rnd.IntN(len(near))]
-	if ch.outstanding[b.Host] < ch.outstanding[a.Host] {
-		return b, true
+	b := ch.sample(po, po.prefix(), tried, now)
+	if b != nil && b.score(po, now) < a.score(po, now) {
+		a = b
 	}
-	return a, true
+	return a.upstream, true
 }
 
-// Started counts an attempt at a host.
-func (ch *Chooser) Started(id host.ID) { ch.outstanding[id]++ }
+// samples bounds the random candidates looked at before the list is searched.
+const samples = 4
 
-// Ended counts the end of an attempt at a host.
-func (ch *Chooser) Ended(id host.ID) {
-	ch.outstanding[id]--
-	if ch.outstanding[id] <= 0 {
-		delete(ch.outstanding, id)
+// sample returns a random usable upstream among the first n, or nil.
+func (ch *Chooser) sample(po *pool, n int, tried []host.ID, now time.Time) *peer {
+	for range samples {
+		pe := po.peers[ch.cfg.Rand.IntN(n)]
+		if pe.usable(tried, now) && ch.cfg.Rand.Float64() < pe.weight(now) {
+			return pe
+		}
+	}
+	from := ch.cfg.Rand.IntN(n)
+	for i := range n {
+		if pe := po.peers[(from+i)%n]; pe.usable(tried, now) {
+			return pe
+		}
+	}
+	return nil
+}
+
+// Started counts an attempt at an upstream.
+func (ch *Chooser) Started(up datacentre.Upstream) {
+	if pe := ch.peers[up.Host]; pe != nil {
+		pe.outstanding++
+	}
+}
+
+// Ended counts the end of an attempt and learns from it.
+func (ch *Chooser) Ended(up datacentre.Upstream, ob Observation, now time.Time) {
+	pe := ch.peers[up.Host]
+	if pe == nil {
+		return
+	}
+	pe.outstanding = max(0, pe.outstanding-1)
+	if ob.Abandoned || pe.upstream.Incarnation != up.Incarnation {
+		return
+	}
+	pe.observe(ob, now)
+	po := ch.pools[up.Service]
+	if po == nil {
+		return
+	}
+	po.observe(pe, ob, now)
+	ch.judge(po, pe, now)
+}
+
+// Estimate is the service's average latency; 0 when unknown.
+func (ch *Chooser) Estimate(name contract.ServiceName) time.Duration {
+	if po := ch.pools[name]; po != nil {
+		return po.latency
+	}
+	return 0
+}
+
+// SetDistance notes the round trip to a data centre, as measured on links. A
+// change that may alter the order of data centres rebuilds the pools.
+func (ch *Chooser) SetDistance(dc datacentre.Name, rtt time.Duration) {
+	old := ch.distance(dc)
+	if change := (rtt - old).Abs(); change <= old/4 {
+		return
+	}
+	ch.distances[dc] = rtt
+	for _, po := range ch.pools {
+		po.first = nil
 	}
 }
--- /dev/null
+++ b/core/call/peer.go
@@ -0,0 +1,156 @@
+package call
+
+import (
+	"slices"
+	"time"
+
+	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
+)
+
+const (
+	// latencyWeight is the share of the latest latency, as one in this many.
+	latencyWeight = 8
+	// firstLatency stands for the latency of an upstream not yet seen.
+	firstLatency = time.Millisecond
+	// loadAge is how long a gate's load counts; it fades over that time.
+	loadAge = 2 * time.Second
+	// slowStart is how long a new incarnation takes to get its full share.
+	slowStart = 10 * time.Second
+	// slowStartFloor is the share that a new incarnation begins with.
+	slowStartFloor = 0.1
+	// leftFor is how long an upstream is avoided whose gate said that it is leaving.
+	leftFor = 5 * time.Second
+	// ejectBase and ejectCap bound how long an upstream is ejected.
+	ejectBase = 5 * time.Second
+	ejectCap  = time.Minute
+	// ejectAfter is the number of failures in a row that ejects an upstream.
+	ejectAfter = 5
+	// outlierFactor ejects an upstream that is this many times slower than its service.
+	outlierFactor = 8
+	// outlierSamples is the number of latencies needed to call an upstream slow.
+	outlierSamples = 20
+)
+
+// peer is what a node has seen of one upstream.
+type peer struct {
+	upstream    datacentre.Upstream
+	outstanding int
+	latency     time.Duration
+	samples     int
+	load        float64
+	loadAt      time.Time
+	// warmFrom is when a new incarnation was first seen; zero when it was there
+	// from the beginning.
+	warmFrom  time.Time
+	failures  int
+	leftTo    time.Time
+	ejectedTo time.Time
+	ejections int
+}
+
+// renew takes a newer record of the upstream; a new incarnation starts afresh.
+func (pe *peer) renew(up datacentre.Upstream, now time.Time) {
+	if up.Incarnation != pe.upstream.Incarnation {
+		*pe = peer{
+			outstanding: pe.outstanding,
+			warmFrom:    now,
+		}
+	}
+	pe.upstream = up
+}
+
+// usable tells whether the upstream may be picked.
+func (pe *peer) usable(tried []host.ID, now time.Time) bool {
+	return !now.Before(pe.leftTo) && !now.Before(pe.ejectedTo) && !slices.Contains(tried, pe.upstream.Host)
+}
+
+// weight is the share of picks that the upstream takes, from 0 to 1.
+func (pe *peer) weight(now time.Time) float64 {
+	if pe.warmFrom.IsZero() {
+		return 1
+	}
+	share := now.Sub(pe.warmFrom).Seconds() / slowStart.Seconds()
+	if share >= 1 {
+		pe.warmFrom = time.Time{}
+		return 1
+	}
+	return max(slowStartFloor, share)
+}
+
+// agedLoad is the gate's last load, faded by its age.
+func (pe *peer) agedLoad(now time.Time) float64 {
+	left := 1 - now.Sub(pe.loadAt).Seconds()/loadAge.Seconds()
+	return pe.load * min(1, max(0, left))
+}
+
+// score is lower for the better upstream.
+func (pe *peer) score(po *pool, now time.Time) float64 {
+	slots := float64(max(1, pe.upstream.Slots))
+	busy := max(float64(pe.outstanding), pe.agedLoad(now)*slots)
+	latency := pe.latency
+	if latency == 0 {
+		latency = max(firstLatency, po.latency)
+	}
+	return (busy + 1) / slots * latency.Seconds() * float64(1+pe.failures)
+}
+
+// faulty tells whether a result speaks against the upstream itself.
+func faulty(re Result) bool {
+	if re.Outcome == OutcomeRan {
+		return retryable(re.Status)
+	}
+	switch re.Reason {
+	case ReasonLinkDial, ReasonLinkLost, host.ReasonUpstreamConnect, host.ReasonUpstreamBroken,
+		host.ReasonUpstreamTimeout, host.ReasonUpstreamTruncated:
+		return true
+	}
+	return false
+}
+
+// observe learns from an attempt.
+func (pe *peer) observe(ob Observation, now time.Time) {
+	if ob.HasLoad {
+		pe.load = float64(ob.LoadPermille) / 1000
+		pe.loadAt = now
+	}
+	if moved(ob.Result) {
+		pe.leftTo = now.Add(leftFor)
+		return
+	}
+	if faulty(ob.Result) {
+		pe.failures++
+		return
+	}
+	if ob.Result.Outcome != OutcomeRan {
+		return
+	}
+	pe.failures = 0
+	if ob.Bulk || ob.Latency <= 0 {
+		return
+	}
+	pe.samples++
+	if pe.latency == 0 {
+		pe.latency = ob.Latency
+		return
+	}
+	pe.latency += (ob.Latency - pe.latency) / latencyWeight
+}
+
+// suspect tells whether the upstream looks bad beside its service.
+func (pe *peer) suspect(po *pool) bool {
+	if pe.failures >= ejectAfter {
+		return true
+	}
+	return pe.samples >= outlierSamples && pe.latency > outlierFactor*po.latency
+}
+
+// eject keeps the upstream out for a time that grows with each ejection.
+func (pe *peer) eject(now time.Time) {
+	span := min(ejectCap, ejectBase<<min(pe.ejections, 6))
+	pe.ejections++
+	pe.ejectedTo = now.Add(span)
+	pe.failures = 0
+	pe.samples = 0
+	pe.latency = 0
+}
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -8,17 +8,28 @@
 // Action is an output of the gate.
 type Action interface{ isAction() }
 
-// Arrived brings an attempt to the gate.
+// Arrived brings an attempt to the gate. It is answered at once or later by one
+// Dispatch or Refuse with its ID, or at once by a RefuseDuplicate.
 type Arrived struct {
 	Attempt Attempt
 }
 
-// Ended says that the upstream no longer works on an attempt.
+// Ended says how a dispatched attempt ended. It comes once for each Dispatch.
 type Ended struct {
 	ID AttemptID
+	// Outcome is not_run only when no byte of the request was written.
+	Outcome Outcome
+	// Reason says why the outcome is not ran.
+	Reason Reason
+	// KeptBytes is the size of the complete answer that the adapter holds for
+	// later queries; 0 when it holds none.
+	KeptBytes int
+	// Working says that the upstream may still work on the attempt, as its
+	// connection was left before the answer's end.
+	Working bool
 }
 
-// Cancelled withdraws an attempt.
+// Cancelled withdraws an attempt, also one that has not arrived yet.
 type Cancelled struct {
 	ID AttemptID
 }
@@ -34,11 +45,28 @@
 type Lost struct{}
 
 // Drain stops new work for good.
-type Drain struct{}
+type Drain struct {
+	// RefuseFrom is when the last attempts are let in, zero for now; until then
+	// only those that find a free slot are.
+	RefuseFrom time.Time
+}
 
 // Tick lets time pass.
 type Tick struct{}
 
+// QueryID tells the queries of an adapter apart.
+type QueryID uint64
+
+// Asked is a query about an attempt; it is answered by one Tell.
+type Asked struct {
+	Query       QueryID
+	ID          AttemptID
+	Incarnation Incarnation
+	// WaitUntil holds the answer back while the attempt runs; zero means that
+	// the answer comes at once.
+	WaitUntil time.Time
+}
+
 func (Arrived) isEvent()   {}
 func (Ended) isEvent()     {}
 func (Cancelled) isEvent() {}
@@ -46,26 +74,54 @@
 func (Lost) isEvent()      {}
 func (Drain) isEvent()     {}
 func (Tick) isEvent()      {}
+func (Asked) isEvent()     {}
 
-// Dispatch sends an attempt to the upstream.
+// Dispatch sends an attempt to the upstream. From here on only the adapter
+// knows whether a byte went out: it says so with Ended.
 type Dispatch struct {
 	ID      AttemptID
 	Address string
 }
 
-// Refuse ends an attempt that did not run.
+// Refuse ends an attempt that did not run and never will.
 type Refuse struct {
 	ID     AttemptID
 	Reason Reason
-	// ComeBack is when another attempt makes sense.
+	// ComeBack is when another attempt makes sense; zero means at once, elsewhere.
 	ComeBack time.Time
 }
 
-// Interrupt cancels an attempt that the upstream runs.
+// RefuseDuplicate answers the arrival just fed, and nobody else: the attempt is
+// known already, or may have been.
+type RefuseDuplicate struct {
+	ID     AttemptID
+	Reason Reason
+	// NotRun says that the attempt did not run and never will.
+	NotRun bool
+}
+
+// Interrupt cancels an attempt that the upstream runs; Ended still follows.
 type Interrupt struct {
 	ID AttemptID
 }
 
-func (Dispatch) isAction()  {}
-func (Refuse) isAction()    {}
-func (Interrupt) isAction() {}
+// Tell answers a query.
+type Tell struct {
+	Query QueryID
+	ID    AttemptID
+	Fate  Fate
+	// Reason says why the attempt was refused or broken.
+	Reason Reason
+}
+
+// DropAnswer tells the adapter to drop the answer that it holds for an attempt.
+type DropAnswer struct {
+	ID AttemptID
+}
+
+func (Dispatch) isAction()        {}
+func (Refuse) isAction()          {}
+func (RefuseDuplicate) isAction() {}
+func (Interrupt) isAction()       {}
+func (Tell) isAction()            {}
+func (DropAnswer) isAction()      {}
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -11,179 +11,378 @@
 	Incarnation Incarnation
 	// QueuePerSlot bounds the queue in attempts for each slot.
 	QueuePerSlot int
-	// ComeBack is added to now for the refused.
+	// ComeBack is added to now for those refused while no upstream is usable.
 	ComeBack time.Duration
+	// DrainGrace is how long a draining upstream still gets attempts that find
+	// a free slot.
+	DrainGrace time.Duration
+	// AnnounceLag bounds the age of an announcement's in_flight. A gate lets
+	// nothing in until it is that old, as its former incarnation may have.
+	AnnounceLag time.Duration
+	Ledger      LedgerConfig
 }
 
-// Gate is the only way to the upstream on its host.
+// Gate is the only way to the upstream on its host. It is driven by one
+// goroutine at a time.
 type Gate struct {
 	cfg      Config
 	upstream Announcement
 	lapse    time.Time
 	known    bool
-	draining bool
-	running  map[AttemptID]Attempt
-	queue    []Attempt
+	startAt  time.Time
+	// nodeEnds and upstreamEnds are when new work ends; zero means never.
+	nodeEnds     time.Time
+	upstreamEnds time.Time
+
+	ledger    *ledger
+	queue     queue
+	running   map[AttemptID]*entry
+	bulk      int
+	occupancy occupancy
+	lookups   estimate
+	uploads   estimate
+	acts      []Action
 }
 
 // NewGate builds a gate that knows no upstream yet.
 func NewGate(cfg Config) *Gate {
+	le := newLedger(cfg.Ledger)
 	return &Gate{
 		cfg:     cfg,
-		running: map[AttemptID]Attempt{},
+		ledger:  le,
+		running: map[AttemptID]*entry{},
+		occupancy: occupancy{
+			lag:         cfg.AnnounceLag,
+			expireAfter: le.cfg.KeepFor,
+		},
 	}
 }
 
-// Step feeds one event and returns what to do.
+// Step feeds one event and returns what to do. The actions are valid until the
+// next Step.
 func (ga *Gate) Step(ev Event, now time.Time) []Action {
+	clear(ga.acts)
+	ga.acts = ga.acts[:0]
+	if ga.startAt.IsZero() {
+		ga.startAt = now
+	}
+	ga.occupancy.turn(len(ga.running), now)
 	switch ev := ev.(type) {
 	case Arrived:
-		return ga.arrive(ev.Attempt, now)
+		ga.arrive(ev.Attempt, now)
 	case Ended:
-		delete(ga.running, ev.ID)
-		return ga.fill(now)
+		ga.ended(ev, now)
 	case Cancelled:
-		return ga.cancel(ev.ID, now)
+		ga.cancel(ev.ID, now)
 	case Announced:
-		ga.upstream = ev.Announcement
-		ga.lapse = ev.Lapse
-		ga.known = true
-		return ga.fill(now)
+		ga.announced(ev, now)
 	case Lost:
 		ga.known = false
-		return ga.flush(ReasonNoUpstream, now)
+		ga.flush(ReasonNoUpstream, now)
 	case Drain:
-		ga.draining = true
-		return ga.flush(ReasonDraining, now)
+		ga.drain(ev, now)
+	case Asked:
+		ga.asked(ev, now)
 	case Tick:
-		return ga.expire(now)
+		ga.tick(now)
 	}
-	return nil
+	ga.fill(now)
+	ga.dropOld(now)
+	return ga.acts
 }
 
+func (ga *Gate) do(ac Action) { ga.acts = append(ga.acts, ac) }
+
 // Usable says why the gate takes no new work, or ReasonNone when it does.
 func (ga *Gate) Usable(now time.Time) Reason {
 	switch {
-	case ga.draining:
+	case ga.leaving() && !now.Before(earlier(ga.nodeEnds, ga.upstreamEnds)):
 		return ReasonDraining
 	case !ga.known || now.After(ga.lapse) || ga.upstream.State == StateGone:
 		return ReasonNoUpstream
-	case ga.upstream.State == StateDraining:
-		return ReasonDraining
+	case !ga.occupancy.settled:
+		return ReasonSettling
 	}
 	return ReasonNone
 }
 
-// Running counts the attempts that the upstream works on.
+// Running counts the attempts that the upstream works on for this gate.
 func (ga *Gate) Running() int { return len(ga.running) }
 
+// Held counts the calls that the upstream may work on beside those running.
+func (ga *Gate) Held() int { return ga.occupancy.held }
+
 // Queued counts the attempts that wait.
-func (ga *Gate) Queued() int { return len(ga.queue) }
+func (ga *Gate) Queued() int { return ga.queue.len() }
+
+// Remembered counts the attempts in the ledger.
+func (ga *Gate) Remembered() int { return len(ga.ledger.entries) }
+
+// KeptBytes is the size of the answers kept.
+func (ga *Gate) KeptBytes() int { return ga.ledger.keptBytes }
 
 // Service is the service of the upstream.
 func (ga *Gate) Service() contract.ServiceName { return ga.upstream.Service }
 
 // LoadPermille is running and queued attempts in thousandths of the slots.
 func (ga *Gate) LoadPermille() uint32 {
-	if ga.upstream.Slots <= 0 {
+	limit := ga.limit()
+	if limit <= 0 {
 		return 1000
 	}
-	return uint32(1000 * (len(ga.running) + len(ga.queue)) / int(ga.upstream.Slots))
+	return uint32(1000 * (len(ga.running) + ga.occupancy.held + ga.queue.len()) / limit)
 }
 
-func (ga *Gate) arrive(at Attempt, now time.Time) []Action {
-	if re := ga.check(at, now); re != ReasonNone {
-		return []Action{ga.refuse(at.ID, re, now)}
+// limit is how many calls the upstream may work on at once.
+func (ga *Gate) limit() int {
+	limit := int(ga.upstream.Slots)
+	if ga.upstream.Connections > 0 {
+		limit = min(limit, ga.upstream.Connections)
+	}
+	return min(limit, ga.ledger.cfg.MaxEntries/2)
+}
+
+func (ga *Gate) free() int { return ga.limit() - len(ga.running) - ga.occupancy.held }
+
+// bulkAllowed keeps a quarter of the slots, and at least one, for lookups.
+func (ga *Gate) bulkAllowed() bool {
+	limit := ga.limit()
+	return ga.bulk < max(1, limit-max(1, limit/bulkShare))
+}
+
+func (ga *Gate) arrive(at Attempt, now time.Time) {
+	or, ok := at.ID.Origin()
+	if !ok {
+		ga.do(RefuseDuplicate{ID: at.ID, Reason: ReasonBadAttempt, NotRun: true})
+		return
 	}
-	if len(ga.running) < int(ga.upstream.Slots) {
-		return []Action{ga.dispatch(at)}
+	if at.Incarnation != ga.cfg.Incarnation {
+		ga.do(RefuseDuplicate{ID: at.ID, Reason: ReasonWrongIncarnation, NotRun: true})
+		return
+	}
+	if en := ga.ledger.entries[at.ID]; en != nil {
+		ga.duplicate(en)
+		return
 	}
-	if len(ga.queue) >= ga.cfg.QueuePerSlot*int(ga.upstream.Slots) {
-		return []Action{ga.refuse(at.ID, ReasonQueueFull, now)}
+	if !or.Idempotent && ga.ledger.forgotten(or) {
+		ga.do(RefuseDuplicate{ID: at.ID, Reason: ReasonForgotten})
+		return
+	}
+	en := ga.ledger.open(at, or)
+	if re := ga.check(at, now); re != ReasonNone {
+		ga.refuse(en, re, now)
+		return
 	}
-	ga.queue = append(ga.queue, at)
-	return nil
+	ga.queue.push(en)
 }
 
+// duplicate answers an arrival of an attempt that the ledger holds.
+func (ga *Gate) duplicate(en *entry) {
+	re := ReasonDuplicateAttempt
+	if en.state == stateRefused {
+		re = en.reason
+	}
+	ga.do(RefuseDuplicate{
+		ID:     en.attempt.ID,
+		Reason: re,
+		NotRun: en.state == stateRefused,
+	})
+}
+
+// check says why an attempt can't be let in.
 func (ga *Gate) check(at Attempt, now time.Time) Reason {
 	if re := ga.Usable(now); re != ReasonNone {
 		return re
 	}
-	if at.Incarnation != ga.cfg.Incarnation {
-		return ReasonWrongIncarnation
-	}
 	if at.Service != ga.upstream.Service {
 		return ReasonWrongService
 	}
 	if !now.Before(at.Deadline) {
 		return ReasonDeadline
 	}
-	if _, ok := ga.running[at.ID]; ok {
-		return ReasonDuplicateAttempt
+	if ga.free() > ga.queue.len() {
+		return ReasonNone
+	}
+	if ga.leaving() {
+		return ReasonDraining
+	}
+	if ga.queue.len() >= min(ga.cfg.QueuePerSlot*ga.limit(), ga.ledger.cfg.MaxEntries/2-1) {
+		return ReasonQueueFull
+	}
+	if now.Add(ga.wait(at.Class) + ga.service(at.Class).low).After(at.Deadline) {
+		return ReasonDeadline
 	}
 	return ReasonNone
 }
 
-func (ga *Gate) dispatch(at Attempt) Action {
-	ga.running[at.ID] = at
-	return Dispatch{
-		ID:      at.ID,
-		Address: ga.upstream.Address,
+// wait estimates how long a new attempt of a class waits for a slot.
+func (ga *Gate) wait(cl contract.Class) time.Duration {
+	work := time.Duration(len(ga.queue.lookups)+1) * ga.lookups.mean
+	if cl == contract.ClassBulk {
+		work += time.Duration(len(ga.queue.bulk)+1) * ga.uploads.mean
 	}
+	return work / time.Duration(max(1, ga.limit()))
 }
 
-func (ga *Gate) refuse(id AttemptID, re Reason, now time.Time) Action {
-	return Refuse{
-		ID:       id,
-		Reason:   re,
-		ComeBack: now.Add(ga.cfg.ComeBack),
+func (ga *Gate) service(cl contract.Class) *estimate {
+	if cl == contract.ClassBulk {
+		return &ga.uploads
 	}
+	return &ga.lookups
 }
 
 // fill moves attempts from the queue into free slots.
-func (ga *Gate) fill(now time.Time) []Action {
-	acts := ga.expire(now)
-	for len(ga.queue) > 0 && len(ga.running) < int(ga.upstream.Slots) && ga.Usable(now) == ReasonNone {
-		at := ga.queue[0]
-		ga.queue = ga.queue[1:]
-		acts = append(acts, ga.dispatch(at))
-	}
-	return acts
-}
-
-// expire refuses queued attempts whose deadline has passed.
-func (ga *Gate) expire(now time.Time) []Action {
-	var acts []Action
-	kept := ga.queue[:0]
-	for _, at := range ga.queue {
-		if now.Before(at.Deadline) {
-			kept = append(kept, at)
+func (ga *Gate) fill(now time.Time) {
+	for ga.free() > 0 && ga.queue.len() > 0 && ga.Usable(now) == ReasonNone {
+		en := ga.queue.pop(ga.bulkAllowed())
+		if en == nil {
+			return
+		}
+		if !ga.inTime(en.attempt, now) {
+			ga.refuse(en, ReasonDeadline, now)
 			continue
 		}
-		acts = append(acts, ga.refuse(at.ID, ReasonDeadline, now))
+		ga.dispatch(en, now)
 	}
-	ga.queue = kept
-	return acts
 }
 
-func (ga *Gate) flush(re Reason, now time.Time) []Action {
-	var acts []Action
-	for _, at := range ga.queue {
-		acts = append(acts, ga.refuse(at.ID, re, now))
+// inTime tells whether an attempt can finish before its deadline. The estimate
+// counts only while others wait, so that a wrong one is corrected.
+func (ga *Gate) inTime(at Attempt, now time.Time) bool {
+	if ga.queue.len() == 0 {
+		return now.Before(at.Deadline)
 	}
-	ga.queue = nil
-	return acts
+	return now.Add(ga.service(at.Class).low).Before(at.Deadline)
 }
 
-func (ga *Gate) cancel(id AttemptID, now time.Time) []Action {
-	for i, at := range ga.queue {
-		if at.ID == id {
-			ga.queue = append(ga.queue[:i], ga.queue[i+1:]...)
-			return []Action{ga.refuse(id, ReasonCancelled, now)}
-		}
+func (ga *Gate) dispatch(en *entry, now time.Time) {
+	en.state = stateRunning
+	en.dispatched = now
+	ga.running[en.attempt.ID] = en
+	if en.attempt.Class == contract.ClassBulk {
+		ga.bulk++
 	}
-	if _, ok := ga.running[id]; ok {
-		return []Action{Interrupt{ID: id}}
+	ga.do(Dispatch{
+		ID:      en.attempt.ID,
+		Address: ga.upstream.Address,
+	})
+}
+
+// ended takes the end of a dispatched attempt; others are ignored.
+func (ga *Gate) ended(ev Ended, now time.Time) {
+	en := ga.running[ev.ID]
+	if en == nil {
+		return
+	}
+	delete(ga.running, ev.ID)
+	if en.attempt.Class == contract.ClassBulk {
+		ga.bulk--
+	}
+	ga.occupancy.ran(len(ga.running))
+	if ev.Working {
+		ga.occupancy.leave(now)
+	}
+	switch ev.Outcome {
+	case OutcomeRan:
+		ga.service(en.attempt.Class).add(now.Sub(en.dispatched))
+		ga.close(en, stateFinished, ev.Reason, ev.KeptBytes, now)
+	case OutcomeNotRun:
+		ga.close(en, stateRefused, ev.Reason, 0, now)
+	case OutcomeUnknown:
+		ga.close(en, stateBroken, ev.Reason, 0, now)
+	}
+}
+
+// close records an attempt's end and answers the queries that wait for it.
+func (ga *Gate) close(en *entry, st entryState, re Reason, kept int, now time.Time) {
+	gone := ga.ledger.end(en, st, re, kept, now)
+	for _, wa := range en.waiters {
+		ga.tell(wa.query, en)
+	}
+	en.waiters = nil
+	for _, id := range gone {
+		ga.do(DropAnswer{ID: id})
+	}
+}
+
+func (ga *Gate) refuse(en *entry, re Reason, now time.Time) {
+	ga.do(Refuse{
+		ID:       en.attempt.ID,
+		Reason:   re,
+		ComeBack: ga.comeBack(re, en.attempt.Class, now),
+	})
+	ga.close(en, stateRefused, re, 0, now)
+}
+
+// comeBack is when another attempt at this gate makes sense.
+func (ga *Gate) comeBack(re Reason, cl contract.Class, now time.Time) time.Time {
+	switch re {
+	case ReasonQueueFull, ReasonDeadline:
+		return now.Add(ga.wait(cl))
+	case ReasonNoUpstream, ReasonDraining:
+		return now.Add(ga.cfg.ComeBack)
+	case ReasonSettling:
+		return ga.startAt.Add(ga.cfg.AnnounceLag)
+	}
+	return time.Time{}
+}
+
+// flush refuses all that wait.
+func (ga *Gate) flush(re Reason, now time.Time) {
+	for _, en := range ga.queue.removeIf(func(*entry) bool { return true }) {
+		ga.refuse(en, re, now)
+	}
+}
+
+func (ga *Gate) drain(ev Drain, now time.Time) {
+	from := ev.RefuseFrom
+	if from.IsZero() {
+		from = now
+	}
+	ga.nodeEnds = earlier(ga.nodeEnds, from)
+}
+
+// leaving tells whether the node or its upstream drains.
+func (ga *Gate) leaving() bool { return !ga.nodeEnds.IsZero() || !ga.upstreamEnds.IsZero() }
+
+// earlier returns the earlier of two times; zero means never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (ga *Gate) announced(ev Announced, now time.Time) {
+	ga.upstream = ev.Announcement
+	ga.lapse = ev.Lapse
+	ga.known = true
+	if !now.Before(ga.startAt.Add(ga.cfg.AnnounceLag)) {
+		ga.occupancy.announced(ev.Announcement.InFlight, now)
+	}
+	switch ev.Announcement.State {
+	case StateReady:
+		ga.upstreamEnds = time.Time{}
+	case StateDraining:
+		ga.upstreamEnds = earlier(ga.upstreamEnds, now.Add(ga.cfg.DrainGrace))
+	case StateGone:
+		ga.flush(ReasonNoUpstream, now)
+	}
+}
+
+func (ga *Gate) tick(now time.Time) {
+	ga.occupancy.expire(now)
+	if re := ga.Usable(now); re != ReasonNone {
+		ga.flush(re, now)
+	}
+	late := ga.queue.removeIf(func(en *entry) bool { return !now.Before(en.attempt.Deadline) })
+	for _, en := range late {
+		ga.refuse(en, ReasonDeadline, now)
+	}
+	for _, en := range ga.ordered() {
+		ga.expireWaiters(en, now)
+		if !now.Before(en.attempt.Deadline) {
+			ga.interrupt(en)
+		}
 	}
-	return nil
 }
--- /dev/null
+++ b/core/host/occupancy.go
@@ -0,0 +1,73 @@
+package host
+
+import "time"
+
+// occupancy counts the calls that the upstream may work on without the gate
+// running them: those of the gate's former incarnation, and those whose
+// connection was left. An announcement's in_flight explains them away; it may
+// be up to lag old.
+type occupancy struct {
+	lag time.Duration
+	// expireAfter is when held calls count no more, as their deadlines have passed.
+	expireAfter time.Duration
+
+	settled bool
+	held    int
+	heldTo  time.Time
+	// current and former cover the last lag to two lags.
+	current, former window
+	turnAt          time.Time
+}
+
+// window holds what an announcement sampled within it may have missed.
+type window struct {
+	// leastRunning is the lowest number of attempts that ran.
+	leastRunning int
+	// left counts the attempts whose connection was left.
+	left int
+}
+
+// turn starts a new window when the current one is old enough.
+func (oc *occupancy) turn(running int, now time.Time) {
+	if now.Before(oc.turnAt) {
+		return
+	}
+	oc.former = oc.current
+	if now.Sub(oc.turnAt) >= oc.lag {
+		oc.former = window{leastRunning: running}
+	}
+	oc.current = window{leastRunning: running}
+	oc.turnAt = now.Add(oc.lag)
+}
+
+// ran notes the number of running attempts after it fell.
+func (oc *occupancy) ran(running int) {
+	oc.current.leastRunning = min(oc.current.leastRunning, running)
+}
+
+// leave counts an attempt that the upstream may still work on.
+func (oc *occupancy) leave(now time.Time) {
+	oc.held++
+	oc.current.left++
+	oc.heldTo = now.Add(oc.expireAfter)
+}
+
+// announced lowers the held calls to what an announcement doesn't explain.
+func (oc *occupancy) announced(inFlight int, now time.Time) {
+	if !oc.settled {
+		oc.settled = true
+		oc.held = inFlight
+		oc.heldTo = now.Add(oc.expireAfter)
+		return
+	}
+	least := min(oc.current.leastRunning, oc.former.leastRunning)
+	most := max(0, inFlight-least) + oc.current.left + oc.former.left
+	oc.held = min(oc.held, most)
+}
+
+// expire drops held calls whose deadlines have passed.
+func (oc *occupancy) expire(now time.Time) {
+	if oc.held > 0 && !now.Before(oc.heldTo) {
+		oc.held = 0
+	}
+}
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -12,9 +12,6 @@
 // Incarnation tells the processes on one host apart; a later one is higher.
 type Incarnation uint64
 
-// AttemptID names one attempt at a call; it is unique in the mesh.
-type AttemptID string
-
 // Slots counts calls that an upstream runs at once.
 type Slots int
 
@@ -25,15 +22,17 @@
 const (
 	ReasonNone              Reason = ""
 	ReasonNoUpstream        Reason = "no_upstream"
+	ReasonSettling          Reason = "settling"
 	ReasonDraining          Reason = "draining"
 	ReasonQueueFull         Reason = "queue_full"
 	ReasonDeadline          Reason = "deadline"
 	ReasonCancelled         Reason = "cancelled"
 	ReasonWrongIncarnation  Reason = "wrong_incarnation"
 	ReasonWrongService      Reason = "wrong_service"
+	ReasonBadAttempt        Reason = "bad_attempt"
 	ReasonTombstone         Reason = "tombstone"
 	ReasonDuplicateAttempt  Reason = "duplicate_attempt"
-	ReasonLedgerFull        Reason = "ledger_full"
+	ReasonForgotten         Reason = "forgotten"
 	ReasonUpstreamConnect   Reason = "upstream_connect"
 	ReasonUpstreamBroken    Reason = "upstream_broken"
 	ReasonUpstreamTimeout   Reason = "upstream_timeout"
@@ -41,6 +40,54 @@
 	ReasonUpstreamTruncated Reason = "upstream_truncated"
 )
 
+// Outcome says what is known of a call or attempt.
+type Outcome string
+
+// Outcomes.
+const (
+	// OutcomeRan means that the upstream ran the call and its answer is there.
+	OutcomeRan Outcome = "ran"
+	// OutcomeNotRun means that it is certain that no upstream ran the call.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means that an upstream may have run the call.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Fate is what a gate knows of an attempt.
+type Fate string
+
+// Fates.
+const (
+	// FateUnknown means that the gate can't tell: another incarnation, or the
+	// record was dropped for want of memory.
+	FateUnknown Fate = "unknown"
+	// FateNeverSeen means that the attempt did not arrive and, as the gate now
+	// remembers it, never runs.
+	FateNeverSeen Fate = "never_seen"
+	// FateRunning means that the attempt waits in the queue or runs.
+	FateRunning Fate = "running"
+	// FateFinished means that the attempt ran and its answer is kept.
+	FateFinished Fate = "finished"
+	// FateAnswerLost means that the attempt ran and its answer is not kept.
+	FateAnswerLost Fate = "answer_lost"
+	// FateBroken means that the attempt was sent and it is not known whether it ran.
+	FateBroken Fate = "broken"
+	// FateRefused means that the attempt did not run and never will.
+	FateRefused Fate = "refused"
+)
+
+// Outcome is what a fate says about the attempt; a running one is not known yet.
+func (fa Fate) Outcome() Outcome {
+	switch fa {
+	case FateFinished:
+		return OutcomeRan
+	case FateNeverSeen, FateRefused:
+		return OutcomeNotRun
+	case FateUnknown, FateRunning, FateAnswerLost, FateBroken:
+	}
+	return OutcomeUnknown
+}
+
 // State is what an upstream says about itself.
 type State int
 
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -34,7 +34,7 @@
 	ctx    *fasthttp.RequestCtx
 	view   *datacentre.View
 	target *contract.Target
-	id     string
+	number uint64
 	begun  time.Time
 	inline []byte
 	stream io.Reader
@@ -44,20 +44,18 @@
 	ex.readBody()
 	deadline := now.Add(ex.target.Terms.Timeout())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	ca := call.New(call.Config{
-		ID:         ex.id,
-		Terms:      ex.target.Terms,
-		Deadline:   deadline,
-		Replayable: ex.stream == nil,
-		Chooser:    ex,
-		Budget:     ex,
-	})
+	ca := call.New(ex.config(deadline))
 	last := upstream.Reply{}
 	acts := ca.Step(call.Begin{}, now)
-	for len(acts) > 0 {
-		switch ac := acts[0].(type) {
+	for {
+		if len(acts) == 0 {
+			time.Sleep(time.Until(ca.WakeAt()))
+			acts = ca.Step(call.Tick{}, time.Now())
+			continue
+		}
+		switch ac := acts[len(acts)-1].(type) {
 		case call.Try:
-			last = ex.attempt(ctx, ac, deadline)
+			last = ex.attempt(ctx, ac)
 			now = time.Now()
 			acts = ca.Step(call.AttemptEnded{
 				Attempt: ac.Attempt,
@@ -68,7 +66,27 @@
 			return
 		}
 	}
-	cancel()
+}
+
+// comeBack is the shortest delay that a refused caller is told.
+const comeBack = time.Second
+
+func (ex *exchange) config(deadline time.Time) call.Config {
+	return call.Config{
+		Issuer: host.Issuer{
+			Host:        ex.server.cfg.Host,
+			Incarnation: ex.server.cfg.Incarnation,
+		},
+		Number:     ex.number,
+		Terms:      ex.target.Terms,
+		Deadline:   deadline,
+		Replayable: ex.stream == nil,
+		Estimate:   ex.server.estimate(ex.target.Route.Service),
+		Chooser:    ex,
+		Budget:     ex,
+		ComeBack:   comeBack,
+		Jitter:     ex.server.jitter,
+	}
 }
 
 // readBody keeps a short body whole, so that it can be sent again.
@@ -82,15 +100,33 @@
 }
 
 // Pick implements call.Picker.
-func (ex *exchange) Pick(tried map[host.ID]bool, _ time.Time) (datacentre.Upstream, bool) {
-	return ex.server.pick(ex.view.Upstreams[ex.target.Route.Service], tried)
+func (ex *exchange) Pick(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
+	name := ex.target.Route.Service
+	return ex.server.pick(name, ex.view.Upstreams[name], tried, now)
 }
 
 // Spend implements call.Spender.
-func (ex *exchange) Spend() bool { return ex.server.spend(ex.target.Route.Service) }
+func (ex *exchange) Spend(now time.Time) bool {
+	return ex.server.spend(ex.target.Route.Service, now)
+}
+
+// attempt makes one attempt and notes what it showed of its upstream.
+func (ex *exchange) attempt(ctx context.Context, tr call.Try) upstream.Reply {
+	begun := time.Now()
+	re := ex.send(ctx, tr)
+	now := time.Now()
+	ob := call.Observation{
+		Result:  resultOf(re, now),
+		Latency: now.Sub(begun),
+		HasLoad: re.Response != nil || re.Refusal.GetLoadPermille() > 0,
+		Bulk:    ex.target.Terms.Class == contract.ClassBulk,
+	}
+	ob.LoadPermille = max(re.Response.GetLoadPermille(), re.Refusal.GetLoadPermille())
+	ex.server.attemptEnded(tr.Upstream, ob, now)
+	return re
+}
 
-func (ex *exchange) attempt(ctx context.Context, tr call.Try, deadline time.Time) upstream.Reply {
-	defer ex.server.attemptEnded(tr.Upstream.Host)
+func (ex *exchange) send(ctx context.Context, tr call.Try) upstream.Reply {
 	rq := &wire.Request{
 		Attempt:     string(tr.Attempt),
 		Incarnation: uint64(tr.Upstream.Incarnation),
@@ -98,7 +134,7 @@
 		Method:      string(ex.ctx.Method()),
 		Uri:         string(ex.ctx.RequestURI()),
 		Headers:     headersOf(ex.ctx),
-		RemainingUs: time.Until(deadline).Microseconds(),
+		RemainingUs: time.Until(tr.Deadline).Microseconds(),
 		Class:       string(ex.target.Terms.Class),
 		Length:      int64(len(ex.inline)),
 		Body:        ex.inline,
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -3,7 +3,6 @@
 package caller
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -53,14 +52,20 @@
 // budgetCeiling is the number of retries that a service can save up.
 const budgetCeiling = 20
 
+// budgetPerSecond is the number of retries that a service always has, each second.
+const budgetPerSecond = 0.5
+
 // idleTimeout closes callers' connections that send nothing.
 const idleTimeout = 2 * time.Minute
 
 // New builds the callers' listener.
 func New(cfg Config) *Server {
 	sv := &Server{
-		cfg:     cfg,
-		chooser: call.NewChooser(cfg.DataCentre, cfg.Rand),
+		cfg: cfg,
+		chooser: call.NewChooser(call.ChooserConfig{
+			DataCentre: cfg.DataCentre,
+			Rand:       cfg.Rand,
+		}),
 		budgets: map[contract.ServiceName]*call.Budget{},
 	}
 	sv.http = &fasthttp.Server{
@@ -113,48 +118,64 @@
 		ctx:    ctx,
 		view:   vi,
 		target: ta,
-		id:     sv.nextID(),
+		number: sv.calls.Add(1),
 		begun:  now,
 	}
 	ex.run(now)
 }
 
-// nextID names a call; no other call of any node has the same name.
-func (sv *Server) nextID() string {
-	return fmt.Sprintf("%s.%d.%d", sv.cfg.Host, sv.cfg.Incarnation, sv.calls.Add(1))
-}
-
 // pick chooses an upstream; it is safe for many goroutines.
-func (sv *Server) pick(all []datacentre.Upstream, tried map[host.ID]bool) (datacentre.Upstream, bool) {
+func (sv *Server) pick(
+	name contract.ServiceName,
+	all []datacentre.Upstream,
+	tried []host.ID,
+	now time.Time,
+) (datacentre.Upstream, bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	up, ok := sv.chooser.Pick(all, tried)
+	up, ok := sv.chooser.Pick(name, all, tried, now)
 	if ok {
-		sv.chooser.Started(up.Host)
+		sv.chooser.Started(up)
 	}
 	return up, ok
 }
 
-func (sv *Server) attemptEnded(id host.ID) {
+func (sv *Server) attemptEnded(up datacentre.Upstream, ob call.Observation, now time.Time) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.chooser.Ended(up, ob, now)
+}
+
+func (sv *Server) estimate(name contract.ServiceName) time.Duration {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.chooser.Estimate(name)
+}
+
+func (sv *Server) jitter() float64 {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.chooser.Ended(id)
+	return sv.cfg.Rand.Float64()
 }
 
 // budget returns the retry budget of a service; sv.mu is held.
 func (sv *Server) budget(na contract.ServiceName) *call.Budget {
 	bu := sv.budgets[na]
 	if bu == nil {
-		bu = call.NewBudget(sv.cfg.RetryPerSuccess, budgetCeiling)
+		bu = call.NewBudget(call.BudgetConfig{
+			PerSuccess: sv.cfg.RetryPerSuccess,
+			PerSecond:  budgetPerSecond,
+			Ceiling:    budgetCeiling,
+		})
 		sv.budgets[na] = bu
 	}
 	return bu
 }
 
-func (sv *Server) spend(na contract.ServiceName) bool {
+func (sv *Server) spend(na contract.ServiceName, now time.Time) bool {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return sv.budget(na).Spend()
+	return sv.budget(na).Spend(now)
 }
 
 func (sv *Server) succeeded(na contract.ServiceName) {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -47,17 +47,17 @@
 
 // Do passes a request on and returns when the response's head is there; ended
 // is called when the upstream no longer works on the call.
-func (cl *Client) Do(ctx context.Context, address string, rq *wire.Request, body io.Reader, ended func()) Reply {
+func (cl *Client) Do(ctx context.Context, address string, rq *wire.Request, body io.Reader, ended func(en host.Ended)) Reply {
 	co, err := cl.take(ctx, address)
 	if err != nil {
-		ended()
+		ended(host.Ended{Outcome: host.OutcomeNotRun, Reason: host.ReasonUpstreamConnect})
 		return Refuse(host.ReasonUpstreamConnect, true)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = co.Close() })
 	if err := co.send(ctx, rq, body); err != nil {
 		stop()
 		_ = co.Close()
-		ended()
+		ended(broken(host.ReasonUpstreamBroken))
 		return Refuse(host.ReasonUpstreamBroken, false)
 	}
 	resp := &fasthttp.Response{}
@@ -66,13 +66,13 @@
 	if err := resp.ReadLimitBody(co.reader, inlineBytes); err != nil {
 		stop()
 		_ = co.Close()
-		ended()
+		ended(broken(brokenReason(ctx)))
 		return Refuse(brokenReason(ctx), false)
 	}
 	if resp.BodyStream() == nil {
 		reusable := stop() && !resp.ConnectionClose()
 		cl.release(co, reusable)
-		ended()
+		ended(host.Ended{Outcome: host.OutcomeRan})
 		return Reply{Response: responseOf(resp, true)}
 	}
 	return Reply{
@@ -87,6 +87,16 @@
 	}
 }
 
+// broken is the end of an attempt whose connection was left before its answer's
+// end: the upstream may still work on it.
+func broken(re host.Reason) host.Ended {
+	return host.Ended{
+		Outcome: host.OutcomeUnknown,
+		Reason:  re,
+		Working: true,
+	}
+}
+
 func brokenReason(ctx context.Context) host.Reason {
 	if ctx.Err() == context.DeadlineExceeded {
 		return host.ReasonUpstreamTimeout
@@ -197,7 +207,7 @@
 	conn   *conn
 	resp   *fasthttp.Response
 	stop   func() bool
-	ended  func()
+	ended  func(en host.Ended)
 	once   sync.Once
 	whole  bool
 }
@@ -216,7 +226,11 @@
 	st.once.Do(func() {
 		reusable := st.stop() && st.whole && !st.resp.ConnectionClose()
 		st.client.release(st.conn, reusable)
-		st.ended()
+		if st.whole {
+			st.ended(host.Ended{Outcome: host.OutcomeRan})
+			return
+		}
+		st.ended(broken(host.ReasonUpstreamTruncated))
 	})
 	return nil
 }
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -76,6 +76,10 @@
 		re := Refuse(ac.Reason, true)
 		re.Refusal.RetryAfterUs = time.Until(ac.ComeBack).Microseconds()
 		return ga.load(re)
+	case host.RefuseDuplicate:
+		ga.forget(at.ID)
+		cancel()
+		return ga.load(Refuse(ac.Reason, ac.NotRun))
 	}
 	cancel()
 	return ga.load(Refuse(host.ReasonCancelled, false))
@@ -106,9 +110,10 @@
 }
 
 func (ga *Gate) dispatch(ctx context.Context, di host.Dispatch, rq *wire.Request, body io.Reader) Reply {
-	ended := func() {
+	ended := func(en host.Ended) {
 		ga.forget(di.ID)
-		ga.step(host.Ended{ID: di.ID})
+		en.ID = di.ID
+		ga.step(en)
 	}
 	re := ga.cfg.Client.Do(ctx, di.Address, rq, body, ended)
 	return ga.load(re)
@@ -152,6 +157,8 @@
 			ga.tell(ac.ID, ac)
 		case host.Refuse:
 			ga.tell(ac.ID, ac)
+		case host.RefuseDuplicate:
+			ga.tell(ac.ID, ac)
 		case host.Interrupt:
 			if ad := ga.waiting[ac.ID]; ad != nil {
 				ad.cancel()
