feat: rows of keyed calls on the platform's table

Cause: keyed calls need a store whose conditions survive lost replies and late writes. Change: platform.Keys (claim, finish, give up, read) over conditional writes; each request takes a context; a request that was never sent is unavailable, not in doubt; a transaction answers with the new states of its rows. The stand-in can make late writes, fail after effect, and jitter.

--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -167,7 +168,7 @@
 
 // read reads the platform beside the control goroutine; one read runs at a time.
 func (ct *Control) read(ac datacentre.ReadPlatform) {
-	deltas, whole, known, err := ct.versions.Since(ac.After, ct.known)
+	deltas, whole, known, err := ct.versions.Since(context.Background(), ac.After, ct.known)
 	if err == nil {
 		ct.known = known
 	}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -1,12 +1,15 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -14,44 +17,108 @@
 type Config struct {
 	TableURL  string
 	ObjectURL string
-	// Timeout bounds one request.
+	// Timeout bounds one request; a context may bound it further.
 	Timeout time.Duration
 }
 
-// Client speaks to the platform. It never repeats a request by itself.
+// Client speaks to the platform. It never repeats a request by itself and
+// never uses a connection again on which a request has failed.
 type Client struct {
 	cfg  Config
 	http *fasthttp.Client
+
+	mu     sync.Mutex
+	conns  map[*trackedConn]bool
+	closed bool
 }
 
-// maxResponseBytes bounds an answer of the platform, in bytes.
-const maxResponseBytes = 64 << 20
+const (
+	// maxResponseBytes bounds an answer of the platform, in bytes.
+	maxResponseBytes = 64 << 20
+	// maxConns bounds the connections to each service of the platform.
+	maxConns = 16
+	// idleFor is how long an unused connection is kept.
+	idleFor = 10 * time.Second
+)
 
 // NewClient builds a client.
 func NewClient(cfg Config) *Client {
-	return &Client{
-		cfg: cfg,
-		http: &fasthttp.Client{
-			NoDefaultUserAgentHeader:  true,
-			ReadTimeout:               cfg.Timeout,
-			WriteTimeout:              cfg.Timeout,
-			MaxConnWaitTimeout:        cfg.Timeout,
-			MaxConnsPerHost:           16,
-			MaxIdleConnDuration:       10 * time.Second,
-			MaxResponseBodySize:       maxResponseBytes,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                neverRetry,
-			Dial: func(addr string) (net.Conn, error) {
-				return fasthttp.DialTimeout(addr, cfg.Timeout)
-			},
-		},
+	cl := &Client{
+		cfg:   cfg,
+		conns: map[*trackedConn]bool{},
 	}
+	cl.http = &fasthttp.Client{
+		NoDefaultUserAgentHeader:  true,
+		ReadTimeout:               cfg.Timeout,
+		WriteTimeout:              cfg.Timeout,
+		MaxConnWaitTimeout:        cfg.Timeout,
+		MaxConnsPerHost:           maxConns,
+		MaxIdleConnDuration:       idleFor,
+		MaxResponseBodySize:       maxResponseBytes,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                neverRetry,
+		Dial:                      cl.dial,
+	}
+	return cl
 }
 
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
+// trackedConn is a connection that Close can interrupt.
+type trackedConn struct {
+	net.Conn
+	client *Client
+}
+
+// Close ends the connection.
+func (tc *trackedConn) Close() error {
+	tc.client.mu.Lock()
+	delete(tc.client.conns, tc)
+	tc.client.mu.Unlock()
+	return tc.Conn.Close()
+}
+
+func (cl *Client) dial(addr string) (net.Conn, error) {
+	co, err := fasthttp.DialTimeout(addr, cl.cfg.Timeout)
+	if err != nil {
+		return nil, &DialError{Address: addr, Err: err}
+	}
+	tc := &trackedConn{
+		Conn:   co,
+		client: cl,
+	}
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cl.closed {
+		_ = co.Close()
+		return nil, &DialError{Address: addr, Err: net.ErrClosed}
+	}
+	cl.conns[tc] = true
+	return tc, nil
+}
+
+// Close interrupts the requests that run and refuses later ones.
+func (cl *Client) Close() {
+	cl.mu.Lock()
+	cl.closed = true
+	conns := cl.conns
+	cl.conns = map[*trackedConn]bool{}
+	cl.mu.Unlock()
+	for tc := range conns {
+		_ = tc.Conn.Close()
+	}
+	cl.http.CloseIdleConnections()
+}
+
 // exchange makes one request; the response must be released by the caller.
-func (cl *Client) exchange(method, uri string, body []byte, header ...[2]string) (*fasthttp.Response, error) {
+func (cl *Client) exchange(ctx context.Context, method, uri string, body []byte, header ...[2]string) (*fasthttp.Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &DialError{Address: uri, Err: err}
+	}
+	deadline := time.Now().Add(cl.cfg.Timeout)
+	if by, ok := ctx.Deadline(); ok && by.Before(deadline) {
+		deadline = by
+	}
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -64,13 +131,22 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
-	if err := cl.http.Do(req, resp); err != nil {
+	if err := cl.http.DoDeadline(req, resp, deadline); err != nil {
 		fasthttp.ReleaseResponse(resp)
 		return nil, err
 	}
 	return resp, nil
 }
 
+// writeError tells a write that was never sent from one without an answer.
+func writeError(doing string, err error) error {
+	var dial *DialError
+	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return &UnavailableError{Doing: doing, Err: err}
+	}
+	return &InDoubtError{Doing: doing, Err: err}
+}
+
 func statusError(resp *fasthttp.Response) error {
 	body := resp.Body()
 	return &StatusError{
@@ -84,19 +160,19 @@
 }
 
 // Read reads one row.
-func (cl *Client) Read(key Key) (Row, error) {
-	ro, _, err := cl.ReadIfChanged(key, "")
+func (cl *Client) Read(ctx context.Context, key Key) (Row, error) {
+	ro, _, err := cl.ReadIfChanged(ctx, key, "")
 	return ro, err
 }
 
 // ReadIfChanged reads a row unless it is still in the given state.
-func (cl *Client) ReadIfChanged(key Key, known ETag) (ro Row, changed bool, err error) {
+func (cl *Client) ReadIfChanged(ctx context.Context, key Key, known ETag) (ro Row, changed bool, err error) {
 	doing := "read row " + string(key)
 	var header [][2]string
 	if known != "" {
 		header = append(header, [2]string{fasthttp.HeaderIfNoneMatch, string(known)})
 	}
-	resp, err := cl.exchange(fasthttp.MethodGet, cl.rowURL(key), nil, header...)
+	resp, err := cl.exchange(ctx, fasthttp.MethodGet, cl.rowURL(key), nil, header...)
 	if err != nil {
 		return Row{}, false, &UnavailableError{Doing: doing, Err: err}
 	}
@@ -118,14 +194,14 @@
 }
 
 // List reads rows whose key starts with a prefix and sorts after a key.
-func (cl *Client) List(prefix, after Key, limit int) ([]Row, error) {
+func (cl *Client) List(ctx context.Context, prefix, after Key, limit int) ([]Row, error) {
 	doing := "list rows " + string(prefix)
 	query := url.Values{
 		"prefix": {string(prefix)},
 		"after":  {string(after)},
 		"limit":  {strconv.Itoa(limit)},
 	}
-	resp, err := cl.exchange(fasthttp.MethodGet, cl.cfg.TableURL+"/table/list?"+query.Encode(), nil)
+	resp, err := cl.exchange(ctx, fasthttp.MethodGet, cl.cfg.TableURL+"/table/list?"+query.Encode(), nil)
 	if err != nil {
 		return nil, &UnavailableError{Doing: doing, Err: err}
 	}
@@ -142,8 +218,10 @@
 	return rows.Rows, nil
 }
 
-// Transact makes all writes or none. An InDoubtError says that the reply was lost.
-func (cl *Client) Transact(writes []Write) error {
+// Transact makes all writes or none and returns the new states of the rows, in
+// the order of the writes. It fails with a ConflictError or an UnavailableError
+// when nothing was written, and with an InDoubtError when the reply was lost.
+func (cl *Client) Transact(ctx context.Context, writes []Write) ([]ETag, error) {
 	const doing = "table transaction"
 	body, err := json.Marshal(struct {
 		Writes []Write `json:"writes"`
@@ -151,22 +229,32 @@
 		Writes: writes,
 	})
 	if err != nil {
-		return &UnavailableError{Doing: doing, Err: err}
+		return nil, &UnavailableError{Doing: doing, Err: err}
 	}
-	resp, err := cl.exchange(fasthttp.MethodPost, cl.cfg.TableURL+"/table/transactions", body)
+	resp, err := cl.exchange(ctx, fasthttp.MethodPost, cl.cfg.TableURL+"/table/transactions", body)
 	if err != nil {
-		return &InDoubtError{Doing: doing, Err: err}
+		return nil, writeError(doing, err)
 	}
 	defer fasthttp.ReleaseResponse(resp)
 	switch resp.StatusCode() {
 	case fasthttp.StatusOK:
-		return nil
+		return etagsOf(resp, len(writes))
 	case fasthttp.StatusPreconditionFailed:
-		return conflictOf(resp)
+		return nil, conflictOf(resp)
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusBadRequest:
-		return &UnavailableError{Doing: doing, Err: statusError(resp)}
+		return nil, &UnavailableError{Doing: doing, Err: statusError(resp)}
+	}
+	return nil, &InDoubtError{Doing: doing, Err: statusError(resp)}
+}
+
+func etagsOf(resp *fasthttp.Response, count int) ([]ETag, error) {
+	var body struct {
+		ETags []ETag `json:"etags"`
+	}
+	if err := json.Unmarshal(resp.Body(), &body); err != nil || len(body.ETags) != count {
+		return nil, &InDoubtError{Doing: "table transaction", Err: statusError(resp)}
 	}
-	return &InDoubtError{Doing: doing, Err: statusError(resp)}
+	return body.ETags, nil
 }
 
 func conflictOf(resp *fasthttp.Response) error {
@@ -180,12 +268,12 @@
 }
 
 // PutObject stores an object once; an object of that name that is there already is a success.
-func (cl *Client) PutObject(name ObjectName, data []byte) error {
+func (cl *Client) PutObject(ctx context.Context, name ObjectName, data []byte) error {
 	doing := "put object " + string(name)
-	resp, err := cl.exchange(fasthttp.MethodPut, cl.objectURL(name), data,
+	resp, err := cl.exchange(ctx, fasthttp.MethodPut, cl.objectURL(name), data,
 		[2]string{fasthttp.HeaderIfNoneMatch, "*"})
 	if err != nil {
-		return &InDoubtError{Doing: doing, Err: err}
+		return writeError(doing, err)
 	}
 	defer fasthttp.ReleaseResponse(resp)
 	switch resp.StatusCode() {
@@ -196,9 +284,9 @@
 }
 
 // GetObject reads an object.
-func (cl *Client) GetObject(name ObjectName) ([]byte, error) {
+func (cl *Client) GetObject(ctx context.Context, name ObjectName) ([]byte, error) {
 	doing := "get object " + string(name)
-	resp, err := cl.exchange(fasthttp.MethodGet, cl.objectURL(name), nil)
+	resp, err := cl.exchange(ctx, fasthttp.MethodGet, cl.objectURL(name), nil)
 	if err != nil {
 		return nil, &UnavailableError{Doing: doing, Err: err}
 	}
--- /dev/null
+++ b/io/platform/keys_test.go
@@ -0,0 +1,124 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/host"
+	"lynxfold/io/platform"
+	"lynxfold/io/platform/standin"
+)
+
+func newKeys(t *testing.T) (*platform.Keys, *standin.Server) {
+	t.Helper()
+	cl, sv := newClient(t)
+	return platform.NewKeys(cl), sv
+}
+
+func record(attempt string) platform.KeyRecord {
+	return platform.KeyRecord{
+		Key:       "booking-17",
+		Request:   "digest-1",
+		Attempt:   host.AttemptID(attempt),
+		ChangedAt: time.Unix(1, 0).UTC(),
+	}
+}
+
+func TestKeyedCallIsClaimedOnceAndKeepsItsAnswer(t *testing.T) {
+	ks, _ := newKeys(t)
+	ctx := context.Background()
+	re, err := ks.Claim(ctx, record("a"))
+	assert.NilError(t, err)
+	_, err = ks.Claim(ctx, record("b"))
+	assert.Assert(t, errors.HasType(err, &platform.ConflictError{}), "%v", err)
+	_, err = ks.Finish(ctx, re, []byte("booked"))
+	assert.NilError(t, err)
+	found, err := ks.Read(ctx, "booking-17")
+	assert.NilError(t, err)
+	assert.Equal(t, found.State, platform.KeyFinished)
+	assert.Equal(t, found.Attempt, host.AttemptID("a"))
+	assert.DeepEqual(t, found.Answer, []byte("booked"))
+}
+
+func TestKeyedCallOfAnUnknownKey(t *testing.T) {
+	ks, _ := newKeys(t)
+	_, err := ks.Read(context.Background(), "booking-17")
+	assert.Assert(t, errors.HasType(err, &platform.NotFoundError{}), "%v", err)
+}
+
+func TestClaimWithLostReplyIsResolvedByReading(t *testing.T) {
+	ks, sv := newKeys(t)
+	sv.SetFaults(standin.Faults{LoseReplies: 1})
+	re, err := ks.Claim(context.Background(), record("a"))
+	assert.NilError(t, err)
+	assert.Equal(t, re.State, platform.KeyClaimed)
+	assert.Equal(t, sv.Counts().Writes, int64(1))
+}
+
+func TestLateClaimIsStoppedByGivingUp(t *testing.T) {
+	ks, sv := newKeys(t)
+	ctx := context.Background()
+	sv.SetFaults(standin.Faults{LateWrites: 1, LateByMS: 200})
+	_, err := ks.Claim(ctx, record("a"))
+	assert.Assert(t, errors.HasType(err, &platform.InDoubtError{}), "%v", err)
+	given, err := ks.GiveUp(ctx, record("a"))
+	assert.NilError(t, err)
+	sv.WaitLate()
+	found, err := ks.Read(ctx, "booking-17")
+	assert.NilError(t, err)
+	assert.Equal(t, found.State, platform.KeyGivenUp)
+	next := record("b")
+	next.ETag = given.ETag
+	_, err = ks.Claim(ctx, next)
+	assert.NilError(t, err)
+}
+
+func TestGivingUpAfterTheClaimArrivedIsAConflict(t *testing.T) {
+	ks, _ := newKeys(t)
+	ctx := context.Background()
+	_, err := ks.Claim(ctx, record("a"))
+	assert.NilError(t, err)
+	_, err = ks.GiveUp(ctx, record("a"))
+	assert.Assert(t, errors.HasType(err, &platform.ConflictError{}), "%v", err)
+}
+
+func TestFinishWithLostReplyMayBeRepeated(t *testing.T) {
+	ks, sv := newKeys(t)
+	ctx := context.Background()
+	re, err := ks.Claim(ctx, record("a"))
+	assert.NilError(t, err)
+	sv.SetFaults(standin.Faults{LateWrites: 1, LateByMS: 100})
+	_, err = ks.Finish(ctx, re, []byte("booked"))
+	assert.Assert(t, errors.HasType(err, &platform.InDoubtError{}), "%v", err)
+	sv.WaitLate()
+	_, err = ks.Finish(ctx, re, []byte("booked"))
+	assert.NilError(t, err)
+}
+
+func TestKeyedCallWhilePlatformIsDown(t *testing.T) {
+	ks, sv := newKeys(t)
+	sv.SetFaults(standin.Faults{Down: true})
+	_, err := ks.Claim(context.Background(), record("a"))
+	assert.Assert(t, errors.HasType(err, &platform.UnavailableError{}), "%v", err)
+	assert.Equal(t, len(sv.Rows("calls/")), 0)
+}
+
+func TestKeyedCallWhileNobodyListensIsCertainlyNotWritten(t *testing.T) {
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	url := "http://" + li.Addr().String()
+	assert.NilError(t, li.Close())
+	cl := platform.NewClient(platform.Config{
+		TableURL:  url,
+		ObjectURL: url,
+		Timeout:   time.Second,
+	})
+	t.Cleanup(cl.Close)
+	_, err = platform.NewKeys(cl).Claim(context.Background(), record("a"))
+	assert.Assert(t, errors.HasType(err, &platform.UnavailableError{}), "%v", err)
+}
--- a/io/platform/standin/server.go
+++ b/io/platform/standin/server.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -26,8 +27,22 @@
 	DelayMS int64 `json:"delay_ms"`
 	// LoseReplies closes the connection of that many writes after they took effect.
 	LoseReplies int `json:"lose_replies"`
-	// LateWrites makes that many writes take effect only after DelayMS, their replies lost.
+	// JitterMS adds up to so much to each delay, in milliseconds.
+	JitterMS int64 `json:"jitter_ms"`
+	// LateWrites makes that many writes take effect only after LateByMS, their replies lost.
 	LateWrites int `json:"late_writes"`
+	// LateByMS is how late they are, in milliseconds.
+	LateByMS int64 `json:"late_by_ms"`
+	// FailAfterEffect answers that many writes with an error after they took effect.
+	FailAfterEffect int `json:"fail_after_effect"`
+}
+
+func (fa Faults) delay() time.Duration {
+	delay := fa.DelayMS
+	if fa.JitterMS > 0 {
+		delay += rand.Int64N(fa.JitterMS + 1)
+	}
+	return time.Duration(delay) * time.Millisecond
 }
 
 // Counts are what the stand-in was asked for.
@@ -45,6 +60,7 @@
 	state   uint64
 	faults  Faults
 	counts  Counts
+	late    sync.WaitGroup
 	http    *fasthttp.Server
 }
 
@@ -102,7 +118,7 @@
 		sv.mu.Lock()
 		fa := sv.faults
 		sv.mu.Unlock()
-		time.Sleep(time.Duration(fa.DelayMS) * time.Millisecond)
+		time.Sleep(fa.delay())
 		if fa.Down {
 			ctx.Error("down", fasthttp.StatusServiceUnavailable)
 			return
@@ -170,17 +186,25 @@
 	sv.counts.Writes++
 	if sv.faults.LateWrites > 0 {
 		sv.faults.LateWrites--
-		delay := time.Duration(sv.faults.DelayMS) * time.Millisecond
-		time.AfterFunc(delay, func() { sv.applyLate(body.Writes) })
+		late := time.Duration(sv.faults.LateByMS) * time.Millisecond
+		sv.late.Go(func() {
+			time.Sleep(late)
+			sv.applyLate(body.Writes)
+		})
 		loseReply(ctx)
 		return
 	}
-	key, ok := sv.applyLocked(body.Writes)
+	etags, key, ok := sv.applyLocked(body.Writes)
 	if sv.faults.LoseReplies > 0 {
 		sv.faults.LoseReplies--
 		loseReply(ctx)
 		return
 	}
+	if sv.faults.FailAfterEffect > 0 {
+		sv.faults.FailAfterEffect--
+		ctx.Error("failed", fasthttp.StatusInternalServerError)
+		return
+	}
 	if !ok {
 		writeJSON(ctx, fasthttp.StatusPreconditionFailed, struct {
 			Key platform.Key `json:"key"`
@@ -189,9 +213,16 @@
 		})
 		return
 	}
-	ctx.SetStatusCode(fasthttp.StatusOK)
+	writeJSON(ctx, fasthttp.StatusOK, struct {
+		ETags []platform.ETag `json:"etags"`
+	}{
+		ETags: etags,
+	})
 }
 
+// WaitLate waits until all late writes have taken effect or failed.
+func (sv *Server) WaitLate() { sv.late.Wait() }
+
 func (sv *Server) applyLate(writes []platform.Write) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -199,22 +230,25 @@
 }
 
 // applyLocked makes all writes, or none and returns the key that did not fit.
-func (sv *Server) applyLocked(writes []platform.Write) (platform.Key, bool) {
+func (sv *Server) applyLocked(writes []platform.Write) ([]platform.ETag, platform.Key, bool) {
 	for _, wr := range writes {
 		row, ok := sv.rows[wr.Key]
 		if wr.IfAbsent && ok || wr.IfMatch != "" && row.ETag != wr.IfMatch {
-			return wr.Key, false
+			return nil, wr.Key, false
 		}
 	}
+	etags := make([]platform.ETag, 0, len(writes))
 	for _, wr := range writes {
 		sv.state++
-		sv.rows[wr.Key] = platform.Row{
+		row := platform.Row{
 			Key:   wr.Key,
 			ETag:  platform.ETag(strconv.Quote(strconv.FormatUint(sv.state, 10))),
 			Value: wr.Value,
 		}
+		sv.rows[wr.Key] = row
+		etags = append(etags, row.ETag)
 	}
-	return "", true
+	return etags, "", true
 }
 
 func (sv *Server) putObject(ctx *fasthttp.RequestCtx) {
--- a/io/platform/types.go
+++ b/io/platform/types.go
@@ -60,6 +60,17 @@
 // Unwrap returns the cause.
 func (er *UnavailableError) Unwrap() error { return er.Err }
 
+// DialError reports a request that was not sent, since there was no connection.
+type DialError struct {
+	Address string
+	Err     error
+}
+
+func (er *DialError) Error() string { return fmt.Sprintf("connect to %s: %v", er.Address, er.Err) }
+
+// Unwrap returns the cause.
+func (er *DialError) Unwrap() error { return er.Err }
+
 // InDoubtError reports a write that may have taken effect.
 type InDoubtError struct {
 	Doing string
--- a/io/platform/versions.go
+++ b/io/platform/versions.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -28,6 +29,15 @@
 	Document *contract.Document
 	// SubmittedAt is recorded with the version.
 	SubmittedAt time.Time
+	// Deadline bounds the whole of it; zero means the client's timeouts only.
+	Deadline time.Time
+}
+
+func (su Submission) context() (context.Context, context.CancelFunc) {
+	if su.Deadline.IsZero() {
+		return context.Background(), func() {}
+	}
+	return context.WithDeadline(context.Background(), su.Deadline)
 }
 
 // VersionRow is what the table holds of one accepted version.
@@ -62,18 +72,20 @@
 // Accept stores the submission as the next version. It fails with a
 // contract.ValidationError, a ConflictError, an UnavailableError or an InDoubtError.
 func (vs *Versions) Accept(su Submission) (*contract.Delta, error) {
+	ctx, cancel := su.context()
+	defer cancel()
 	next, err := contract.Compile(su.Base.Version+1, su.Document)
 	if err != nil {
 		return nil, err
 	}
-	if err := vs.client.PutObject(objectOf(next.Digest), contract.Pack(next.Document)); err != nil {
+	if err := vs.client.PutObject(ctx, objectOf(next.Digest), contract.Pack(next.Document)); err != nil {
 		return nil, &UnavailableError{Doing: "store document", Err: err}
 	}
 	de := contract.Diff(su.Base, next)
-	err = vs.client.Transact(vs.writes(su, de))
+	_, err = vs.client.Transact(ctx, vs.writes(su, de))
 	var doubt *InDoubtError
 	if errors.As(err, &doubt) {
-		return vs.resolve(su, de, doubt)
+		return vs.resolve(ctx, su, de, doubt)
 	}
 	if err != nil {
 		return nil, err
@@ -109,8 +121,8 @@
 }
 
 // resolve reads the row of a version whose write had no reply.
-func (vs *Versions) resolve(su Submission, de *contract.Delta, doubt *InDoubtError) (*contract.Delta, error) {
-	ro, err := vs.client.Read(versionKey(de.Result))
+func (vs *Versions) resolve(ctx context.Context, su Submission, de *contract.Delta, doubt *InDoubtError) (*contract.Delta, error) {
+	ro, err := vs.client.Read(ctx, versionKey(de.Result))
 	var missing *NotFoundError
 	switch {
 	case errors.As(err, &missing):
@@ -130,8 +142,8 @@
 
 // Since reads what leads on from a version: the deltas in order, or the whole
 // document when there are too many.
-func (vs *Versions) Since(ve contract.Version, known ETag) (deltas []*contract.Delta, whole *contract.Snapshot, et ETag, err error) {
-	ro, changed, err := vs.client.ReadIfChanged(keyCurrent, known)
+func (vs *Versions) Since(ctx context.Context, ve contract.Version, known ETag) (deltas []*contract.Delta, whole *contract.Snapshot, et ETag, err error) {
+	ro, changed, err := vs.client.ReadIfChanged(ctx, keyCurrent, known)
 	var missing *NotFoundError
 	if errors.As(err, &missing) {
 		return nil, nil, "", nil
@@ -147,23 +159,23 @@
 		return nil, nil, ro.ETag, nil
 	}
 	if cur.Version-ve > maxListed {
-		whole, err = vs.whole(cur)
+		whole, err = vs.whole(ctx, cur)
 		return nil, whole, ro.ETag, err
 	}
-	deltas, err = vs.deltas(ve)
+	deltas, err = vs.deltas(ctx, ve)
 	return deltas, nil, ro.ETag, err
 }
 
-func (vs *Versions) whole(cur currentRow) (*contract.Snapshot, error) {
-	data, err := vs.client.GetObject(objectOf(cur.Digest))
+func (vs *Versions) whole(ctx context.Context, cur currentRow) (*contract.Snapshot, error) {
+	data, err := vs.client.GetObject(ctx, objectOf(cur.Digest))
 	if err != nil {
 		return nil, err
 	}
 	return contract.Unpack(cur.Version, cur.Digest, data)
 }
 
-func (vs *Versions) deltas(after contract.Version) ([]*contract.Delta, error) {
-	rows, err := vs.client.List(prefixVersion, versionKey(after), maxListed)
+func (vs *Versions) deltas(ctx context.Context, after contract.Version) ([]*contract.Delta, error) {
+	rows, err := vs.client.List(ctx, prefixVersion, versionKey(after), maxListed)
 	if err != nil {
 		return nil, err
 	}
--- a/io/platform/versions_test.go
+++ b/io/platform/versions_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -14,6 +15,12 @@
 )
 
 func newVersions(t *testing.T) (*platform.Versions, *standin.Server) {
+	t.Helper()
+	cl, sv := newClient(t)
+	return platform.NewVersions(cl), sv
+}
+
+func newClient(t *testing.T) (*platform.Client, *standin.Server) {
 	t.Helper()
 	sv := standin.New()
 	li, err := net.Listen("tcp", "127.0.0.1:0")
@@ -26,7 +33,8 @@
 		ObjectURL: url,
 		Timeout:   time.Second,
 	})
-	return platform.NewVersions(cl), sv
+	t.Cleanup(cl.Close)
+	return cl, sv
 }
 
 func submission(id string) platform.Submission {
@@ -44,7 +52,7 @@
 	vs, _ := newVersions(t)
 	de, err := vs.Accept(submission("a"))
 	assert.NilError(t, err)
-	deltas, whole, _, err := vs.Since(0, "")
+	deltas, whole, _, err := vs.Since(context.Background(), 0, "")
 	assert.NilError(t, err)
 	assert.Assert(t, whole == nil)
 	assert.DeepEqual(t, deltas, []*contract.Delta{de})
