feat: measure processor time and memory of calls on real processes

Change: bench/slopes runs an ingress and a gate as processes and reads their own processor time and resident memory.

--- /dev/null
+++ b/bench/slopes/mesh.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lynxfold/testkit"
+)
+
+// benchTB lets a program use what tests use to run real processes. A failure panics.
+type benchTB struct {
+	testing.TB
+	cleanups []func()
+	dirs     int
+}
+
+// FailedError reports a failed step of a mesh.
+type FailedError struct {
+	Detail string
+}
+
+func (er *FailedError) Error() string { return er.Detail }
+
+func (*benchTB) Helper()                    {}
+func (*benchTB) Log(args ...any)            { _, _ = fmt.Fprintln(os.Stderr, args...) }
+func (*benchTB) FailNow()                   { panic(&FailedError{Detail: "mesh failed"}) }
+func (tb *benchTB) Cleanup(cleanup func())  { tb.cleanups = append(tb.cleanups, cleanup) }
+func (*benchTB) Fatalf(fo string, a ...any) { panic(&FailedError{Detail: fmt.Sprintf(fo, a...)}) }
+
+// TempDir makes a directory that the clean-up removes.
+func (tb *benchTB) TempDir() string {
+	dir, err := os.MkdirTemp("", "lynxfold-slopes-")
+	if err != nil {
+		panic(err)
+	}
+	tb.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return dir
+}
+
+// withMesh runs a function against a mesh and stops the mesh.
+func withMesh(cfg testkit.MeshConfig, use func(me *testkit.Mesh)) {
+	tb := &benchTB{}
+	defer func() {
+		for i := len(tb.cleanups) - 1; i >= 0; i-- {
+			tb.cleanups[i]()
+		}
+	}()
+	use(testkit.StartMesh(tb, cfg))
+}
+
+// metric sums the series of a node's counter by name.
+func metric(ho *testkit.Host, name string) float64 {
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+ho.Operator+"/metrics", 5*time.Second)
+	if err != nil {
+		panic(err)
+	}
+	sum := 0.0
+	for line := range strings.Lines(string(body)) {
+		series, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if !ok || (series != name && !strings.HasPrefix(series, name+"{")) {
+			continue
+		}
+		va, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			panic(err)
+		}
+		sum += va
+	}
+	return sum
+}
