feat: checked settings with typed operators' tokens, and access rules

Cause: settings kept token lines as strings, quoted a token that was typed in place of its digest, and let two listeners take one port or a key pair that does not fit. Nothing looked at tokens.

Package access: tokens compared in constant time, wrong ones limited for each address, form tokens, Origin and Host checks.

--- /dev/null
+++ b/core/contract/fuzz_test.go
@@ -0,0 +1,38 @@
+package contract_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/contract"
+)
+
+// FuzzParseDocument shows that no document crashes the reader, that a fault is
+// always typed, and that what is read is written the same way again.
+func FuzzParseDocument(f *testing.F) {
+	f.Add([]byte(`{"services":[{"name":"a"}],"contracts":[{"name":"c","timeout_ms":5}],"routes":[{"name":"r","path_prefix":"/","service":"a","contract":"c"}]}`))
+	f.Add([]byte(`{"routes":[{"name":"r","fallback":"r","path_prefix":"//","methods":["get"]}]}`))
+	f.Add([]byte(`{"services":null}`))
+	f.Add([]byte(`{"contracts":[{"timeout_ms":1e99}]}`))
+	f.Add([]byte(`{}{}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		doc, err := contract.ParseDocument(data)
+		if err != nil {
+			var syntax *contract.SyntaxError
+			assert.Assert(t, errors.As(err, &syntax), "%T", err)
+			return
+		}
+		if err := doc.Validate(); err != nil {
+			var invalid *contract.ValidationError
+			assert.Assert(t, errors.As(err, &invalid), "%T", err)
+			assert.Assert(t, len(invalid.Fields) > 0)
+			return
+		}
+		again, err := contract.ParseDocument(doc.Encode())
+		assert.NilError(t, err)
+		assert.Equal(t, again.Digest(), doc.Digest())
+	})
+}
--- a/io/ini/keys.go
+++ b/io/ini/keys.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
+	"lynxfold/io/operator/access"
 )
 
 // key is one setting: where it stands, what it means and how it is read.
@@ -22,8 +24,10 @@
 	help     string
 	fallback string
 	required bool
-	remedy   string
-	set      func(se *Settings, text string) error
+	// secret values are not repeated in errors.
+	secret bool
+	remedy string
+	set    func(se *Settings, text string) error
 }
 
 var (
@@ -34,7 +38,7 @@
 	errNotURL      = errors.New("not a URL")
 	errNotFile     = errors.New("not a readable file")
 	errNotLevel    = errors.New("not a level")
-	errNotToken    = errors.New("not a token line")
+	errTokenTwice  = errors.New("an operator is there twice")
 )
 
 // Remedies for values that can't be read.
@@ -50,10 +54,7 @@
 	remedyTokens   = "use NAME ROLE DIGEST, separated by commas; ROLE is read or change, DIGEST the SHA-256 of the token in hexadecimal"
 )
 
-var (
-	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-	tokenPattern = regexp.MustCompile(`^[a-z0-9-]+ (read|change) [0-9a-f]{64}$`)
-)
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 // keys lists every setting in the order of the documented file.
 func keys() []key {
@@ -187,13 +188,13 @@
 			set:  address(func(se *Settings) *netip.AddrPort { return &se.Operator.Listen }),
 		},
 		{
-			section: "operator", name: "tokens", remedy: remedyTokens,
+			section: "operator", name: "tokens", remedy: remedyTokens, secret: true,
 			help: "Operators' tokens as NAME ROLE DIGEST, separated by commas; everybody may change when empty and the address is a loopback one.",
 			set:  setTokens,
 		},
 		{
 			section: "operator", name: "cert_file", remedy: remedyFile,
-			help: "Certificate of the console, PEM; read again on SIGHUP.",
+			help: "Certificate of the console and its API, PEM; turns on TLS there; read again on SIGHUP.",
 			set:  file(func(se *Settings) *string { return &se.Operator.CertFile }),
 		},
 		{
@@ -297,11 +298,14 @@
 
 func setTokens(se *Settings, text string) error {
 	for part := range strings.SplitSeq(text, ",") {
-		line := strings.Join(strings.Fields(part), " ")
-		if !tokenPattern.MatchString(line) {
-			return errNotToken
+		to, err := access.ParseToken(part)
+		if err != nil {
+			return err
+		}
+		if slices.ContainsFunc(se.Operator.Tokens, func(other access.Token) bool { return other.Operator == to.Operator }) {
+			return errTokenTwice
 		}
-		se.Operator.Tokens = append(se.Operator.Tokens, line)
+		se.Operator.Tokens = append(se.Operator.Tokens, to)
 	}
 	return nil
 }
--- a/io/ini/load.go
+++ b/io/ini/load.go
@@ -1,7 +1,9 @@
 package ini
 
 import (
+	"crypto/tls"
 	"fmt"
+	"net/netip"
 	"strings"
 
 	"gopkg.in/ini.v1"
@@ -17,7 +19,15 @@
 }
 
 func (pr Problem) String() string {
-	return fmt.Sprintf("%s: [%s] %s: %s: %s", pr.File, pr.Section, pr.Key, pr.Detail, pr.Remedy)
+	place := pr.File + ":"
+	if pr.Section != "" {
+		place += " [" + pr.Section + "]"
+	}
+	if pr.Key != "" {
+		place += " " + pr.Key
+	}
+	place = strings.TrimSuffix(place, ":")
+	return fmt.Sprintf("%s: %s: %s", place, pr.Detail, pr.Remedy)
 }
 
 // SettingsError holds every fault of a settings file.
@@ -58,7 +68,7 @@
 	}
 	fi, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, source)
 	if err != nil {
-		lo.add("", "", err.Error(), "write sections in brackets and keys as name = value")
+		lo.add("", "", strings.TrimSpace(err.Error()), "write sections in brackets and keys as name = value")
 		return nil, lo.err()
 	}
 	lo.file = fi
@@ -98,7 +108,8 @@
 		known[ke.section+"."+ke.name] = true
 	}
 	for _, se := range lo.file.Sections() {
-		if se.Name() == ini.DefaultSection && len(se.Keys()) == 0 {
+		if se.Name() == ini.DefaultSection {
+			lo.checkStray(se)
 			continue
 		}
 		if !sections[se.Name()] {
@@ -111,6 +122,13 @@
 	}
 }
 
+// checkStray reports keys that stand before the first section.
+func (lo *loader) checkStray(se *ini.Section) {
+	for _, ke := range se.Keys() {
+		lo.add("", ke.Name(), "stands before the first section", "move it below the section that it belongs to")
+	}
+}
+
 func (lo *loader) checkKey(section string, ke *ini.Key, known map[string]bool) {
 	if !known[section+"."+ke.Name()] {
 		lo.add(section, ke.Name(), "unknown key", "remove it or correct its name")
@@ -132,7 +150,11 @@
 		return
 	}
 	if err := ke.set(lo.settings, text); err != nil {
-		lo.add(ke.section, ke.name, fmt.Sprintf("%q: %v", text, err), ke.remedy)
+		detail := fmt.Sprintf("%q: %v", text, err)
+		if ke.secret {
+			detail = err.Error()
+		}
+		lo.add(ke.section, ke.name, detail, ke.remedy)
 	}
 }
 
@@ -145,16 +167,58 @@
 	if se.Link.Advertise.IsValid() && se.Link.Advertise.Addr().IsUnspecified() {
 		lo.add("link", "advertise", "other nodes can't reach "+se.Link.Advertise.String(), "give the host's own IP address")
 	}
-	tls := []string{se.TLS.CertFile, se.TLS.KeyFile, se.TLS.CAFile}
-	if n := countSet(tls); n != 0 && n != len(tls) {
+	lo.checkAddresses()
+	lo.checkKeys()
+	if len(se.Operator.Tokens) == 0 && se.Operator.Listen.IsValid() && !se.Operator.Listen.Addr().IsLoopback() {
+		lo.add("operator", "tokens", "missing for a console that other hosts reach", remedyTokens)
+	}
+}
+
+// checkAddresses finds listeners that would take each other's port.
+func (lo *loader) checkAddresses() {
+	se := lo.settings
+	taken := map[netip.AddrPort]string{}
+	for _, it := range []struct {
+		section string
+		address netip.AddrPort
+	}{
+		{section: "link", address: se.Link.Listen},
+		{section: "caller", address: se.Caller.Listen},
+		{section: "upstream", address: se.Upstream.Listen},
+		{section: "operator", address: se.Operator.Listen},
+	} {
+		if !it.address.IsValid() || it.address.Port() == 0 {
+			continue
+		}
+		if other, ok := taken[it.address]; ok {
+			lo.add(it.section, "listen", it.address.String()+" is that of ["+other+"] too", "give each listener an address of its own")
+			continue
+		}
+		taken[it.address] = it.section
+	}
+}
+
+// checkKeys checks that certificates and keys are complete and fit together.
+func (lo *loader) checkKeys() {
+	se := lo.settings
+	files := []string{se.TLS.CertFile, se.TLS.KeyFile, se.TLS.CAFile}
+	if n := countSet(files); n != 0 && n != len(files) {
 		lo.add("tls", "cert_file", "only some of cert_file, key_file and ca_file are there", "give all three or none")
 	}
+	lo.checkPair("tls", se.TLS.CertFile, se.TLS.KeyFile)
 	console := []string{se.Operator.CertFile, se.Operator.KeyFile}
 	if n := countSet(console); n == 1 {
 		lo.add("operator", "cert_file", "only one of cert_file and key_file is there", "give both or none")
 	}
-	if len(se.Operator.Tokens) == 0 && se.Operator.Listen.IsValid() && !se.Operator.Listen.Addr().IsLoopback() {
-		lo.add("operator", "tokens", "missing for a console that other hosts reach", remedyTokens)
+	lo.checkPair("operator", se.Operator.CertFile, se.Operator.KeyFile)
+}
+
+func (lo *loader) checkPair(section, certFile, keyFile string) {
+	if certFile == "" || keyFile == "" {
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(certFile, keyFile); err != nil {
+		lo.add(section, "cert_file", err.Error(), "give a certificate and its private key, both PEM")
 	}
 }
 
--- a/io/ini/settings.go
+++ b/io/ini/settings.go
@@ -7,6 +7,7 @@
 
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
+	"lynxfold/io/operator/access"
 )
 
 // Settings are everything that a node is told before it starts.
@@ -64,8 +65,8 @@
 // OperatorSettings are the console's listener and access.
 type OperatorSettings struct {
 	Listen netip.AddrPort
-	// Tokens are lines of "name role sha256-in-hexadecimal".
-	Tokens []string
+	// Tokens are who may read and who may change; only digests are kept.
+	Tokens []access.Token
 	// CertFile and KeyFile turn TLS on for the console.
 	CertFile string
 	KeyFile  string
--- /dev/null
+++ b/io/operator/access/access_test.go
@@ -0,0 +1,120 @@
+package access_test
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/io/operator/access"
+)
+
+var begin = time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC)
+
+// script runs the commands of one data file against one guard.
+type script struct {
+	guard *access.Guard
+	now   time.Time
+}
+
+func (sc *script) run(t *testing.T, td *datadriven.TestData) string {
+	switch td.Cmd {
+	case "tokens":
+		return sc.tokens(t, td.Input)
+	case "wait":
+		var text string
+		td.ScanArgs(t, "for", &text)
+		du, err := time.ParseDuration(text)
+		assert.NilError(t, err)
+		sc.now = sc.now.Add(du)
+		return "at " + sc.now.Format(time.TimeOnly) + "\n"
+	case "identify":
+		var secret, from string
+		td.ScanArgs(t, "from", &from)
+		td.MaybeScanArgs(t, "token", &secret)
+		op, err := sc.guard.Identify(secret, netip.MustParseAddr(from), sc.now)
+		if err != nil {
+			return denied(err)
+		}
+		return op.String() + "\n"
+	case "host":
+		return denied(access.CheckHost(strings.TrimSpace(td.Input)))
+	case "origin":
+		origin, host, _ := strings.Cut(strings.TrimSpace(td.Input), " to ")
+		return denied(access.CheckOrigin(origin, host))
+	}
+	t.Fatalf("unknown command %s", td.Cmd)
+	return ""
+}
+
+// tokens builds a guard from lines of NAME ROLE TOKEN.
+func (sc *script) tokens(t *testing.T, input string) string {
+	var tokens []access.Token
+	for line := range strings.Lines(input) {
+		fields := strings.Fields(line)
+		to, err := access.ParseToken(fmt.Sprintf("%s %s %x", fields[0], fields[1], access.DigestOf(fields[2])))
+		assert.NilError(t, err)
+		tokens = append(tokens, to)
+	}
+	sc.guard = access.NewGuard(tokens)
+	return fmt.Sprintf("open=%t\n", sc.guard.Open())
+}
+
+func denied(err error) string {
+	var de *access.DeniedError
+	switch {
+	case err == nil:
+		return "allowed\n"
+	case !errors.As(err, &de):
+		return "untyped: " + err.Error() + "\n"
+	case de.RetryAt.IsZero():
+		return de.Error() + "\n"
+	}
+	return de.Error() + ", retry at " + de.RetryAt.Format(time.TimeOnly) + "\n"
+}
+
+func TestAccess(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		sc := &script{
+			guard: access.NewGuard(nil),
+			now:   begin,
+		}
+		datadriven.RunTest(t, path, sc.run)
+	})
+}
+
+// TestFormToken shows that a form counts only with the cookies that it was made for.
+func TestFormToken(t *testing.T) {
+	to := access.FormToken("secret", "token")
+	assert.NilError(t, access.CheckForm("secret", "token", to))
+	for name, err := range map[string]error{
+		"other secret": access.CheckForm("other", "token", to),
+		"other token":  access.CheckForm("secret", "other", to),
+		"no form":      access.CheckForm("secret", "token", ""),
+		"no secret":    access.CheckForm("", "token", access.FormToken("", "token")),
+	} {
+		assert.ErrorContains(t, err, "form_token", name)
+	}
+}
+
+// TestAddressesAreBounded tries a wrong token from more addresses than are told
+// apart: the one that owes most stays limited.
+func TestAddressesAreBounded(t *testing.T) {
+	gu := access.NewGuard([]access.Token{{Operator: "ana", Role: access.RoleChange, Digest: access.DigestOf("right")}})
+	worst := netip.MustParseAddr("10.1.0.1")
+	for range 5 {
+		_, _ = gu.Identify("wrong", worst, begin)
+	}
+	for i := range 5000 {
+		from := netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)})
+		_, err := gu.Identify("wrong", from, begin)
+		assert.ErrorContains(t, err, "wrong_token")
+	}
+	_, err := gu.Identify("right", worst, begin)
+	assert.ErrorContains(t, err, "too_many")
+}
