--- a/bench/slopes/mesh.go
+++ b/bench/slopes/mesh.go
@@ -17,7 +17,6 @@
 type benchTB struct {
 	testing.TB
 	cleanups []func()
-	dirs     int
 }
 
 // FailedError reports a failed step of a mesh.
