--- a/bench/slopes/todo.go
+++ b/bench/slopes/todo.go
@@ -2,4 +2,4 @@
 
 import "lynxfold/bench/capacity"
 
-func measureLinks() ([]capacity.Slope, error)   { return nil, nil }
+func measureLinks() ([]capacity.Slope, error) { return nil, nil }
