--- a/io/ini/load_test.go
+++ b/io/ini/load_test.go
@@ -15,7 +15,7 @@
 // TestSettings reads each data file's settings and prints every fault.
 func TestSettings(t *testing.T) {
 	datadriven.Walk(t, "testdata/settings", func(t *testing.T, path string) {
-		datadriven.RunTest(t, path, func(t *testing.T, td *datadriven.TestData) string {
+		datadriven.RunTest(t, path, func(_ *testing.T, td *datadriven.TestData) string {
 			se, err := ini.Parse("node.ini", []byte(td.Input))
 			if err != nil {
 				return err.Error() + "\n"
