fix: give every test's node a port that nobody else can take

Cause: TestWholePath failed once in a run beside other test processes (not within 10s: the console answers). FreeAddress closes its listener before the node opens the port, so another process, an outgoing connection or a second call can take it. Ruled out: settings, the same test passed alone 4 times.

Change: addresses lie on a loopback address of the test's own process and none is returned twice.

--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -91,13 +91,30 @@
 	return path
 }
 
-// FreeAddress returns a loopback address that nobody listens on.
+// loopback is a loopback address of this process alone: a port that is free on
+// it can't be taken by another test's process or an outgoing connection before
+// the node listens.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
+}
+
+// handedOut are the addresses that FreeAddress has returned.
+var handedOut sync.Map
+
+// FreeAddress returns a loopback address that nobody listens on; it returns no
+// address twice.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = li.Close() }()
-	return li.Addr().String()
+	for {
+		li, err := net.Listen("tcp", loopback())
+		assert.NilError(t, err)
+		address := li.Addr().String()
+		assert.NilError(t, li.Close())
+		if _, twice := handedOut.LoadOrStore(address, true); !twice {
+			return address
+		}
+	}
 }
 
 // StartMesh starts a mesh; it is stopped when the test ends.
