--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,17 +69,19 @@
 		stop:     make(chan struct{}),
 	}
 	ct.member = datacentre.New(datacentre.Config{
-		Mesh:          se.Mesh.Name,
-		Host:          se.Host.ID,
-		DataCentre:    se.Host.DataCentre,
-		Address:       ad.advertise,
-		RemoteAddress: ad.remote,
-		Incarnation:   id.incarnation,
-		Contacts:      contacts,
-		ReadEvery:     readEvery(se),
-		DialBase:      dialBase,
-		DialCap:       dialCap,
-		Rand:          id.rand(),
+		Mesh:           se.Mesh.Name,
+		Host:           se.Host.ID,
+		DataCentre:     se.Host.DataCentre,
+		Address:        ad.advertise,
+		RemoteAddress:  ad.remote,
+		Incarnation:    id.incarnation,
+		Contacts:       contacts,
+		FleetSize:      se.Mesh.FleetSize,
+		ReadsPerSecond: se.Platform.ReadsPerSecond,
+		DialBase:       dialBase,
+		DialCap:        dialCap,
+		Rand:           id.rand(),
+		StartedAt:      time.Now(),
 	})
 	ct.hello.Store(ct.member.Hello())
 	ct.view.Store(&datacentre.View{Config: contract.Empty()})
@@ -95,11 +98,6 @@
 	return ct
 }
 
-// readEvery is the time between two reads that keeps the whole fleet under its budget.
-func readEvery(se *ini.Settings) time.Duration {
-	return time.Duration(float64(se.Mesh.FleetSize) / se.Platform.ReadsPerSecond * float64(time.Second))
-}
-
 // View is what traffic reads.
 func (ct *Control) View() *datacentre.View { return ct.view.Load() }
 
@@ -167,7 +165,7 @@
 
 // read reads the platform beside the control goroutine; one read runs at a time.
 func (ct *Control) read(ac datacentre.ReadPlatform) {
-	deltas, whole, known, err := ct.versions.Since(ac.After, ct.known)
+	deltas, whole, known, err := ct.versions.Since(context.Background(), ac.After, ct.known)
 	if err == nil {
 		ct.known = known
 	}
