feat: console of forms, access, history and health pages on every node

Cause: a node offered a bare API to anybody; there was no console, no history, no way to learn what became of a submission whose reply was lost.

Change: HTML forms without scripts for services, routes and contracts; drafts travel in the form; review with risks that must be confirmed; conflict page with both edits; in-doubt page that can be asked again; history, roll back as a new version, download. Bearer tokens for the API, a login form with HttpOnly SameSite=Strict cookies for the console, form tokens, Origin and Host checks, a content policy that loads nothing from outside. TLS with keys read again on SIGHUP. /live and /ready say why not. A submission sent again with its id has the same answer: its row is read, so nothing is accepted twice. platform.Versions reads rows and documents of old versions; small wiring in cmd/process.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -59,6 +59,27 @@
 	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 }
 
+// onHangup calls a function on each SIGHUP until it is stopped.
+func onHangup(call func()) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	ended := make(chan struct{})
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				call()
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(ended)
+	}
+}
+
 func newLog(wr io.Writer, level string) zerolog.Logger {
 	le, err := zerolog.ParseLevel(level)
 	if err != nil {
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -59,6 +59,8 @@
 		_, _ = fmt.Fprintln(co.err, err)
 		return exitFailure
 	}
+	stop := onHangup(pr.Reload)
+	defer stop()
 	pr.Run(ctx)
 	return exitOK
 }
--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -37,6 +37,7 @@
 	versions *platform.Versions
 	log      zerolog.Logger
 	counters *controlCounters
+	health   health
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
@@ -130,6 +131,7 @@
 				ct.step(me, now)
 			}
 		case now := <-ti.C:
+			ct.health.beaten(now)
 			ct.links.Tick(now)
 			ct.step(datacentre.Tick{}, now)
 		case <-ct.stop:
--- /dev/null
+++ b/cmd/process/operators.go
@@ -0,0 +1,102 @@
+package process
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
+	"lynxfold/io/ini"
+	"lynxfold/io/operator"
+	"lynxfold/io/platform"
+)
+
+// stalledAfter is how long the control goroutine may take over one step before
+// the node counts as not live.
+const stalledAfter = 10 * time.Second
+
+// health is what the health pages tell.
+type health struct {
+	// beat is when the control goroutine last went round.
+	beat     atomic.Pointer[time.Time]
+	draining atomic.Bool
+}
+
+func (he *health) beaten(now time.Time) { he.beat.Store(&now) }
+
+func (he *health) live() []operator.HealthReason {
+	if at := he.beat.Load(); at != nil && time.Since(*at) > stalledAfter {
+		return []operator.HealthReason{operator.HealthControlStalled}
+	}
+	return nil
+}
+
+func (he *health) ready(ve contract.Version) []operator.HealthReason {
+	reasons := he.live()
+	if he.draining.Load() {
+		reasons = append(reasons, operator.HealthDraining)
+	}
+	if ve == 0 {
+		reasons = append(reasons, operator.HealthNoConfiguration)
+	}
+	return reasons
+}
+
+// newKeyPair reads the console's keys; nil when the settings give none.
+func newKeyPair(se *ini.Settings) (*operator.KeyPair, error) {
+	if se.Operator.CertFile == "" {
+		return nil, nil
+	}
+	return operator.LoadKeyPair(se.Operator.CertFile, se.Operator.KeyFile)
+}
+
+// operatorParts are what the operators' listener is built from.
+type operatorParts struct {
+	dig.In
+
+	Settings *ini.Settings
+	Control  *Control
+	Versions *platform.Versions
+	Metrics  *metrics.Set
+	KeyPair  *operator.KeyPair
+	Log      zerolog.Logger
+}
+
+func newOperator(pa operatorParts) *operator.Server {
+	ct := pa.Control
+	return operator.New(operator.Config{
+		Host:       pa.Settings.Host.ID,
+		DataCentre: pa.Settings.Host.DataCentre,
+		View:       ct.View,
+		Acceptor:   pa.Versions,
+		History:    pa.Versions,
+		Accepted: func(de *contract.Delta) {
+			ct.Emit(datacentre.Accepted{Delta: de})
+		},
+		Live:    ct.health.live,
+		Ready:   func() []operator.HealthReason { return ct.health.ready(ct.View().Config.Version) },
+		Tokens:  pa.Settings.Operator.Tokens,
+		Metrics: pa.Metrics,
+		Log:     pa.Log,
+		KeyPair: pa.KeyPair,
+		Now:     time.Now,
+		NewID:   uuid.NewString,
+	})
+}
+
+// Reload reads the console's keys again; connections stay open.
+func (pr *Process) Reload() {
+	if pr.keyPair == nil {
+		return
+	}
+	if err := pr.keyPair.Reload(); err != nil {
+		pr.log.Error().Err(err).Msg("console keys not read again, the old ones stay")
+		return
+	}
+	pr.log.Info().Msg("console keys read again")
+}
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -14,7 +14,6 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
-	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/io/caller"
@@ -105,6 +104,7 @@
 	lanes    *node.Lanes
 	caller   *caller.Server
 	operator *operator.Server
+	keyPair  *operator.KeyPair
 	announce *upstream.Listener
 	listener *node.Listener
 	log      zerolog.Logger
@@ -129,7 +129,7 @@
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
 		newDialer, newPlatform, platform.NewVersions, newControl,
 		upstream.NewClient, newGate, upstream.NewListener,
-		node.NewLanes, newCaller, newOperator, newListener,
+		node.NewLanes, newCaller, newKeyPair, newOperator, newListener,
 		newProcess,
 	} {
 		if err := co.Provide(constructor); err != nil {
@@ -157,6 +157,7 @@
 	Lanes    *node.Lanes
 	Caller   *caller.Server
 	Operator *operator.Server
+	KeyPair  *operator.KeyPair
 	Announce *upstream.Listener
 	Listener *node.Listener
 	Log      zerolog.Logger
@@ -172,6 +173,7 @@
 		lanes:    pa.Lanes,
 		caller:   pa.Caller,
 		operator: pa.Operator,
+		keyPair:  pa.KeyPair,
 		announce: pa.Announce,
 		listener: pa.Listener,
 		log:      pa.Log,
@@ -233,19 +235,6 @@
 	})
 }
 
-func newOperator(se *ini.Settings, ct *Control, vs *platform.Versions, set *metrics.Set) *operator.Server {
-	return operator.New(operator.Config{
-		Host:       se.Host.ID,
-		DataCentre: se.Host.DataCentre,
-		View:       ct.View,
-		Acceptor:   vs,
-		Accepted: func(de *contract.Delta) {
-			ct.Emit(datacentre.Accepted{Delta: de})
-		},
-		Metrics: set,
-	})
-}
-
 func newListener(so *sockets, ct *Control, ga *upstream.Gate, co *controlCounters, log zerolog.Logger) *node.Listener {
 	return node.NewListener(so.link, node.ListenerConfig{
 		Control: ct.links.Accept,
@@ -312,6 +301,7 @@
 
 func (pr *Process) drain() {
 	pr.log.Info().Msg("node drains")
+	pr.control.health.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), pr.settings.Caller.DrainWithin)
 	defer cancel()
 	pr.control.Emit(datacentre.Leave{})
--- /dev/null
+++ b/io/operator/console_test.go
@@ -0,0 +1,301 @@
+package operator_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
+	"lynxfold/io/operator"
+	"lynxfold/io/operator/access"
+	"lynxfold/io/platform"
+	"lynxfold/testkit"
+)
+
+// begin is the time of every scripted console.
+var begin = time.Date(2026, 12, 3, 22, 0, 0, 0, time.UTC)
+
+// store is a platform and a node's view in memory.
+type store struct {
+	mu   sync.Mutex
+	rows []platform.VersionRow
+	docs []*contract.Snapshot
+	// seen is the version that the node has in force.
+	seen contract.Version
+	// lags keeps the node from taking new versions in.
+	lags bool
+	down bool
+	// loses the next reply after the write took effect, and reads until found.
+	loses bool
+	// blind makes reads of rows fail.
+	blind bool
+	ids   int
+}
+
+func newStore() *store { return &store{docs: []*contract.Snapshot{contract.Empty()}} }
+
+func (st *store) View() *datacentre.View {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return &datacentre.View{
+		Config: st.docs[st.seen],
+		Upstreams: map[contract.ServiceName][]datacentre.Upstream{
+			"lookup": {{Host: "press-hall-1"}},
+		},
+	}
+}
+
+func (st *store) Accept(su platform.Submission) (*contract.Delta, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	next, err := contract.Compile(su.Base.Version+1, su.Document)
+	if err != nil {
+		return nil, err
+	}
+	if st.down {
+		return nil, &platform.UnavailableError{Doing: "store document", Err: context.DeadlineExceeded}
+	}
+	if int(su.Base.Version) != len(st.docs)-1 {
+		return nil, &platform.ConflictError{Key: "config/versions"}
+	}
+	de := contract.Diff(su.Base, next)
+	st.docs = append(st.docs, next)
+	st.rows = append(st.rows, platform.VersionRow{
+		Version:    next.Version,
+		Submission: su.ID,
+		Operator:   su.Operator,
+		AcceptedAt: su.SubmittedAt,
+		Delta:      de,
+	})
+	if st.loses {
+		st.loses = false
+		return nil, &platform.InDoubtError{Doing: "table transaction", Err: context.DeadlineExceeded}
+	}
+	return de, nil
+}
+
+func (st *store) accepted(de *contract.Delta) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if !st.lags {
+		st.seen = max(st.seen, de.Result)
+	}
+}
+
+func (st *store) Row(_ context.Context, ve contract.Version) (platform.VersionRow, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.down || st.blind {
+		return platform.VersionRow{}, &platform.UnavailableError{Doing: "read row", Err: context.DeadlineExceeded}
+	}
+	if ve == 0 || int(ve) > len(st.rows) {
+		return platform.VersionRow{}, &platform.NotFoundError{Name: fmt.Sprintf("version %d", ve)}
+	}
+	return st.rows[ve-1], nil
+}
+
+func (st *store) Rows(_ context.Context, after contract.Version, limit int) ([]platform.VersionRow, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.down {
+		return nil, &platform.UnavailableError{Doing: "list rows", Err: context.DeadlineExceeded}
+	}
+	rows := st.rows[min(int(after), len(st.rows)):]
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (st *store) Document(ctx context.Context, ve contract.Version) (*contract.Snapshot, error) {
+	if _, err := st.Row(ctx, ve); err != nil {
+		return nil, err
+	}
+	return st.docs[ve], nil
+}
+
+func (st *store) newID() string {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.ids++
+	return fmt.Sprintf("submission-%d", st.ids)
+}
+
+// console is one scripted console with the browsers of its operators.
+type console struct {
+	t        *testing.T
+	store    *store
+	metrics  *metrics.Set
+	base     string
+	browsers map[string]*testkit.Browser
+}
+
+func startConsole(t *testing.T, st *store, tokens []access.Token) *console {
+	co := &console{
+		t:        t,
+		store:    st,
+		metrics:  metrics.NewSet(),
+		browsers: map[string]*testkit.Browser{},
+	}
+	sv := operator.New(operator.Config{
+		Host:       "press-hall-1",
+		DataCentre: "press-hall",
+		View:       st.View,
+		Acceptor:   st,
+		History:    st,
+		Accepted:   st.accepted,
+		Live:       func() []operator.HealthReason { return nil },
+		Ready:      func() []operator.HealthReason { return []operator.HealthReason{operator.HealthNoConfiguration} },
+		Tokens:     tokens,
+		Metrics:    co.metrics,
+		Log:        zerolog.Nop(),
+		Now:        func() time.Time { return begin },
+		NewID:      st.newID,
+	})
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	done := make(chan struct{})
+	go func() {
+		_ = sv.Serve(li)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		_ = sv.Shutdown()
+		<-done
+	})
+	co.base = "http://" + li.Addr().String()
+	return co
+}
+
+// browser is the browser of an operator; by is its name.
+func (co *console) browser(by string) *testkit.Browser {
+	if co.browsers[by] == nil {
+		co.browsers[by] = testkit.NewBrowser(co.t, co.base)
+		co.browsers[by].Get("/console")
+	}
+	return co.browsers[by]
+}
+
+// TestConsole runs each data file against one console of its own.
+func TestConsole(t *testing.T) {
+	tokens := []access.Token{
+		{Operator: "ana", Role: access.RoleChange, Digest: access.DigestOf("ana-token")},
+		{Operator: "ben", Role: access.RoleChange, Digest: access.DigestOf("ben-token")},
+		{Operator: "eva", Role: access.RoleRead, Digest: access.DigestOf("eva-token")},
+	}
+	datadriven.Walk(t, "testdata/console", func(t *testing.T, path string) {
+		co := startConsole(t, newStore(), tokens)
+		datadriven.RunTest(t, path, co.run)
+	})
+}
+
+// run carries out one command; each prints the page that the operator sees.
+func (co *console) run(t *testing.T, td *datadriven.TestData) string {
+	by := "ana"
+	td.MaybeScanArgs(t, "by", &by)
+	switch td.Cmd {
+	case "platform":
+		co.platform(td)
+		return ""
+	case "counters":
+		return co.counters()
+	case "forget-cookies":
+		body := co.browser(by).Body
+		co.browsers[by] = testkit.NewBrowser(co.t, co.base)
+		co.browsers[by].Body = body
+		return ""
+	}
+	br := co.browser(by)
+	switch td.Cmd {
+	case "login":
+		br.Login(by + "-token")
+	case "token":
+		br.Login(strings.TrimSpace(td.Input))
+	case "get":
+		br.Get(strings.TrimSpace(td.Input))
+	case "press":
+		co.press(br, td)
+	case "forge":
+		form := br.Hidden()
+		form.Set("form_token", strings.Repeat("0", 64))
+		form.Set("go", strings.TrimSpace(td.Input))
+		br.Post("/console", form)
+	default:
+		t.Fatalf("unknown command %s", td.Cmd)
+	}
+	if td.HasArg("quiet") {
+		return fmt.Sprintln(br.Status)
+	}
+	return br.Main()
+}
+
+// press reads the button from the first line and what is typed from the rest.
+func (co *console) press(br *testkit.Browser, td *datadriven.TestData) {
+	lines := strings.Split(strings.TrimSpace(td.Input), "\n")
+	var typed []string
+	for _, line := range lines[1:] {
+		name, value, _ := strings.Cut(line, "=")
+		typed = append(typed, strings.TrimSpace(name), strings.TrimSpace(value))
+	}
+	br.Press(strings.TrimSpace(lines[0]), typed...)
+}
+
+func (co *console) platform(td *datadriven.TestData) {
+	co.store.mu.Lock()
+	defer co.store.mu.Unlock()
+	for _, ar := range td.CmdArgs {
+		on := len(ar.Vals) == 0 || ar.Vals[0] != "no"
+		switch ar.Key {
+		case "down":
+			co.store.down = on
+		case "loses":
+			co.store.loses = on
+		case "blind":
+			co.store.blind = on
+		case "lags":
+			co.store.lags = on
+			if !on {
+				co.store.seen = contract.Version(len(co.store.docs) - 1)
+			}
+		}
+	}
+}
+
+func (co *console) counters() string {
+	var sb strings.Builder
+	co.metrics.WritePrometheus(&sb)
+	return sb.String()
+}
+
+// TestOtherSites shows that no page of another site can post, and that a console
+// without tokens answers to no foreign name.
+func TestOtherSites(t *testing.T) {
+	co := startConsole(t, newStore(), nil)
+	for _, tc := range []struct {
+		name   string
+		method string
+		path   string
+		host   string
+		origin string
+		status int
+	}{
+		{name: "own page", method: "GET", path: "/console", status: 200},
+		{name: "foreign origin reads", method: "GET", path: "/api/config", origin: "http://elsewhere.example", status: 403},
+		{name: "foreign origin posts", method: "POST", path: "/api/config", origin: "http://elsewhere.example", status: 403},
+		{name: "rebound name", method: "GET", path: "/console", host: "rebound.example", status: 403},
+		{name: "post without form token", method: "POST", path: "/console", status: 403},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			status := send(t, tc.method, co.base+tc.path, tc.host, tc.origin, url.Values{"go": {"accept"}}.Encode())
+			assert.Equal(t, status, tc.status)
+		})
+	}
+}
--- /dev/null
+++ b/io/operator/items.go
@@ -0,0 +1,218 @@
+package operator
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/draft"
+)
+
+// defaultTimeoutMS is proposed for a new contract, in milliseconds.
+const defaultTimeoutMS = 5000
+
+const helpName = "Up to 63 lower-case letters, digits and hyphens. It can't be changed later."
+
+// emptyForm builds the form of a kind of item; nil when there is no such kind.
+func (vi *visit) emptyForm(ki draft.Kind) *formPage {
+	switch ki {
+	case draft.KindService:
+		return serviceForm()
+	case draft.KindContract:
+		return contractForm()
+	case draft.KindRoute:
+		return routeForm(vi.document())
+	}
+	return nil
+}
+
+func serviceForm() *formPage {
+	return &formPage{
+		Item:  draft.Item{Kind: draft.KindService},
+		Intro: "A service is a set of upstreams that answer the same calls. Upstreams announce themselves under its name.",
+		Fields: []*formField{
+			{Name: "name", Label: "Name", Help: helpName, Kind: inputText},
+			{Name: "description", Label: "Description", Help: "For the people who read this; it changes nothing.", Kind: inputText},
+		},
+	}
+}
+
+func contractForm() *formPage {
+	return &formPage{
+		Item:  draft.Item{Kind: draft.KindContract},
+		Intro: "A contract says how calls may be made. Unless you say otherwise, a call is never repeated.",
+		Fields: []*formField{
+			{Name: "name", Label: "Name", Help: helpName, Kind: inputText},
+			{
+				Name: "idempotent", Label: "Idempotent: a call may run more than once", Kind: inputCheck,
+				Help: "Only for calls that change nothing or change the same thing again, such as a lookup. Leave it off for bookings and payments.",
+			},
+			{
+				Name: "keyed", Label: "Keyed: callers send an Idempotency-Key", Kind: inputCheck,
+				Help: "A call with a key that was answered before gets the same answer again and does not run. It costs a write on the platform for each call.",
+			},
+			{
+				Name: "timeout_ms", Label: "Timeout, in milliseconds", Kind: inputNumber, Value: strconv.Itoa(defaultTimeoutMS),
+				Help: "A call that takes longer is given up.",
+			},
+			{
+				Name: "retries", Label: "Retries", Kind: inputNumber, Value: "0",
+				Help: "Further attempts, 0 to 5. A call that is not idempotent is tried again only when it certainly did not run.",
+			},
+			{
+				Name: "hedge_after_ms", Label: "Hedge after, in milliseconds", Kind: inputNumber, Value: "0",
+				Help: "An idempotent call without an answer after this time is sent a second time. 0 means never.",
+			},
+			{
+				Name: "class", Label: "Class", Kind: inputSelect, Value: string(contract.ClassLookup),
+				Help: "Bulk calls, such as photo sets, wait behind lookups.",
+				Options: []formOption{
+					{Value: string(contract.ClassLookup), Label: "lookup: short calls that somebody waits for", Selected: true},
+					{Value: string(contract.ClassBulk), Label: "bulk: long transfers"},
+				},
+			},
+		},
+	}
+}
+
+func routeForm(doc *contract.Document) *formPage {
+	var services, contracts []formOption
+	fallbacks := []formOption{{Label: "none"}}
+	for _, se := range doc.Services {
+		services = append(services, formOption{Value: string(se.Name), Label: string(se.Name)})
+	}
+	for _, te := range doc.Contracts {
+		label := string(te.Name) + ": never repeated"
+		if te.Idempotent {
+			label = string(te.Name) + ": idempotent"
+		}
+		contracts = append(contracts, formOption{Value: string(te.Name), Label: label})
+	}
+	for _, ro := range doc.Routes {
+		fallbacks = append(fallbacks, formOption{Value: string(ro.Name), Label: string(ro.Name)})
+	}
+	return &formPage{
+		Item:  draft.Item{Kind: draft.KindRoute},
+		Intro: "A route sends the calls for a path to a service under a contract. The longest path that fits goes first.",
+		Fields: []*formField{
+			{Name: "name", Label: "Name", Help: helpName, Kind: inputText},
+			{Name: "path_prefix", Label: "Path", Help: "Calls to this path and everything below it, such as /results.", Kind: inputText, Value: "/"},
+			{Name: "methods", Label: "Methods", Help: "Separated by spaces, such as GET HEAD. Empty means all.", Kind: inputText},
+			{Name: "service", Label: "Service", Kind: inputSelect, Options: services},
+			{Name: "contract", Label: "Contract", Kind: inputSelect, Options: contracts},
+			{
+				Name: "fallback", Label: "Fallback", Kind: inputSelect, Options: fallbacks,
+				Help: "The route that is taken when the service has no usable upstream.",
+			},
+		},
+	}
+}
+
+// fill puts an item into its form; false when there is no such item.
+func (vi *visit) fill(fp *formPage, it draft.Item) bool {
+	doc := vi.document()
+	switch it.Kind {
+	case draft.KindService:
+		for _, se := range doc.Services {
+			if string(se.Name) == it.Name {
+				fp.set(map[string]string{"name": it.Name, "description": se.Description})
+				return true
+			}
+		}
+	case draft.KindContract:
+		for _, te := range doc.Contracts {
+			if string(te.Name) == it.Name {
+				fp.fillTerms(te)
+				return true
+			}
+		}
+	case draft.KindRoute:
+		for _, ro := range doc.Routes {
+			if string(ro.Name) == it.Name {
+				fp.fillRoute(ro)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (fp *formPage) set(values map[string]string) {
+	for name, va := range values {
+		fi := fp.field(name)
+		if fi.Kind == inputSelect {
+			fi.choose(va)
+			continue
+		}
+		fi.Value = va
+	}
+}
+
+func (fp *formPage) fillTerms(te contract.Terms) {
+	fp.field("idempotent").Checked = te.Idempotent
+	fp.field("keyed").Checked = te.Keyed
+	fp.set(map[string]string{
+		"name":           string(te.Name),
+		"timeout_ms":     strconv.FormatInt(te.TimeoutMS, 10),
+		"retries":        strconv.Itoa(te.Retries),
+		"hedge_after_ms": strconv.FormatInt(te.HedgeAfterMS, 10),
+		"class":          string(te.Class),
+	})
+}
+
+func (fp *formPage) fillRoute(ro contract.Route) {
+	fp.set(map[string]string{
+		"name":        string(ro.Name),
+		"path_prefix": ro.PathPrefix,
+		"methods":     strings.Join(ro.Methods, " "),
+		"service":     string(ro.Service),
+		"contract":    string(ro.Contract),
+		"fallback":    string(ro.Fallback),
+	})
+}
+
+func serviceOf(fp *formPage) contract.Service {
+	return contract.Service{
+		Name:        contract.ServiceName(fp.field("name").Value),
+		Description: fp.field("description").Value,
+	}
+}
+
+func termsOf(fp *formPage) contract.Terms {
+	return contract.Terms{
+		Name:         contract.TermsName(fp.field("name").Value),
+		Idempotent:   fp.field("idempotent").Checked,
+		Keyed:        fp.field("keyed").Checked,
+		TimeoutMS:    fp.field("timeout_ms").number(),
+		Retries:      int(fp.field("retries").number()),
+		HedgeAfterMS: fp.field("hedge_after_ms").number(),
+		Class:        contract.Class(fp.field("class").Value),
+	}
+}
+
+func routeOf(fp *formPage) contract.Route {
+	ro := contract.Route{
+		Name:       contract.RouteName(fp.field("name").Value),
+		PathPrefix: fp.field("path_prefix").Value,
+		Service:    contract.ServiceName(fp.field("service").Value),
+		Contract:   contract.TermsName(fp.field("contract").Value),
+		Fallback:   contract.RouteName(fp.field("fallback").Value),
+	}
+	for _, me := range strings.FieldsFunc(fp.field("methods").Value, func(ru rune) bool { return ru == ' ' || ru == ',' }) {
+		ro.Methods = append(ro.Methods, strings.ToUpper(me))
+	}
+	return ro
+}
+
+func plural(n int, what string) string {
+	switch {
+	case n == 1:
+		return "1 " + what
+	case strings.HasSuffix(what, "y"):
+		return fmt.Sprintf("%d %sies", n, strings.TrimSuffix(what, "y"))
+	}
+	return fmt.Sprintf("%d %ss", n, what)
+}
+
+func milliseconds(ms int64) string { return fmt.Sprintf("%d ms", ms) }
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -1,21 +1,22 @@
-// Package operator speaks to the operators: the console, its API and the
-// counters.
+// Package operator speaks to the operators: the console, its API, health and
+// the counters.
 package operator
 
 import (
-	"encoding/json"
+	"context"
+	"crypto/tls"
 	"net"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
-	"github.com/google/uuid"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
+	"lynxfold/io/operator/access"
 	"lynxfold/io/platform"
 )
 
@@ -24,202 +25,139 @@
 	Accept(su platform.Submission) (*contract.Delta, error)
 }
 
+// History reads accepted versions from the platform.
+type History interface {
+	// Row reads what is recorded of one version.
+	Row(ctx context.Context, ve contract.Version) (platform.VersionRow, error)
+	// Rows reads what is recorded of versions above one, in order.
+	Rows(ctx context.Context, after contract.Version, limit int) ([]platform.VersionRow, error)
+	// Document reads a whole version.
+	Document(ctx context.Context, ve contract.Version) (*contract.Snapshot, error)
+}
+
 // Config sets up the operators' listener.
 type Config struct {
 	Host       host.ID
 	DataCentre datacentre.Name
 	View       func() *datacentre.View
 	Acceptor   Acceptor
+	History    History
 	// Accepted is told of each accepted version.
 	Accepted func(de *contract.Delta)
-	Metrics  *metrics.Set
+	// Live and Ready return why the node is not; empty when it is.
+	Live    func() []HealthReason
+	Ready   func() []HealthReason
+	Tokens  []access.Token
+	Metrics *metrics.Set
+	Log     zerolog.Logger
+	// KeyPair turns TLS on when it is not nil.
+	KeyPair *KeyPair
+	// Now is the clock.
+	Now func() time.Time
+	// NewID makes a unique submission id.
+	NewID func() string
 }
 
 // Server is the operators' listener.
 type Server struct {
-	cfg  Config
-	http *fasthttp.Server
+	cfg   Config
+	guard *access.Guard
+	http  *fasthttp.Server
 }
 
 const (
 	maxDocumentBytes = 16 << 20
 	readTimeout      = 30 * time.Second
+	idleTimeout      = time.Minute
+	// platformWithin bounds one request's dealings with the platform.
+	platformWithin = 10 * time.Second
+	// maxConnections bounds the connections of operators at once.
+	maxConnections = 256
 )
 
 // New builds the operators' listener.
 func New(cfg Config) *Server {
-	sv := &Server{cfg: cfg}
-	ro := router.New()
-	ro.GET("/api/config", sv.getConfig)
-	ro.POST("/api/config", sv.postConfig)
-	ro.GET("/api/status", sv.getStatus)
-	ro.GET("/metrics", sv.getMetrics)
-	ro.GET("/live", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("live\n") })
+	sv := &Server{
+		cfg:   cfg,
+		guard: access.NewGuard(cfg.Tokens),
+	}
 	sv.http = &fasthttp.Server{
-		Handler:               ro.Handler,
+		Handler:               sv.routes().Handler,
+		ErrorHandler:          sv.malformed,
 		NoDefaultServerHeader: true,
 		MaxRequestBodySize:    maxDocumentBytes,
+		Concurrency:           maxConnections,
 		ReadTimeout:           readTimeout,
-		IdleTimeout:           time.Minute,
+		IdleTimeout:           idleTimeout,
 		CloseOnShutdown:       true,
 	}
 	return sv
 }
 
-// Serve answers on a listener until Shutdown.
-func (sv *Server) Serve(li net.Listener) error { return sv.http.Serve(li) }
-
-// Shutdown ends Serve.
-func (sv *Server) Shutdown() error { return sv.http.Shutdown() }
-
-// ConfigBody is the configuration in force, or the one to accept.
-type ConfigBody struct {
-	// Version is in force, or the base of the document.
-	Version  contract.Version `json:"version"`
-	Digest   contract.Digest  `json:"digest,omitempty"`
-	Document json.RawMessage  `json:"document"`
-	// Submission tells a repeat from a new request; made up when empty.
-	Submission string `json:"submission,omitempty"`
-}
-
-// Problem is why a request was not carried out.
-type Problem struct {
-	Reason string                `json:"reason"`
-	Detail string                `json:"detail"`
-	Fields []contract.FieldError `json:"fields,omitempty"`
-	// Version is the one in force, with a conflict.
-	Version contract.Version `json:"version,omitempty"`
+func (sv *Server) routes() *router.Router {
+	ro := router.New()
+	ro.NotFound = sv.notFound
+	ro.PanicHandler = sv.panicked
+	ro.GET("/live", func(ctx *fasthttp.RequestCtx) { writeHealth(ctx, sv.cfg.Live()) })
+	ro.GET("/ready", func(ctx *fasthttp.RequestCtx) { writeHealth(ctx, sv.cfg.Ready()) })
+	ro.GET("/metrics", sv.api(access.RoleRead, sv.getMetrics))
+	ro.GET("/api/config", sv.api(access.RoleRead, sv.getConfig))
+	ro.POST("/api/config", sv.api(access.RoleChange, sv.postConfig))
+	ro.GET("/api/config/{version}", sv.api(access.RoleRead, sv.getVersion))
+	ro.GET("/api/history", sv.api(access.RoleRead, sv.getHistory))
+	ro.GET("/api/status", sv.api(access.RoleRead, sv.getStatus))
+	ro.GET("/", func(ctx *fasthttp.RequestCtx) { redirect(ctx, pathConsole) })
+	ro.GET("/console/style.css", getStyle)
+	ro.GET(pathLogin, sv.getLogin)
+	ro.POST(pathLogin, sv.postLogin)
+	ro.POST("/console/logout", sv.console(sv.postLogout))
+	ro.GET(pathConsole, sv.console(sv.getOverview))
+	ro.POST(pathConsole, sv.console(sv.postConsole))
+	ro.GET("/console/history", sv.console(sv.getHistoryPage))
+	ro.GET("/console/download/{version}", sv.console(sv.getDownload))
+	return ro
 }
 
-// Reasons of problems.
-const (
-	ReasonInvalid     = "invalid"
-	ReasonConflict    = "conflict"
-	ReasonUnavailable = "unavailable"
-	ReasonInDoubt     = "in_doubt"
-)
-
-// Status is what a node knows of the mesh.
-type Status struct {
-	Host       host.ID          `json:"host"`
-	DataCentre datacentre.Name  `json:"data_centre"`
-	Version    contract.Version `json:"config_version"`
-	Digest     contract.Digest  `json:"config_digest"`
-	Services   []ServiceStatus  `json:"services"`
+// Serve answers on a listener until Shutdown.
+func (sv *Server) Serve(li net.Listener) error {
+	if sv.cfg.KeyPair != nil {
+		li = tls.NewListener(li, &tls.Config{
+			MinVersion:     tls.VersionTLS12,
+			GetCertificate: sv.cfg.KeyPair.get,
+		})
+	}
+	return sv.http.Serve(li)
 }
 
-// ServiceStatus counts the usable upstreams of a service.
-type ServiceStatus struct {
-	Service   contract.ServiceName `json:"service"`
-	Upstreams int                  `json:"upstreams"`
-}
+// Shutdown ends Serve.
+func (sv *Server) Shutdown() error { return sv.http.Shutdown() }
 
-func (sv *Server) getConfig(ctx *fasthttp.RequestCtx) {
-	sn := sv.cfg.View().Config
-	writeJSON(ctx, fasthttp.StatusOK, ConfigBody{
-		Version:  sn.Version,
-		Digest:   sn.Digest,
-		Document: sn.Document.Encode(),
+// malformed answers what can't be read as a request.
+func (sv *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	sv.count("lynxfold_operator_bad_requests_total")
+	writeJSON(ctx, fasthttp.StatusBadRequest, Problem{
+		Reason: ReasonInvalid,
+		Detail: err.Error(),
 	})
+	ctx.SetConnectionClose()
 }
 
-func (sv *Server) postConfig(ctx *fasthttp.RequestCtx) {
-	var body ConfigBody
-	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
-		writeJSON(ctx, fasthttp.StatusBadRequest, Problem{Reason: ReasonInvalid, Detail: err.Error()})
-		return
-	}
-	doc, err := contract.ParseDocument(body.Document)
-	if err != nil {
-		sv.problem(ctx, err)
-		return
-	}
-	base := sv.cfg.View().Config
-	if body.Version != base.Version {
-		writeJSON(ctx, fasthttp.StatusConflict, Problem{
-			Reason:  ReasonConflict,
-			Detail:  "the document is based on another version",
-			Version: base.Version,
-		})
-		return
-	}
-	if body.Submission == "" {
-		body.Submission = uuid.NewString()
-	}
-	de, err := sv.cfg.Acceptor.Accept(platform.Submission{
-		ID:          body.Submission,
-		Base:        base,
-		Document:    doc,
-		SubmittedAt: time.Now().UTC(),
-	})
-	if err != nil {
-		sv.problem(ctx, err)
-		return
-	}
-	sv.cfg.Accepted(de)
-	writeJSON(ctx, fasthttp.StatusOK, ConfigBody{
-		Version:    de.Result,
-		Digest:     de.Digest,
-		Submission: body.Submission,
+func (sv *Server) notFound(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, fasthttp.StatusNotFound, Problem{
+		Reason: ReasonNotFound,
+		Detail: "there is no page " + string(ctx.Path()),
 	})
 }
 
-// problem answers with the status that fits an error.
-func (sv *Server) problem(ctx *fasthttp.RequestCtx, err error) {
-	var (
-		invalid  *contract.ValidationError
-		syntax   *contract.SyntaxError
-		conflict *platform.ConflictError
-		doubt    *platform.InDoubtError
-	)
-	pr := Problem{Detail: err.Error()}
-	status := fasthttp.StatusServiceUnavailable
-	switch {
-	case errors.As(err, &invalid):
-		pr.Reason, pr.Fields, status = ReasonInvalid, invalid.Fields, fasthttp.StatusUnprocessableEntity
-	case errors.As(err, &syntax):
-		pr.Reason, status = ReasonInvalid, fasthttp.StatusBadRequest
-	case errors.As(err, &conflict):
-		pr.Reason, pr.Version, status = ReasonConflict, sv.cfg.View().Config.Version, fasthttp.StatusConflict
-	case errors.As(err, &doubt):
-		pr.Reason, status = ReasonInDoubt, fasthttp.StatusGatewayTimeout
-	default:
-		pr.Reason = ReasonUnavailable
-	}
-	writeJSON(ctx, status, pr)
-}
-
-func (sv *Server) getStatus(ctx *fasthttp.RequestCtx) {
-	vi := sv.cfg.View()
-	st := Status{
-		Host:       sv.cfg.Host,
-		DataCentre: sv.cfg.DataCentre,
-		Version:    vi.Config.Version,
-		Digest:     vi.Config.Digest,
-		Services:   []ServiceStatus{},
-	}
-	for _, se := range vi.Config.Document.Services {
-		st.Services = append(st.Services, ServiceStatus{
-			Service:   se.Name,
-			Upstreams: len(vi.Upstreams[se.Name]),
-		})
-	}
-	writeJSON(ctx, fasthttp.StatusOK, st)
-}
-
-func (sv *Server) getMetrics(ctx *fasthttp.RequestCtx) {
-	ctx.SetContentType("text/plain; version=0.0.4")
-	sv.cfg.Metrics.WritePrometheus(ctx)
-	metrics.WriteProcessMetrics(ctx)
+// panicked keeps a fault in one page from ending the node.
+func (sv *Server) panicked(ctx *fasthttp.RequestCtx, fault any) {
+	sv.count("lynxfold_operator_panics_total")
+	sv.cfg.Log.Error().Interface("fault", fault).Str("path", string(ctx.Path())).Msg("page failed")
+	ctx.Response.Reset()
+	writeJSON(ctx, fasthttp.StatusInternalServerError, Problem{
+		Reason: ReasonFault,
+		Detail: "the page failed; the node's log tells why",
+	})
 }
 
-func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(append(data, '\n'))
-}
+func (sv *Server) count(name string) { sv.cfg.Metrics.GetOrCreateCounter(name).Inc() }
--- /dev/null
+++ b/io/platform/history.go
@@ -0,0 +1,58 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+
+	"lynxfold/core/contract"
+)
+
+// Row reads what is recorded of one version. It fails with a NotFoundError or
+// an UnavailableError.
+func (vs *Versions) Row(ctx context.Context, ve contract.Version) (VersionRow, error) {
+	ro, err := vs.client.Read(ctx, versionKey(ve))
+	if err != nil {
+		return VersionRow{}, err
+	}
+	return parseVersionRow(ro)
+}
+
+// Rows reads what is recorded of the versions above one, in order.
+func (vs *Versions) Rows(ctx context.Context, after contract.Version, limit int) ([]VersionRow, error) {
+	rows, err := vs.client.List(ctx, prefixVersion, versionKey(after), min(limit, maxListed))
+	if err != nil {
+		return nil, err
+	}
+	versions := make([]VersionRow, 0, len(rows))
+	for _, ro := range rows {
+		row, err := parseVersionRow(ro)
+		if err != nil {
+			return nil, err
+		}
+		versions = append(versions, row)
+	}
+	return versions, nil
+}
+
+// Document reads a whole version by its number.
+func (vs *Versions) Document(ctx context.Context, ve contract.Version) (*contract.Snapshot, error) {
+	row, err := vs.Row(ctx, ve)
+	if err != nil {
+		return nil, err
+	}
+	return vs.whole(ctx, currentRow{
+		Version: ve,
+		Digest:  row.Delta.Digest,
+	})
+}
+
+func parseVersionRow(ro Row) (VersionRow, error) {
+	var row VersionRow
+	if err := json.Unmarshal(ro.Value, &row); err != nil {
+		return VersionRow{}, &UnavailableError{Doing: "read row " + string(ro.Key), Err: err}
+	}
+	if row.Delta == nil {
+		return VersionRow{}, &UnavailableError{Doing: "read row " + string(ro.Key), Err: &NotFoundError{Name: "delta"}}
+	}
+	return row, nil
+}
--- /dev/null
+++ b/testkit/browser.go
@@ -0,0 +1,115 @@
+package testkit
+
+import (
+	"fmt"
+	"html"
+	"io"
+	"net/http"
+	"net/http/cookiejar"
+	"net/url"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Browser walks through a console as a person without scripts does: it keeps
+// cookies and sends the hidden fields of the page that it shows.
+type Browser struct {
+	T      testing.TB
+	Base   string
+	Status int
+	Body   string
+	client *http.Client
+}
+
+// NewBrowser opens no page yet.
+func NewBrowser(t testing.TB, base string) *Browser {
+	t.Helper()
+	jar, err := cookiejar.New(nil)
+	assert.NilError(t, err)
+	return &Browser{
+		T:    t,
+		Base: base,
+		client: &http.Client{
+			Jar:     jar,
+			Timeout: 30 * time.Second,
+		},
+	}
+}
+
+// Get opens a page.
+func (br *Browser) Get(path string) {
+	br.T.Helper()
+	resp, err := br.client.Get(br.Base + path)
+	assert.NilError(br.T, err)
+	br.read(resp)
+}
+
+// Press presses a button of the page that is shown, with what was typed as
+// alternating names and values.
+func (br *Browser) Press(button string, typed ...string) {
+	br.T.Helper()
+	form := br.hidden()
+	form.Set("go", button)
+	for i := 0; i < len(typed); i += 2 {
+		form.Set(typed[i], typed[i+1])
+	}
+	br.Post("/console", form)
+}
+
+// Post sends a form.
+func (br *Browser) Post(path string, form url.Values) {
+	br.T.Helper()
+	resp, err := br.client.PostForm(br.Base+path, form)
+	assert.NilError(br.T, err)
+	br.read(resp)
+}
+
+// Login logs in with the page that is shown.
+func (br *Browser) Login(token string) {
+	br.T.Helper()
+	form := br.hidden()
+	form.Set("token", token)
+	br.Post("/console/login", form)
+}
+
+// Hidden returns the fields that the page's forms carry.
+func (br *Browser) Hidden() url.Values { return br.hidden() }
+
+func (br *Browser) read(resp *http.Response) {
+	br.T.Helper()
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(br.T, err)
+	br.Status, br.Body = resp.StatusCode, string(body)
+}
+
+var (
+	hiddenPattern = regexp.MustCompile(`<input type="hidden" name="([^"]*)" value="([^"]*)">`)
+	tokenPattern  = regexp.MustCompile(`(name="form_token" value=")[0-9a-f]+`)
+	spacePattern  = regexp.MustCompile(`\s+`)
+	mainPattern   = regexp.MustCompile(`(?s)<main id="main">(.*)</main>`)
+)
+
+func (br *Browser) hidden() url.Values {
+	form := url.Values{}
+	for _, ma := range hiddenPattern.FindAllStringSubmatch(br.Body, -1) {
+		form.Set(ma[1], html.UnescapeString(ma[2]))
+	}
+	return form
+}
+
+// Main returns the status and the content of the page, one line for each
+// element and without what differs between runs.
+func (br *Browser) Main() string {
+	body := br.Body
+	if ma := mainPattern.FindStringSubmatch(body); ma != nil {
+		body = ma[1]
+	}
+	body = spacePattern.ReplaceAllString(tokenPattern.ReplaceAllString(body, "${1}*"), " ")
+	body = strings.ReplaceAll(body, "> <", ">\n<")
+	return fmt.Sprintf("%d\n%s\n", br.Status, strings.TrimSpace(body))
+}
