fix: take a route's fallback while its service has no usable upstream

Cause: documents could name a fallback and it was validated, but no call ever took it; and a fallback could have given a call that runs at most once a contract that retries it.

Change: call.Resolve follows fallbacks before the call starts; a fallback whose contract differs in idempotent or keyed is refused as a contradiction.

Conclusion: done for calls that find no upstream; a service whose upstreams all refuse is not left for the fallback.

--- a/core/contract/validate.go
+++ b/core/contract/validate.go
@@ -156,7 +156,26 @@
 		if ch.cyclic(ro) {
 			ch.add(path, FaultCyclicFallback, "%q leads back to itself", ro.Fallback)
 		}
+		if !ch.sameSafety(ro, ch.routes[ro.Fallback]) {
+			ch.add(path, FaultContradiction, "%q has a contract that is idempotent or keyed where this route's is not, or the other way round", ro.Fallback)
+		}
+	}
+}
+
+// sameSafety tells whether a fallback treats repeats as its route does: a call
+// that may run once may not become one that is retried.
+func (ch *checker) sameSafety(ro, fb Route) bool {
+	a, b := ch.terms(ro.Contract), ch.terms(fb.Contract)
+	return a.Idempotent == b.Idempotent && a.Keyed == b.Keyed
+}
+
+func (ch *checker) terms(name TermsName) Terms {
+	for _, te := range ch.doc.Contracts {
+		if te.Name == name {
+			return te
+		}
 	}
+	return Terms{}
 }
 
 // cyclic follows the fallbacks of a route for at most one step per route.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -180,11 +180,13 @@
 	if status != 0 {
 		return
 	}
+	vi := sv.cfg.View()
+	ta = call.Resolve(vi, ta)
 	ex := &exchange{
 		server:   sv,
 		http:     ctx,
 		conn:     co,
-		view:     sv.cfg.View(),
+		view:     vi,
 		target:   ta,
 		number:   sv.calls.Add(1),
 		begun:    now,
