--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -111,6 +111,10 @@
 		return
 	}
 	pe.outstanding = max(0, pe.outstanding-1)
+	if pe.gone && pe.outstanding == 0 {
+		delete(ch.peers, up.Host)
+		return
+	}
 	if ob.Abandoned || pe.upstream.Incarnation != up.Incarnation {
 		return
 	}
--- a/core/call/keyed/keyed.go
+++ b/core/call/keyed/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"lynxfold/core/call"
@@ -37,6 +38,8 @@
 	maxDoubts = 4
 	// maxAsks bounds the queries without an answer, in a row.
 	maxAsks = 3
+	// maxMoves bounds the free attempts after refusals by gates that leave.
+	maxMoves = 2
 	// askWait bounds how long a gate holds the answer to a query back.
 	askWait = 500 * time.Millisecond
 	// followDelay lets a claimant's attempt arrive before its gate is asked.
@@ -57,6 +60,8 @@
 	// claim is the row that this call writes or has written.
 	claim    Row
 	attempts int
+	retries  int
+	moves    int
 	tried    []host.ID
 	// asked is the attempt that a query is under way or planned for.
 	asked    host.AttemptID
@@ -211,7 +216,7 @@
 // again claims the next attempt after one that did not run, when the contract,
 // the budget and the deadline allow it.
 func (ca *Call) again(re call.Result) {
-	if ca.attempts > ca.cfg.Terms.Retries || !ca.inTime() || ca.answered || !ca.cfg.Budget.Spend(ca.now) {
+	if ca.answered || !ca.inTime() || !ca.granted(re) {
 		ca.answer("", re)
 		ca.phase = phaseDone
 		return
@@ -219,6 +224,19 @@
 	ca.takeOver()
 }
 
+// granted takes a retry from the budget; a gate that leaves costs none.
+func (ca *Call) granted(re call.Result) bool {
+	if call.Moved(re) && ca.moves < maxMoves {
+		ca.moves++
+		return true
+	}
+	if ca.retries >= ca.cfg.Terms.Retries {
+		return false
+	}
+	ca.retries++
+	return ca.cfg.Budget.Spend(ca.now)
+}
+
 // takeOver replaces a claim or tombstone whose attempt did not run.
 func (ca *Call) takeOver() {
 	if !ca.inTime() {
@@ -247,7 +265,7 @@
 		return
 	}
 	ca.answered = true
-	if re.Outcome != call.OutcomeRan && !re.ComeBack.After(ca.now) {
+	if mayComeBack(re) && !re.ComeBack.After(ca.now) {
 		delay := float64(ca.cfg.ComeBack) * (1 + ca.cfg.Jitter())
 		re.ComeBack = ca.now.Add(time.Duration(delay))
 	}
@@ -258,6 +276,27 @@
 	})
 }
 
+// resolvable are the reasons for an unknown outcome that may be known later.
+var resolvable = []host.Reason{
+	ReasonInProgress,
+	ReasonClaimUnreachable,
+	ReasonTableDoubt,
+	call.ReasonLinkLost,
+	host.ReasonDeadline,
+}
+
+// mayComeBack tells whether a repeat with the same key can end otherwise.
+func mayComeBack(re call.Result) bool {
+	switch re.Outcome {
+	case call.OutcomeNotRun:
+		return re.Reason != ReasonKeyReused
+	case call.OutcomeUnknown:
+		return slices.Contains(resolvable, re.Reason)
+	case call.OutcomeRan:
+	}
+	return false
+}
+
 // refuse ends a call that did not run.
 func (ca *Call) refuse(re host.Reason) { ca.end(call.OutcomeNotRun, re) }
 
--- /dev/null
+++ b/core/call/keyed/keyed_test.go
@@ -0,0 +1,216 @@
+package keyed_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/call"
+	"lynxfold/core/call/keyed"
+	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
+	"lynxfold/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// hosts is a picker that takes the first host not tried.
+type hosts []host.ID
+
+// Pick implements call.Picker.
+func (ho hosts) Pick(tried []host.ID, _ time.Time) (datacentre.Upstream, bool) {
+	for _, id := range ho {
+		if !slices.Contains(tried, id) {
+			return datacentre.Upstream{Host: id}, true
+		}
+	}
+	return datacentre.Upstream{}, false
+}
+
+// grant answers every request for a retry or write alike.
+type grant bool
+
+// Spend implements call.Spender.
+func (gr grant) Spend(time.Time) bool { return bool(gr) }
+
+// script drives a keyed call from a data file. Attempts are node.call.try, as in
+// a.1.2, and rows are state/attempt/host/digest.
+type script struct {
+	call  *keyed.Call
+	now   time.Time
+	start time.Time
+	op    keyed.Op
+}
+
+// TestScripts plays the stories in testdata.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		sc := &script{now: time.Unix(1_000_000, 0)}
+		datadriven.RunTest(t, path, sc.run)
+	})
+}
+
+func (sc *script) run(t *testing.T, td *datadriven.TestData) string {
+	var ev keyed.Event
+	if td.Cmd == "call" {
+		sc.open(td)
+		ev = call.Begin{}
+	} else {
+		ev = sc.event(t, td)
+	}
+	var out strings.Builder
+	for _, ac := range sc.call.Step(ev, sc.now) {
+		out.WriteString(sc.print(ac))
+	}
+	if at := sc.call.WakeAt(); !at.IsZero() {
+		fmt.Fprintf(&out, "wake at %s\n", at.Sub(sc.start))
+	}
+	if sc.call.Done() {
+		out.WriteString("done\n")
+	}
+	return out.String()
+}
+
+// open begins a call of node a with a deadline of one second.
+func (sc *script) open(td *datadriven.TestData) {
+	list := hosts{"h1", "h2", "h3"}
+	if td.HasArg("no-upstream") {
+		list = nil
+	}
+	sc.start = sc.now
+	sc.call = keyed.New(keyed.Config{
+		Issuer: host.Issuer{Host: "a", Incarnation: 1},
+		Number: 1,
+		Terms: contract.Terms{
+			Keyed:   true,
+			Retries: 1,
+		},
+		Digest:   "d",
+		Deadline: sc.now.Add(time.Second),
+		Margin:   10 * time.Millisecond,
+		ComeBack: 100 * time.Millisecond,
+		Chooser:  list,
+		Budget:   grant(true),
+		Writes:   grant(!td.HasArg("no-writes")),
+		Jitter:   func() float64 { return 0.5 },
+	})
+}
+
+// id makes an attempt's id from node.call.try.
+func id(name string) host.AttemptID {
+	node, rest, _ := strings.Cut(name, ".")
+	return host.AttemptID(node + ".1." + rest)
+}
+
+func short(id host.AttemptID) string { return strings.Replace(string(id), ".1.", ".", 1) }
+
+func (sc *script) event(t *testing.T, td *datadriven.TestData) keyed.Event {
+	t.Helper()
+	name := ""
+	if len(td.CmdArgs) > 0 {
+		name = td.CmdArgs[0].Key
+	}
+	var reason string
+	td.MaybeScanArgs(t, "reason", &reason)
+	re := call.Result{Reason: host.Reason(reason)}
+	td.MaybeScanArgs(t, "status", &re.Status)
+	switch td.Cmd {
+	case "ran", "not-run", "unknown":
+		re.Outcome = host.Outcome(strings.ReplaceAll(td.Cmd, "-", "_"))
+		return call.AttemptEnded{Attempt: id(name), Result: re}
+	case "row":
+		return sc.row(t, td, name)
+	case "link-lost":
+		return call.LinkLost{Attempt: id(name)}
+	case "verdict":
+		return call.Verdict{Attempt: id(name), Fate: host.Fate(td.CmdArgs[1].Key), Result: re}
+	case "ask-failed":
+		return call.AskFailed{Attempt: id(name)}
+	case "caller-gone":
+		return call.CallerGone{}
+	case "pause":
+		// The clock goes on while the process does not.
+		var ms int
+		_, err := fmt.Sscan(name, &ms)
+		assert.NilError(t, err)
+		sc.now = sc.now.Add(time.Duration(ms) * time.Millisecond)
+		return nil
+	case "wait":
+		var ms int
+		_, err := fmt.Sscan(name, &ms)
+		assert.NilError(t, err)
+		sc.now = sc.now.Add(time.Duration(ms) * time.Millisecond)
+		return call.Tick{}
+	}
+	t.Fatalf("%s: unknown command %s", td.Pos, td.Cmd)
+	return nil
+}
+
+// row reads the end of the operation under way.
+func (sc *script) row(t *testing.T, td *datadriven.TestData, name string) keyed.Event {
+	t.Helper()
+	ev := keyed.RowResult{
+		Op: sc.op,
+		Status: map[string]keyed.RowStatus{
+			"done":     keyed.RowDone,
+			"absent":   keyed.RowAbsent,
+			"conflict": keyed.RowConflict,
+			"failed":   keyed.RowFailed,
+			"doubt":    keyed.RowDoubt,
+		}[name],
+	}
+	if td.HasArg("stale") {
+		ev.Op--
+	}
+	var text, tag string
+	td.MaybeScanArgs(t, "is", &text)
+	td.MaybeScanArgs(t, "tag", &tag)
+	ev.Tag = keyed.Tag(tag)
+	if parts := strings.Split(text, "/"); len(parts) == 4 {
+		ev.Row = keyed.Row{
+			State:     keyed.RowState(parts[0]),
+			Attempt:   id(parts[1]),
+			Upstream:  datacentre.Upstream{Host: host.ID(parts[2])},
+			Digest:    keyed.Digest(parts[3]),
+			HasAnswer: td.HasArg("answer"),
+		}
+	}
+	return ev
+}
+
+func printRow(row keyed.Row) string {
+	return fmt.Sprintf("%s/%s/%s/%s", row.State, short(row.Attempt), row.Upstream.Host, row.Digest)
+}
+
+func (sc *script) print(ac keyed.Action) string {
+	switch ac := ac.(type) {
+	case keyed.ReadRow:
+		sc.op = ac.Op
+		return "read row\n"
+	case keyed.CreateRow:
+		sc.op = ac.Op
+		return fmt.Sprintf("create row %s\n", printRow(ac.Row))
+	case keyed.UpdateRow:
+		sc.op = ac.Op
+		return fmt.Sprintf("update row %s to %s\n", ac.Tag, printRow(ac.Row))
+	case keyed.AnswerFromRow:
+		return fmt.Sprintf("answer from row %s\n", printRow(ac.Row))
+	case call.Try:
+		return fmt.Sprintf("try %s at %s\n", short(ac.Attempt), ac.Upstream.Host)
+	case call.Ask:
+		return fmt.Sprintf("ask %s of %s until %s\n", short(ac.Attempt), ac.Upstream.Host, ac.WaitUntil.Sub(sc.start))
+	case call.Answer:
+		back := ""
+		if !ac.Result.ComeBack.IsZero() {
+			back = ", come back in " + ac.Result.ComeBack.Sub(sc.now).String()
+		}
+		return fmt.Sprintf("answer %q: %s %s%s\n", short(ac.Attempt), ac.Result.Outcome, ac.Result.Reason, back)
+	}
+	return "unknown action\n"
+}
--- a/core/call/keyed/table.go
+++ b/core/call/keyed/table.go
@@ -190,6 +190,8 @@
 		ca.refuse(ca.givenUp())
 	case ev.Status == RowConflict && !own:
 		ca.see()
+	case ev.Status == RowConflict:
+		ca.putTombstone()
 	case ca.doubts >= maxDoubts:
 		ca.end(call.OutcomeUnknown, ReasonTableDoubt)
 	default:
--- a/core/call/peer.go
+++ b/core/call/peer.go
@@ -47,6 +47,8 @@
 	leftTo    time.Time
 	ejectedTo time.Time
 	ejections int
+	// gone upstreams left the view with attempts outstanding.
+	gone bool
 }
 
 // renew takes a newer record of the upstream; a new incarnation starts afresh.
@@ -58,6 +60,7 @@
 		}
 	}
 	pe.upstream = up
+	pe.gone = false
 }
 
 // usable tells whether the upstream may be picked.
@@ -114,7 +117,7 @@
 		pe.load = float64(ob.LoadPermille) / 1000
 		pe.loadAt = now
 	}
-	if moved(ob.Result) {
+	if Moved(ob.Result) {
 		pe.leftTo = now.Add(leftFor)
 		return
 	}
--- a/core/call/pool.go
+++ b/core/call/pool.go
@@ -75,14 +75,19 @@
 	return po
 }
 
-// removeGone forgets upstreams that left the view with nothing outstanding.
+// removeGone forgets upstreams that left the view; those with attempts
+// outstanding are forgotten when the last one ends.
 func (ch *Chooser) removeGone(po *pool, all []datacentre.Upstream) {
 	here := make(map[host.ID]bool, len(all))
 	for _, up := range all {
 		here[up.Host] = true
 	}
 	for _, pe := range po.peers {
-		if !here[pe.upstream.Host] && pe.outstanding == 0 {
+		if here[pe.upstream.Host] {
+			continue
+		}
+		pe.gone = true
+		if pe.outstanding == 0 {
 			delete(ch.peers, pe.upstream.Host)
 		}
 	}
--- a/core/call/retry.go
+++ b/core/call/retry.go
@@ -26,9 +26,9 @@
 // failed tells whether a result is one that an upper layer might retry.
 func failed(re Result) bool { return re.Outcome != OutcomeRan || retryable(re.Status) }
 
-// moved tells whether a refusal comes from a gate that is leaving or was
+// Moved tells whether a refusal comes from a gate that is leaving or was
 // replaced: its upstream gets no load from another attempt.
-func moved(re Result) bool {
+func Moved(re Result) bool {
 	switch re.Reason {
 	case host.ReasonDraining, host.ReasonNoUpstream, host.ReasonSettling,
 		host.ReasonWrongIncarnation, host.ReasonWrongService:
@@ -56,7 +56,7 @@
 		return NoRetryUnknown, false
 	case !ca.cfg.Replayable && !re.BodyUnread:
 		return NoRetryBody, false
-	case moved(re) && ca.moves < maxMoves:
+	case Moved(re) && ca.moves < maxMoves:
 		return RetryMoved, true
 	case re.GaveUp:
 		return NoRetryLowerLayer, false
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -11,7 +11,8 @@
 	Incarnation Incarnation
 	// QueuePerSlot bounds the queue in attempts for each slot.
 	QueuePerSlot int
-	// ComeBack is added to now for those refused while no upstream is usable.
+	// ComeBack is added to now for those refused while no upstream is usable, or
+	// while nothing is known of its service time.
 	ComeBack time.Duration
 	// DrainGrace is how long a draining upstream still gets attempts that find
 	// a free slot.
@@ -332,11 +333,12 @@
 func (ga *Gate) comeBack(re Reason, cl contract.Class, now time.Time) time.Time {
 	switch re {
 	case ReasonQueueFull, ReasonDeadline:
-		return now.Add(ga.wait(cl))
-	case ReasonNoUpstream, ReasonDraining:
+		if wait := ga.wait(cl); wait > 0 {
+			return now.Add(wait)
+		}
+		return now.Add(ga.cfg.ComeBack)
+	case ReasonNoUpstream, ReasonDraining, ReasonSettling:
 		return now.Add(ga.cfg.ComeBack)
-	case ReasonSettling:
-		return ga.startAt.Add(ga.cfg.AnnounceLag)
 	}
 	return time.Time{}
 }
--- /dev/null
+++ b/core/host/gate_test.go
@@ -0,0 +1,257 @@
+package host_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/host"
+	"lynxfold/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m) }
+
+// script drives a gate from a data file. Attempts have short names: 7 is the
+// first attempt of call 7 of a node, 7i an idempotent one.
+type script struct {
+	gate  *host.Gate
+	now   time.Time
+	start time.Time
+	query host.QueryID
+}
+
+const incarnation = 5
+
+func newScript() *script {
+	now := time.Unix(1_000_000, 0)
+	return &script{
+		now:   now,
+		start: now,
+	}
+}
+
+// TestGateScripts plays the stories in testdata/gate.
+func TestGateScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/gate", func(t *testing.T, path string) {
+		sc := newScript()
+		datadriven.RunTest(t, path, sc.run)
+	})
+}
+
+func (sc *script) run(t *testing.T, td *datadriven.TestData) string {
+	if td.Cmd == "gate" {
+		sc.open(t, td)
+		return ""
+	}
+	if td.Cmd == "state" {
+		return fmt.Sprintf("running %d held %d queued %d remembered %d kept %d load %d\n",
+			sc.gate.Running(), sc.gate.Held(), sc.gate.Queued(), sc.gate.Remembered(),
+			sc.gate.KeptBytes(), sc.gate.LoadPermille())
+	}
+	ev := sc.event(t, td)
+	var out strings.Builder
+	for _, ac := range sc.gate.Step(ev, sc.now) {
+		out.WriteString(sc.print(ac))
+	}
+	if out.Len() == 0 {
+		return "nothing\n"
+	}
+	return out.String()
+}
+
+// open builds a gate from the arguments of its command.
+func (sc *script) open(t *testing.T, td *datadriven.TestData) {
+	queue, entries, bytes := 1, 100, 1000
+	lag, keep := 0, 60_000
+	td.MaybeScanArgs(t, "queue", &queue)
+	td.MaybeScanArgs(t, "entries", &entries)
+	td.MaybeScanArgs(t, "bytes", &bytes)
+	td.MaybeScanArgs(t, "lag", &lag)
+	td.MaybeScanArgs(t, "keep", &keep)
+	sc.gate = host.NewGate(host.Config{
+		Incarnation:  incarnation,
+		QueuePerSlot: queue,
+		ComeBack:     time.Second,
+		DrainGrace:   3 * time.Second,
+		AnnounceLag:  time.Duration(lag) * time.Millisecond,
+		Ledger: host.LedgerConfig{
+			KeepFor:        time.Duration(keep) * time.Millisecond,
+			MaxEntries:     entries,
+			MaxAnswerBytes: bytes,
+		},
+	})
+}
+
+// id makes an attempt's id from its short name.
+func id(name string) host.AttemptID {
+	call, idempotent := strings.CutSuffix(name, "i")
+	text := "node-1.3." + call + ".1"
+	if idempotent {
+		text += "i"
+	}
+	return host.AttemptID(text)
+}
+
+// short is the reverse of id.
+func short(id host.AttemptID) string {
+	text := strings.TrimPrefix(string(id), "node-1.3.")
+	return strings.Replace(text, ".1", "", 1)
+}
+
+// event reads a command; those that let time pass say how much in milliseconds.
+func (sc *script) event(t *testing.T, td *datadriven.TestData) host.Event {
+	t.Helper()
+	name := ""
+	if len(td.CmdArgs) > 0 {
+		name = td.CmdArgs[0].Key
+	}
+	switch td.Cmd {
+	case "announce":
+		return sc.announce(t, td)
+	case "arrive":
+		return sc.arrive(t, td, name)
+	case "started":
+		return host.Started{ID: id(name)}
+	case "ran":
+		kept := 0
+		td.MaybeScanArgs(t, "kept", &kept)
+		return host.Ended{ID: id(name), Outcome: host.OutcomeRan, KeptBytes: kept}
+	case "connect-failed":
+		return host.Ended{ID: id(name), Outcome: host.OutcomeNotRun, Reason: host.ReasonUpstreamConnect}
+	case "broken":
+		return host.Ended{
+			ID:      id(name),
+			Outcome: host.OutcomeUnknown,
+			Reason:  host.ReasonUpstreamBroken,
+			Working: td.HasArg("working"),
+		}
+	case "cancel":
+		return host.Cancelled{ID: id(name)}
+	case "ask":
+		return sc.ask(t, td, name)
+	case "lost":
+		return host.Lost{}
+	case "drain":
+		after := 0
+		td.MaybeScanArgs(t, "after", &after)
+		return host.Drain{RefuseFrom: sc.now.Add(time.Duration(after) * time.Millisecond)}
+	case "wait":
+		var ms int
+		_, err := fmt.Sscan(name, &ms)
+		assert.NilError(t, err)
+		sc.now = sc.now.Add(time.Duration(ms) * time.Millisecond)
+		return host.Tick{}
+	}
+	t.Fatalf("%s: unknown command %s", td.Pos, td.Cmd)
+	return nil
+}
+
+func (sc *script) announce(t *testing.T, td *datadriven.TestData) host.Event {
+	slots, connections, inFlight, state := 1, 0, 0, "ready"
+	td.MaybeScanArgs(t, "slots", &slots)
+	td.MaybeScanArgs(t, "connections", &connections)
+	td.MaybeScanArgs(t, "in-flight", &inFlight)
+	td.MaybeScanArgs(t, "state", &state)
+	states := map[string]host.State{
+		"ready":    host.StateReady,
+		"draining": host.StateDraining,
+		"gone":     host.StateGone,
+	}
+	return host.Announced{
+		Announcement: host.Announcement{
+			Service:     "booking",
+			Address:     "127.0.0.1:9",
+			Slots:       host.Slots(slots),
+			Connections: connections,
+			State:       states[state],
+			InFlight:    inFlight,
+		},
+		Lapse: sc.now.Add(time.Minute),
+	}
+}
+
+func (sc *script) arrive(t *testing.T, td *datadriven.TestData, name string) host.Event {
+	at := host.Attempt{
+		ID:          id(name),
+		Incarnation: incarnation,
+		Service:     "booking",
+		Class:       contract.ClassLookup,
+		Deadline:    sc.now.Add(time.Second),
+	}
+	if td.HasArg("bulk") {
+		at.Class = contract.ClassBulk
+	}
+	if td.HasArg("incarnation") {
+		td.ScanArgs(t, "incarnation", (*uint64)(&at.Incarnation))
+	}
+	if td.HasArg("raw") {
+		at.ID = host.AttemptID(name)
+	}
+	if td.HasArg("within") {
+		var ms int
+		td.ScanArgs(t, "within", &ms)
+		at.Deadline = sc.now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return host.Arrived{Attempt: at}
+}
+
+func (sc *script) ask(t *testing.T, td *datadriven.TestData, name string) host.Event {
+	sc.query++
+	as := host.Asked{
+		Query:       sc.query,
+		ID:          id(name),
+		Incarnation: incarnation,
+	}
+	if td.HasArg("incarnation") {
+		td.ScanArgs(t, "incarnation", (*uint64)(&as.Incarnation))
+	}
+	if td.HasArg("wait") {
+		var ms int
+		td.ScanArgs(t, "wait", &ms)
+		as.WaitUntil = sc.now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return as
+}
+
+func (sc *script) print(ac host.Action) string {
+	switch ac := ac.(type) {
+	case host.Dispatch:
+		return fmt.Sprintf("dispatch %s\n", short(ac.ID))
+	case host.Refuse:
+		back := "elsewhere"
+		if !ac.ComeBack.IsZero() {
+			back = "in " + ac.ComeBack.Sub(sc.now).String()
+		}
+		return fmt.Sprintf("refuse %s: %s, come back %s\n", short(ac.ID), ac.Reason, back)
+	case host.RefuseDuplicate:
+		return fmt.Sprintf("refuse duplicate %s: %s, not run %t\n", short(ac.ID), ac.Reason, ac.NotRun)
+	case host.Interrupt:
+		return fmt.Sprintf("interrupt %s\n", short(ac.ID))
+	case host.Tell:
+		return fmt.Sprintf("tell %d of %s: %s %s\n", ac.Query, short(ac.ID), ac.Fate, ac.Reason)
+	case host.DropAnswer:
+		return fmt.Sprintf("drop answer %s\n", short(ac.ID))
+	}
+	return "unknown action\n"
+}
+
+// TestAttemptIDs reads back what was written, and refuses what is malformed.
+func TestAttemptIDs(t *testing.T) {
+	for _, or := range []host.Origin{
+		{Issuer: host.Issuer{Host: "press-hall-1", Incarnation: 7}, Call: 12, Try: 1},
+		{Issuer: host.Issuer{Host: "a.b.c", Incarnation: 1 << 62}, Call: 1 << 63, Try: 1 << 31, Idempotent: true},
+	} {
+		back, ok := or.ID().Origin()
+		assert.Assert(t, ok, "%s", or.ID())
+		assert.DeepEqual(t, back, or)
+	}
+	for _, id := range []host.AttemptID{"", "a", "a.1.2", ".1.2.3", "a.1.2.x", "a.1.2.-3", "a.1.2.99999999999", "a.1..3i"} {
+		_, ok := id.Origin()
+		assert.Assert(t, !ok, "%s", id)
+	}
+}
