fix: let an upstream return slowly after an ejection

Cause: an ejected upstream returned with no latency at all, so that every node took it for an average one and sent it a full share until its first answers. Change: it keeps its latency, which nears its service's with age, and starts slowly like a new incarnation.

--- a/core/call/peer.go
+++ b/core/call/peer.go
@@ -15,6 +15,8 @@
 	firstLatency = time.Millisecond
 	// loadAge is how long a gate's load counts; it fades over that time.
 	loadAge = 2 * time.Second
+	// latencyAge is how long an average latency counts without a new sample.
+	latencyAge = 20 * time.Second
 	// slowStart is how long a new incarnation takes to get its full share.
 	slowStart = 10 * time.Second
 	// slowStartFloor is the share that a new incarnation begins with.
@@ -37,11 +39,12 @@
 	upstream    datacentre.Upstream
 	outstanding int
 	latency     time.Duration
+	latencyAt   time.Time
 	samples     int
 	load        float64
 	loadAt      time.Time
-	// warmFrom is when a new incarnation was first seen; zero when it was there
-	// from the beginning.
+	// warmFrom is when a new incarnation was first seen, or when an ejection ends;
+	// zero when the upstream was there from the beginning.
 	warmFrom  time.Time
 	failures  int
 	leftTo    time.Time
@@ -87,15 +90,22 @@
 	return pe.load * min(1, max(0, left))
 }
 
+// agedLatency is the average latency, which nears its service's with its age, so
+// that an upstream that was slow is tried again.
+func (pe *peer) agedLatency(po *pool, now time.Time) time.Duration {
+	usual := max(firstLatency, po.latency)
+	if pe.latency == 0 {
+		return usual
+	}
+	fresh := 1 - now.Sub(pe.latencyAt).Seconds()/latencyAge.Seconds()
+	return usual + time.Duration(float64(pe.latency-usual)*max(0, fresh))
+}
+
 // score is lower for the better upstream.
 func (pe *peer) score(po *pool, now time.Time) float64 {
 	slots := float64(max(1, pe.upstream.Slots))
 	busy := max(float64(pe.outstanding), pe.agedLoad(now)*slots)
-	latency := pe.latency
-	if latency == 0 {
-		latency = max(firstLatency, po.latency)
-	}
-	return (busy + 1) / slots * latency.Seconds() * float64(1+pe.failures)
+	return (busy + 1) / slots * pe.agedLatency(po, now).Seconds() * float64(1+pe.failures)
 }
 
 // faulty tells whether a result speaks against the upstream itself.
@@ -133,6 +143,7 @@
 		return
 	}
 	pe.samples++
+	pe.latencyAt = now
 	if pe.latency == 0 {
 		pe.latency = ob.Latency
 		return
@@ -153,7 +164,7 @@
 	span := min(ejectCap, ejectBase<<min(pe.ejections, 6))
 	pe.ejections++
 	pe.ejectedTo = now.Add(span)
+	pe.warmFrom = pe.ejectedTo
 	pe.failures = 0
 	pe.samples = 0
-	pe.latency = 0
 }
