test: bookings under faults on real processes, and drains that cut nothing

The mesh gets faults that can be undone, upstreams that restart, and callers that compare what they were told with the upstreams' ledgers.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -61,6 +61,13 @@
 	}
 	stop := onHangup(pr.Reload)
 	defer stop()
+	go func() {
+		<-ctx.Done()
+		second, cancel := untilSignal(context.Background())
+		defer cancel()
+		<-second.Done()
+		pr.Abort()
+	}()
 	pr.Run(ctx)
 	return exitOK
 }
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -14,7 +14,6 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
-	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/io/caller"
 	"lynxfold/io/ini"
@@ -102,6 +101,7 @@
 	gate     *upstream.Gate
 	client   *upstream.Client
 	lanes    *node.Lanes
+	incoming *node.Incoming
 	caller   *caller.Server
 	operator *operator.Server
 	keyPair  *operator.KeyPair
@@ -109,6 +109,9 @@
 	listener *node.Listener
 	log      zerolog.Logger
 	done     sync.WaitGroup
+	// aborted ends the wait for calls in flight.
+	aborted context.Context
+	abort   context.CancelFunc
 }
 
 // New opens a node's sockets and wires it; Run starts it.
@@ -129,7 +132,7 @@
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
 		newDialer, newPlatform, platform.NewVersions, newControl,
 		upstream.NewClient, newGate, upstream.NewListener,
-		node.NewLanes, newCaller, newKeyPair, newOperator, newListener,
+		node.NewLanes, newIncoming, newCaller, newKeyPair, newOperator, newListener,
 		newProcess,
 	} {
 		if err := co.Provide(constructor); err != nil {
@@ -155,6 +158,7 @@
 	Gate     *upstream.Gate
 	Client   *upstream.Client
 	Lanes    *node.Lanes
+	Incoming *node.Incoming
 	Caller   *caller.Server
 	Operator *operator.Server
 	KeyPair  *operator.KeyPair
@@ -164,13 +168,17 @@
 }
 
 func newProcess(pa parts) *Process {
+	aborted, abort := context.WithCancel(context.Background())
 	return &Process{
+		aborted:  aborted,
+		abort:    abort,
 		settings: pa.Settings,
 		sockets:  pa.Sockets,
 		control:  pa.Control,
 		gate:     pa.Gate,
 		client:   pa.Client,
 		lanes:    pa.Lanes,
+		incoming: pa.Incoming,
 		caller:   pa.Caller,
 		operator: pa.Operator,
 		keyPair:  pa.KeyPair,
@@ -245,10 +253,12 @@
 	})
 }
 
-func newListener(so *sockets, ct *Control, ga *upstream.Gate, co *controlCounters, log zerolog.Logger) *node.Listener {
+func newIncoming(ga *upstream.Gate) *node.Incoming { return node.NewIncoming(ga) }
+
+func newListener(so *sockets, ct *Control, ic *node.Incoming, co *controlCounters, log zerolog.Logger) *node.Listener {
 	return node.NewListener(so.link, node.ListenerConfig{
 		Control: ct.links.Accept,
-		Lane:    func(nc *node.Conn) { node.ServeLane(nc, ga) },
+		Lane:    ic.Serve,
 		Refused: func(err error) {
 			co.refusedConn()
 			log.Debug().Err(err).Msg("connection refused")
@@ -282,10 +292,12 @@
 	pr.start("upstream", func() error { return pr.announce.Serve(pr.sockets.upstream) })
 	pr.start("caller", func() error { return pr.caller.Serve(pr.sockets.caller) })
 	pr.start("operator", func() error { return pr.operator.Serve(pr.sockets.operator) })
-	pr.start("tick", func() error { pr.tickGate(ctx); return nil })
+	ticking, stopTicking := context.WithCancel(context.Background())
+	defer stopTicking()
+	pr.start("tick", func() error { pr.tickGate(ticking); return nil })
 	pr.log.Info().Interface("addresses", pr.Addresses()).Msg("node started")
 	<-ctx.Done()
-	pr.drain()
+	pr.drain(stopTicking)
 }
 
 func (pr *Process) start(step string, run func() error) {
@@ -308,42 +320,3 @@
 		}
 	}
 }
-
-func (pr *Process) drain() {
-	pr.log.Info().Msg("node drains")
-	pr.control.health.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), pr.settings.Caller.DrainWithin)
-	defer cancel()
-	pr.control.Emit(datacentre.Leave{})
-	pr.gate.Drain(time.Now().Add(drainGrace))
-	pr.stop("caller", pr.caller.Shutdown)
-	pr.waitGate(ctx)
-	pr.stop("upstream", pr.announce.Shutdown)
-	pr.stop("operator", pr.operator.Shutdown)
-	pr.lanes.Close()
-	pr.control.links.Close()
-	pr.listener.Close()
-	pr.control.end()
-	pr.client.Close()
-	pr.done.Wait()
-	pr.log.Info().Int("cut", pr.gate.Running()).Msg("node ended")
-}
-
-func (pr *Process) stop(step string, shutdown func() error) {
-	if err := shutdown(); err != nil {
-		pr.log.Warn().Err(err).Str("step", step).Msg("step did not end cleanly")
-	}
-}
-
-// waitGate waits until the upstream runs nothing more.
-func (pr *Process) waitGate(ctx context.Context) {
-	ti := time.NewTicker(tickEvery / 10)
-	defer ti.Stop()
-	for pr.gate.Running() > 0 {
-		select {
-		case <-ti.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -251,20 +252,22 @@
 	if an.Result.Outcome != call.OutcomeRan || winner == nil {
 		ex.cancel()
 		ex.refuse(an)
+		sv.active.Add(-1)
 		return
 	}
 	sv.succeeded(ex.target.Route.Service, an.Result)
 	if winner.reply.Body == nil {
 		ex.cancel()
+		sv.active.Add(-1)
 		respond(ex.http, winner.reply, an.Result)
 		if ex.body != nil && !ex.body.whole() {
 			ex.http.SetConnectionClose()
 		}
 		return
 	}
-	winner.reply.Body = &cancelling{
+	winner.reply.Body = &finalBody{
 		ReadCloser: winner.reply.Body,
-		cancel:     ex.cancel,
+		exchange:   ex,
 	}
 	respond(ex.http, winner.reply, an.Result)
 }
@@ -314,14 +317,19 @@
 	}
 }
 
-// cancelling releases a call's context when its body is closed.
-type cancelling struct {
+// finalBody is the body of the answer; its end is the exchange's.
+type finalBody struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	exchange *exchange
+	once     sync.Once
 }
 
 // Close closes the body first, so that a complete one gives its connection back.
-func (ca *cancelling) Close() error {
-	defer ca.cancel()
-	return ca.ReadCloser.Close()
+func (fb *finalBody) Close() error {
+	err := fb.ReadCloser.Close()
+	fb.once.Do(func() {
+		fb.exchange.cancel()
+		fb.exchange.server.active.Add(-1)
+	})
+	return err
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -3,6 +3,7 @@
 package caller
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -57,13 +58,16 @@
 
 // Server is the callers' listener.
 type Server struct {
-	cfg     Config
-	http    *fasthttp.Server
-	watch   *watch
-	calls   atomic.Uint64
-	inline  atomic.Int64
-	retries *budgets
-	hedges  *budgets
+	cfg    Config
+	http   *fasthttp.Server
+	watch  *watch
+	calls  atomic.Uint64
+	inline atomic.Int64
+	active atomic.Int64
+	// draining says that callers are to use other nodes.
+	draining atomic.Bool
+	retries  *budgets
+	hedges   *budgets
 
 	mu      sync.Mutex // guards chooser and cfg.Rand
 	chooser *call.Chooser
@@ -117,12 +121,19 @@
 	})
 }
 
-// Shutdown takes no new connections and returns when all calls are answered.
-func (sv *Server) Shutdown() error {
+// Drain has callers' connections closed after their next answer.
+func (sv *Server) Drain() { sv.draining.Store(true) }
+
+// Shutdown takes no new connections and returns when all calls are answered, or
+// when the context ends.
+func (sv *Server) Shutdown(ctx context.Context) error {
 	defer sv.watch.stop()
-	return sv.http.Shutdown()
+	return sv.http.ShutdownWithContext(ctx)
 }
 
+// Active counts the calls that have no whole answer yet.
+func (sv *Server) Active() int { return int(sv.active.Load()) }
+
 // malformed answers what can't be read as a request.
 func (sv *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
@@ -176,6 +187,11 @@
 		return
 	}
 	_ = co.SetWriteDeadline(now.Add(answerWithin))
+	defer func() {
+		if sv.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+	}()
 	status, ta := sv.check(ctx)
 	if status != 0 {
 		return
@@ -201,6 +217,7 @@
 		return
 	}
 	defer sv.inline.Add(int64(-len(ex.inline)))
+	sv.active.Add(1)
 	ex.run()
 }
 
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -91,7 +91,7 @@
 	assert.NilError(t, err)
 	si.address = li.Addr().String()
 	go func() { _ = sv.Serve(li) }()
-	t.Cleanup(func() { _ = sv.Shutdown() })
+	t.Cleanup(func() { _ = sv.Shutdown(context.Background()) })
 	return si
 }
 
--- a/io/node/lanes_listen.go
+++ b/io/node/lanes_listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lynxfold/core/wire"
@@ -22,10 +23,45 @@
 // pieceQueue bounds the pieces of a body that wait to be read.
 const pieceQueue = 2
 
+// Incoming passes the calls on other nodes' lanes to a gate.
+type Incoming struct {
+	gate Gate
+	busy atomic.Int64
+	// calls is the parent of every call's context.
+	calls  context.Context
+	cancel context.CancelFunc
+}
+
+// NewIncoming builds the far end of lanes to a gate.
+func NewIncoming(ga Gate) *Incoming {
+	calls, cancel := context.WithCancel(context.Background())
+	return &Incoming{
+		gate:   ga,
+		calls:  calls,
+		cancel: cancel,
+	}
+}
+
+// Close cancels all calls.
+func (ic *Incoming) Close() { ic.cancel() }
+
+// Serve passes the calls of one lane on until the lane ends.
+func (ic *Incoming) Serve(co *Conn) {
+	in := &incoming{
+		Incoming: ic,
+		lane:     &lane{co: co},
+	}
+	in.done.Go(in.lead)
+	in.done.Wait()
+}
+
+// Busy counts the calls whose answers have not been sent to their end.
+func (ic *Incoming) Busy() int { return int(ic.busy.Load()) }
+
 // incoming is the gate's end of one lane.
 type incoming struct {
+	*Incoming
 	lane *lane
-	gate Gate
 	done sync.WaitGroup
 
 	mu      sync.Mutex
@@ -43,16 +79,6 @@
 	idempotent bool
 }
 
-// ServeLane passes the calls of one incoming lane to a gate until the lane ends.
-func ServeLane(co *Conn, ga Gate) {
-	in := &incoming{
-		lane: &lane{co: co},
-		gate: ga,
-	}
-	in.done.Go(in.lead)
-	in.done.Wait()
-}
-
 // lead reads frames until one opens a call. It then lets another goroutine
 // read on and serves the call itself, so that no call waits for a hand-over.
 func (in *incoming) lead() {
@@ -71,6 +97,7 @@
 			}
 			in.done.Go(in.lead)
 			in.serve(se, ki.Request, body)
+			in.busy.Add(-1)
 			return
 		case *wire.Frame_Query:
 			se, _, ok := in.begin(nil)
@@ -80,6 +107,7 @@
 			}
 			in.done.Go(in.lead)
 			in.answer(se, ki.Query)
+			in.busy.Add(-1)
 			return
 		case *wire.Frame_Body:
 			in.feed(ki.Body)
@@ -96,7 +124,8 @@
 	if in.current != nil || in.body != nil {
 		return nil, nil, false
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	in.busy.Add(1)
+	ctx, cancel := context.WithCancel(in.calls)
 	in.current = &serving{
 		ctx:        ctx,
 		cancel:     cancel,
--- a/io/node/lanes_test.go
+++ b/io/node/lanes_test.go
@@ -43,7 +43,7 @@
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ls := NewListener(li, ListenerConfig{
-		Lane:    func(co *Conn) { ServeLane(co, ga) },
+		Lane:    NewIncoming(ga).Serve,
 		Control: func(*Conn) {},
 		Refused: func(error) {},
 	})
--- a/io/upstream/standin/server.go
+++ b/io/upstream/standin/server.go
@@ -79,6 +79,7 @@
 		MaxRequestBodySize:    256 << 20,
 		CloseOnShutdown:       true,
 		ConnState:             sv.track,
+		Logger:                noLog{},
 	}
 	sv.done.Go(func() { _ = sv.http.Serve(li) })
 	sv.done.Go(sv.announceLoop)
@@ -140,6 +141,12 @@
 	}
 }
 
+// noLog drops the HTTP library's lines about connections that tests cut.
+type noLog struct{}
+
+// Printf drops a line.
+func (noLog) Printf(string, ...any) {}
+
 // SetSilent makes the stand-in take calls without ever answering them.
 func (sv *Server) SetSilent(silent bool) { sv.silent.Store(silent) }
 
--- /dev/null
+++ b/testkit/faults.go
@@ -0,0 +1,48 @@
+package testkit
+
+import (
+	"gotest.tools/v3/assert"
+
+	upstreamstandin "lynxfold/io/upstream/standin"
+)
+
+// Speak ends a Silence. Connections that were silent stay lost, as bytes of
+// theirs are missing.
+func (ho *Host) Speak() {
+	ho.Proxy.Stop()
+	for _, stream := range []string{"upstream", "downstream"} {
+		assert.NilError(ho.mesh.T, ho.Proxy.Toxics.RemoveToxic(ho.mesh.T.Context(), "silent-"+stream))
+	}
+	assert.NilError(ho.mesh.T, ho.Proxy.Start())
+}
+
+// Flicker cuts all connections through the host's proxy once.
+func (ho *Host) Flicker() {
+	ho.Cut()
+	ho.Mend()
+}
+
+// KillUpstream ends the host's upstream at once.
+func (ho *Host) KillUpstream() {
+	ho.Upstream.Kill()
+	ho.former = append(ho.former, ho.Upstream)
+}
+
+// StartUpstream starts the host's upstream again after KillUpstream.
+func (ho *Host) StartUpstream() { ho.startUpstream() }
+
+// Runs returns what all upstreams of the mesh ran, by the call's id.
+func (me *Mesh) Runs() map[string][]upstreamstandin.Run {
+	runs := map[string][]upstreamstandin.Run{}
+	for _, ho := range me.Hosts {
+		for _, sv := range append(ho.former, ho.Upstream) {
+			if sv == nil {
+				continue
+			}
+			for _, ru := range sv.Ledger() {
+				runs[ru.Call] = append(runs[ru.Call], ru)
+			}
+		}
+	}
+	return runs
+}
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -62,7 +62,9 @@
 	Operator string
 	Proxy    *toxiproxy.Proxy
 	Upstream *upstreamstandin.Server
-	mesh     *Mesh
+	// former are the upstreams that ran here before, with their ledgers.
+	former []*upstreamstandin.Server
+	mesh   *Mesh
 	// remoteOnly says that hosts of the same data centre go round the proxy.
 	remoteOnly bool
 	settings   string
