feat: commands on the nodes' API, a record of decisions, and surveys of the mesh

Cause: apply stopped at the accepted version, took a lost reply for a failure and told nothing of a conflict; status knew one node; nothing explained.

Change: check prints every fault (--json); apply resolves doubt by asking again with the same submission id, shows the differing fields of a conflict (--base) and waits until the version is in force everywhere (--timeout); status asks the live hosts on demand over short connections of their own preface; explain reads a bounded record of decisions; token makes a token and its digest. Exit codes tell usage 2, refusal 3, conflict 4, in doubt 5 and not everywhere 6 apart. Small edits to the node listener (one preface) and to cmd/process.

The list of hosts comes from the view until the member's report is merged, so hosts without upstreams are not listed yet.

--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -4,79 +4,296 @@
 	"context"
 	"flag"
 	"fmt"
+	"net"
 	"os"
+	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"lynxfold/core/contract"
 	"lynxfold/io/operator"
 )
 
-// applyCommand has a document accepted.
+// applyCommand has a document accepted and waits until it is in force everywhere.
 type applyCommand struct {
 	streams
-	node string
+	client
+	base       string
+	submission string
+	timeout    time.Duration
+	noWait     bool
+
+	deadline time.Time
 }
 
 func (*applyCommand) Name() string     { return "apply" }
 func (*applyCommand) Synopsis() string { return "put a configuration document in force" }
 
 func (*applyCommand) Usage() string {
-	return `lynxfold apply --node URL FILE
+	return `lynxfold apply [flags] FILE
+
+Has a document accepted as the next version and waits until it is in force on
+every host that answers. A lost reply is resolved by asking again with the same
+submission id, which can't have the document accepted twice.
 
-Has a document accepted as the next version.
+--base says which version the document was made from; when another version has
+been accepted since, nothing is changed and the differing fields are printed.
+Without it the document replaces whatever is in force.
 
-Example:
-  lynxfold apply --node http://127.0.0.1:7403 mesh.json
+Exit codes: 0 in force everywhere, 1 no node answers, 2 usage, 3 refused,
+4 conflict, 5 in doubt, 6 accepted but not in force everywhere in time.
+
+Examples:
+  lynxfold apply mesh.json
+  lynxfold apply --node https://10.0.0.5:7403 --ca-file ca.pem --base 41 mesh.json
+  lynxfold apply --base 41 --submission 7d0c... mesh.json
 
 `
 }
 
 func (co *applyCommand) SetFlags(fs *flag.FlagSet) {
-	fs.StringVar(&co.node, "node", "http://127.0.0.1:7403", "`URL` of a node's console")
+	co.flags(fs)
+	fs.StringVar(&co.base, "base", "", "`version` that the document was made from; the one in force when empty")
+	fs.StringVar(&co.submission, "submission", "", "`id` of an earlier submission, to ask what became of it")
+	fs.DurationVar(&co.timeout, "timeout", time.Minute, "longest wait in all")
+	fs.BoolVar(&co.noWait, "no-wait", false, "stop when the version is accepted")
+}
+
+// applyResult is the JSON form of a successful apply.
+type applyResult struct {
+	Version    contract.Version `json:"version"`
+	Submission string           `json:"submission"`
+	// Everywhere tells whether every host that answers has the version in force.
+	Everywhere bool `json:"everywhere"`
 }
 
 func (co *applyCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if fs.NArg() != 1 {
-		_, _ = fmt.Fprintln(co.err, "apply: one file is needed")
+		_, _ = fmt.Fprintln(co.err, "apply: name one file")
+		return exitUsage
+	}
+	if _, err := parseBase(co.base); err != nil {
+		_, _ = fmt.Fprintf(co.err, "apply: --base %s is not a version\n", co.base)
 		return exitUsage
 	}
-	data, err := os.ReadFile(fs.Arg(0))
+	if co.submission != "" && co.base == "" {
+		_, _ = fmt.Fprintln(co.err, "apply: --submission needs the --base that it was sent with")
+		return exitUsage
+	}
+	doc, err := readDocument(fs.Arg(0))
 	if err != nil {
+		printFaults(co.streams, err)
+		var pathError *os.PathError
+		if errors.As(err, &pathError) {
+			return exitFailure
+		}
+		return exitRefused
+	}
+	if err := co.open(); err != nil {
 		_, _ = fmt.Fprintln(co.err, err)
 		return exitFailure
 	}
-	var current operator.ConfigBody
-	if err := request(fasthttp.MethodGet, co.node+"/api/config", nil, &current); err != nil {
-		return co.fail(err)
-	}
-	accepted := operator.ConfigBody{}
-	err = request(fasthttp.MethodPost, co.node+"/api/config", operator.ConfigBody{
-		Version:    current.Version,
-		Document:   data,
-		Submission: uuid.NewString(),
-	}, &accepted)
+	co.deadline = time.Now().Add(co.timeout)
+	return co.apply(doc, fs.Arg(0))
+}
+
+func (co *applyCommand) apply(doc *contract.Document, file string) subcommands.ExitStatus {
+	base, err := co.baseVersion()
+	if err != nil {
+		return co.fail(co.streams, err)
+	}
+	id := co.submission
+	if id == "" {
+		id = uuid.NewString()
+	}
+	ve, err := co.submit(operator.ConfigBody{
+		Version:    base,
+		Document:   doc.Encode(),
+		Submission: id,
+	})
 	if err != nil {
-		return co.fail(err)
+		status := co.fail(co.streams, err)
+		if status == exitInDoubt && !co.json {
+			_, _ = fmt.Fprintf(co.err, "ask again with: lynxfold apply --base %d --submission %s %s\n", base, id, file)
+		}
+		return status
+	}
+	if !co.json {
+		_, _ = fmt.Fprintf(co.out, "version %d accepted\n", ve)
+	}
+	everywhere := co.noWait || co.waitEverywhere(ve)
+	if co.json {
+		printJSON(co.out, applyResult{
+			Version:    ve,
+			Submission: id,
+			Everywhere: everywhere && !co.noWait,
+		})
+	}
+	if !everywhere {
+		return exitNotEverywhere
 	}
-	_, _ = fmt.Fprintf(co.out, "version %d accepted\n", accepted.Version)
 	return exitOK
 }
 
-// fail prints an error and chooses the exit code that fits.
-func (co *applyCommand) fail(err error) subcommands.ExitStatus {
-	_, _ = fmt.Fprintln(co.err, err)
+func (co *applyCommand) baseVersion() (contract.Version, error) {
+	if co.base != "" {
+		return parseBase(co.base)
+	}
+	var current operator.ConfigBody
+	err := co.request(fasthttp.MethodGet, "/api/config", nil, &current)
+	return current.Version, err
+}
+
+// parseBase reads a version; an empty one is 0.
+func parseBase(text string) (contract.Version, error) {
+	if text == "" {
+		return 0, nil
+	}
+	ve, err := strconv.ParseUint(text, 10, 64)
+	return contract.Version(ve), err
+}
+
+// askEvery is the time between two questions about the same thing.
+const askEvery = 250 * time.Millisecond
+
+// submit sends the document until its outcome is known or the time is up.
+func (co *applyCommand) submit(body operator.ConfigBody) (contract.Version, error) {
+	sent := false
+	for {
+		var accepted operator.ConfigBody
+		err := co.request(fasthttp.MethodPost, "/api/config", body, &accepted)
+		if err == nil {
+			return accepted.Version, nil
+		}
+		if !co.askAgain(err, sent) {
+			return 0, inDoubt(err, sent, body)
+		}
+		sent = sent || mayHaveEffect(err)
+		time.Sleep(askEvery)
+	}
+}
+
+// askAgain tells whether the same submission may have another answer later.
+func (co *applyCommand) askAgain(err error, sent bool) bool {
+	if time.Now().After(co.deadline) {
+		return false
+	}
 	var pe *ProblemError
 	if !errors.As(err, &pe) {
-		return exitFailure
+		return sent || !unsent(err)
 	}
 	switch pe.Problem.Reason {
-	case operator.ReasonConflict:
-		return exitConflict
-	case operator.ReasonInDoubt:
-		return exitInDoubt
+	case operator.ReasonInDoubt, operator.ReasonBehind:
+		return true
+	case operator.ReasonUnavailable:
+		return sent
+	}
+	return false
+}
+
+// mayHaveEffect tells whether the request may have been carried out.
+func mayHaveEffect(err error) bool {
+	var pe *ProblemError
+	if errors.As(err, &pe) {
+		return pe.Problem.Reason == operator.ReasonInDoubt
+	}
+	return !unsent(err)
+}
+
+// unsent tells whether no connection to the node could be opened.
+func unsent(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, fasthttp.ErrDialTimeout) || (errors.As(err, &op) && op.Op == "dial")
+}
+
+// inDoubt turns a last error into what is known of a submission that may have
+// been accepted earlier.
+func inDoubt(err error, sent bool, body operator.ConfigBody) error {
+	var pe *ProblemError
+	known := errors.As(err, &pe) && pe.Problem.Reason != operator.ReasonUnavailable
+	if known || !sent {
+		return err
+	}
+	return &ProblemError{
+		Problem: operator.Problem{
+			Reason:     operator.ReasonInDoubt,
+			Detail:     err.Error(),
+			Submission: body.Submission,
+		},
+	}
+}
+
+// waitEverywhere prints the progress until every host that answers has a
+// version in force.
+func (co *applyCommand) waitEverywhere(ve contract.Version) bool {
+	last := ""
+	for {
+		var st operator.Status
+		err := co.request(fasthttp.MethodGet, "/api/status?survey=yes", nil, &st)
+		line := "no node answers"
+		if err == nil {
+			pr := progressOf(st, ve)
+			if pr.done() {
+				co.progress("", fmt.Sprintf("in force on all %s", plural(pr.hosts, "host")))
+				return true
+			}
+			line = pr.String()
+		}
+		last = co.progress(last, line)
+		if time.Now().After(co.deadline) {
+			_, _ = fmt.Fprintf(co.err, "version %d is accepted and not yet in force everywhere; lynxfold status shows where\n", ve)
+			return false
+		}
+		time.Sleep(askEvery)
+	}
+}
+
+func (co *applyCommand) progress(last, line string) string {
+	if line != last && !co.json {
+		_, _ = fmt.Fprintln(co.out, line)
+	}
+	return line
+}
+
+// progress counts the hosts that have a version in force.
+type progress struct {
+	hosts   int
+	inForce int
+	silent  int
+}
+
+func progressOf(st operator.Status, ve contract.Version) progress {
+	var pr progress
+	for _, ce := range st.DataCentres {
+		for _, ho := range ce.Hosts {
+			if ho.Status != operator.HostAlive {
+				continue
+			}
+			pr.hosts++
+			switch {
+			case !ho.Answered:
+				pr.silent++
+			case ho.Version >= ve:
+				pr.inForce++
+			}
+		}
+	}
+	return pr
+}
+
+func (pr progress) done() bool { return pr.hosts > 0 && pr.inForce == pr.hosts }
+
+func (pr progress) String() string {
+	return fmt.Sprintf("in force on %d of %s, %d without an answer", pr.inForce, plural(pr.hosts, "host"), pr.silent)
+}
+
+func plural(n int, what string) string {
+	if n == 1 {
+		return "1 " + what
 	}
-	return exitRefused
+	return fmt.Sprintf("%d %ss", n, what)
 }
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -1,17 +1,29 @@
 package cmd
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
+	"flag"
 	"fmt"
+	"os"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/io/operator"
 )
 
-// apiTimeout bounds one request to a node's API.
-const apiTimeout = 20 * time.Second
+const (
+	// apiTimeout bounds one request to a node's API.
+	apiTimeout = 20 * time.Second
+	// tokenVariable is the environment variable with the operator's token.
+	tokenVariable = "LYNXFOLD_TOKEN"
+	defaultNode   = "http://127.0.0.1:7403"
+)
 
 // ProblemError is a request that a node did not carry out.
 type ProblemError struct {
@@ -23,39 +35,140 @@
 	return fmt.Sprintf("%s: %s", er.Problem.Reason, er.Problem.Detail)
 }
 
-// request makes one request to a node's API; answer may be nil.
-func request(method, url string, body, answer any) error {
+// TokenFileError reports a file that holds no token.
+type TokenFileError struct {
+	File string
+}
+
+func (er *TokenFileError) Error() string { return er.File + " holds no token" }
+
+// CAFileError reports a file that holds no certificate.
+type CAFileError struct {
+	File string
+}
+
+func (er *CAFileError) Error() string { return er.File + " holds no certificate" }
+
+// client makes requests to the API of one node.
+type client struct {
+	node      string
+	tokenFile string
+	caFile    string
+	json      bool
+
+	http  *fasthttp.Client
+	token string
+}
+
+// flags defines what every command that asks a node takes.
+func (cl *client) flags(fs *flag.FlagSet) {
+	fs.StringVar(&cl.node, "node", defaultNode, "`URL` of a node's console")
+	fs.StringVar(&cl.tokenFile, "token-file", "", "`file` with the operator's token; "+tokenVariable+" when empty")
+	fs.StringVar(&cl.caFile, "ca-file", "", "`file` with the certificates that sign the console's, PEM")
+	fs.BoolVar(&cl.json, "json", false, "print JSON")
+}
+
+// open reads the token and the certificates.
+func (cl *client) open() error {
+	cl.node = strings.TrimRight(cl.node, "/")
+	cl.token = strings.TrimSpace(os.Getenv(tokenVariable))
+	if cl.tokenFile != "" {
+		data, err := os.ReadFile(cl.tokenFile)
+		if err != nil {
+			return err
+		}
+		if cl.token = strings.TrimSpace(string(data)); cl.token == "" {
+			return &TokenFileError{File: cl.tokenFile}
+		}
+	}
+	cl.http = &fasthttp.Client{
+		ReadTimeout:               apiTimeout,
+		WriteTimeout:              apiTimeout,
+		MaxIdemponentCallAttempts: 1,
+	}
+	if cl.caFile == "" {
+		return nil
+	}
+	data, err := os.ReadFile(cl.caFile)
+	if err != nil {
+		return err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return &CAFileError{File: cl.caFile}
+	}
+	cl.http.TLSConfig = &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		RootCAs:    pool,
+	}
+	return nil
+}
+
+// request makes one request; answer may be nil. It fails with a ProblemError
+// when the node did not carry it out.
+func (cl *client) request(method, path string, body, answer any) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
-	req.SetRequestURI(url)
+	req.SetRequestURI(cl.node + path)
+	if cl.token != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+cl.token)
+	}
 	if body != nil {
 		data, err := json.Marshal(body)
 		if err != nil {
-			return err
+			return errors.Wrap(err, "encode request")
 		}
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(data)
 	}
-	cl := fasthttp.Client{
-		ReadTimeout:               apiTimeout,
-		WriteTimeout:              apiTimeout,
-		MaxIdemponentCallAttempts: 1,
-	}
-	if err := cl.Do(req, resp); err != nil {
-		return err
+	if err := cl.http.Do(req, resp); err != nil {
+		return errors.Wrapf(err, "ask %s", cl.node)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		pe := &ProblemError{Status: resp.StatusCode()}
-		if err := json.Unmarshal(resp.Body(), &pe.Problem); err != nil {
-			pe.Problem.Detail = string(resp.Body())
-		}
-		return pe
+		return problemError(resp)
 	}
 	if answer == nil {
 		return nil
 	}
-	return json.Unmarshal(resp.Body(), answer)
+	return errors.Wrap(json.Unmarshal(resp.Body(), answer), "read answer")
+}
+
+func problemError(resp *fasthttp.Response) error {
+	pe := &ProblemError{Status: resp.StatusCode()}
+	if err := json.Unmarshal(resp.Body(), &pe.Problem); err != nil {
+		pe.Problem.Detail = string(resp.Body())
+	}
+	return pe
+}
+
+// exitOf chooses the exit code that fits an error.
+func exitOf(err error) subcommands.ExitStatus {
+	var pe *ProblemError
+	if !errors.As(err, &pe) {
+		return exitFailure
+	}
+	switch pe.Problem.Reason {
+	case operator.ReasonConflict:
+		return exitConflict
+	case operator.ReasonInDoubt:
+		return exitInDoubt
+	}
+	return exitRefused
+}
+
+// fail prints an error, as JSON when that is asked for, and returns its exit code.
+func (cl *client) fail(st streams, err error) subcommands.ExitStatus {
+	var pe *ProblemError
+	if cl.json && errors.As(err, &pe) {
+		printJSON(st.out, pe.Problem)
+		return exitOf(err)
+	}
+	_, _ = fmt.Fprintln(st.err, err)
+	if errors.As(err, &pe) {
+		printProblem(st.err, pe.Problem)
+	}
+	return exitOf(err)
 }
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,6 +22,8 @@
 	exitRefused  = subcommands.ExitStatus(3)
 	exitConflict = subcommands.ExitStatus(4)
 	exitInDoubt  = subcommands.ExitStatus(5)
+	// exitNotEverywhere says that a version is accepted and not yet in force on all hosts.
+	exitNotEverywhere = subcommands.ExitStatus(6)
 )
 
 // streams are where a command writes.
@@ -46,6 +48,8 @@
 	cd.Register(&checkCommand{streams: st}, "")
 	cd.Register(&applyCommand{streams: st}, "")
 	cd.Register(&statusCommand{streams: st}, "")
+	cd.Register(&explainCommand{streams: st}, "")
+	cd.Register(&tokenCommand{streams: st}, "")
 	cd.Register(&quickstartCommand{streams: st}, "")
 	cd.Register(&standinCommand{streams: st}, "")
 	if fs.Parse(args) != nil {
--- /dev/null
+++ b/cmd/cmd_test.go
@@ -0,0 +1,141 @@
+package cmd_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/cmd"
+	platformstandin "lynxfold/io/platform/standin"
+	upstreamstandin "lynxfold/io/upstream/standin"
+	"lynxfold/testkit"
+)
+
+// script runs the command lines of one data file against a mesh of its own.
+type script struct {
+	dir  string
+	mesh *testkit.Mesh
+}
+
+// TestCommands runs each data file's commands and compares what they print.
+func TestCommands(t *testing.T) {
+	datadriven.Walk(t, "testdata/commands", func(t *testing.T, path string) {
+		sc := &script{dir: t.TempDir()}
+		datadriven.RunTest(t, path, sc.run)
+	})
+}
+
+func (sc *script) run(t *testing.T, td *datadriven.TestData) string {
+	switch td.Cmd {
+	case "mesh":
+		sc.start(t)
+		return ""
+	case "file":
+		var name string
+		td.ScanArgs(t, "name", &name)
+		assert.NilError(t, os.WriteFile(filepath.Join(sc.dir, name), []byte(td.Input), 0o600))
+		return ""
+	case "platform":
+		sc.platform(t, td)
+		return ""
+	case "run":
+		out := sc.command(strings.Fields(td.Input))
+		if td.HasArg("quiet") {
+			out, _, _ = strings.Cut(out, "\n")
+		}
+		return out
+	}
+	t.Fatalf("unknown command %s", td.Cmd)
+	return ""
+}
+
+// start starts two hosts in two data centres and waits until they know each other.
+func (sc *script) start(t *testing.T) {
+	sc.mesh = testkit.StartMesh(t, testkit.MeshConfig{
+		Hosts: []testkit.HostSpec{
+			{
+				ID:         "press-hall-1",
+				DataCentre: "press-hall",
+				Upstream:   upstreamstandin.Config{Name: "a", Service: "lookup", Slots: 4},
+			},
+			{
+				ID:         "curing-room-1",
+				DataCentre: "curing-room",
+				Upstream:   upstreamstandin.Config{Name: "b", Service: "booking", Slots: 4},
+			},
+		},
+	})
+	for _, id := range []string{"press-hall-1", "curing-room-1"} {
+		testkit.Eventually(t, 20*time.Second, id+" knows both hosts", func() bool {
+			st := sc.mesh.Status(id)
+			return st != nil && len(st.DataCentres) == 2
+		})
+	}
+}
+
+func (sc *script) platform(t *testing.T, td *datadriven.TestData) {
+	var fa platformstandin.Faults
+	for _, ar := range td.CmdArgs {
+		switch ar.Key {
+		case "down":
+			fa.Down = true
+		case "loses":
+			fa.LoseReplies = 1
+		case "late":
+			fa.LateWrites, fa.LateByMS = 1, 1500
+		case "wait":
+			sc.mesh.Platform.WaitLate()
+		default:
+			t.Fatalf("unknown fault %s", ar.Key)
+		}
+	}
+	sc.mesh.Platform.SetFaults(fa)
+}
+
+// command runs one command line; $DIR is the folder of files, $NODE the first node.
+func (sc *script) command(args []string) string {
+	for i := range args {
+		args[i] = strings.ReplaceAll(args[i], "$DIR", sc.dir)
+		if sc.mesh != nil {
+			args[i] = strings.ReplaceAll(args[i], "$NODE", "http://"+sc.mesh.Hosts["press-hall-1"].Operator)
+		}
+	}
+	var out, err bytes.Buffer
+	status := cmd.Run(args, &out, &err)
+	return fmt.Sprintf("exit %d\n", status) + sc.mask(out.String()) + section("stderr", sc.mask(err.String()))
+}
+
+func section(name, text string) string {
+	if text == "" {
+		return ""
+	}
+	return name + ":\n" + text
+}
+
+// masks hide what differs between runs.
+var masks = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{pattern: regexp.MustCompile(`\d{4}-\d\d-\d\d[ T]\d\d:\d\d:\d\d(\.\d+)?Z?`), with: "TIME"},
+	{pattern: regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`), with: "SUBMISSION"},
+	{pattern: regexp.MustCompile(`127(\.\d+){3}:\d+`), with: "ADDRESS"},
+	{pattern: regexp.MustCompile(`\b[0-9a-f]{64}\b`), with: "DIGEST"},
+	{pattern: regexp.MustCompile(`(?m)^in force on \d+ of .*\n`), with: ""},
+}
+
+func (sc *script) mask(text string) string {
+	text = strings.ReplaceAll(text, sc.dir, "$DIR")
+	for _, ma := range masks {
+		text = ma.pattern.ReplaceAllString(text, ma.with)
+	}
+	return text
+}
--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -15,6 +15,7 @@
 	"lynxfold/core/wire"
 	"lynxfold/io/ini"
 	"lynxfold/io/node"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 )
 
@@ -38,6 +39,7 @@
 	log      zerolog.Logger
 	counters *controlCounters
 	health   health
+	record   *record.Record
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
@@ -55,6 +57,7 @@
 	di *node.Dialer,
 	vs *platform.Versions,
 	co *controlCounters,
+	re *record.Record,
 	log zerolog.Logger,
 ) *Control {
 	contacts := make([]string, 0, len(se.Link.Contacts))
@@ -65,6 +68,7 @@
 		versions: vs,
 		log:      log,
 		counters: co,
+		record:   re,
 		inbox:    make(chan datacentre.Event, inboxSize),
 		linkBox:  make(chan node.Event, inboxSize),
 		stop:     make(chan struct{}),
@@ -181,6 +185,7 @@
 
 func (ct *Control) note(no datacentre.Note) {
 	ct.counters.note(no)
+	recordNote(ct.record, no)
 	ev := ct.log.Info()
 	if no.Err != nil || no.Kind == datacentre.NoteInvariant {
 		ev = ct.log.Error().Err(no.Err)
--- a/cmd/process/operators.go
+++ b/cmd/process/operators.go
@@ -13,6 +13,7 @@
 	"lynxfold/core/datacentre"
 	"lynxfold/io/ini"
 	"lynxfold/io/operator"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 )
 
@@ -55,6 +56,33 @@
 	return operator.LoadKeyPair(se.Operator.CertFile, se.Operator.KeyFile)
 }
 
+// Bounds of a node's record of decisions.
+const (
+	keptControl = 2048
+	keptCalls   = 8192
+)
+
+func newRecord() *record.Record {
+	return record.New(record.Config{
+		Control: keptControl,
+		Calls:   keptCalls,
+	})
+}
+
+// recordNote keeps a decision of control for explanations.
+func recordNote(re *record.Record, no datacentre.Note) {
+	en := record.Entry{
+		At:      no.At,
+		Kind:    record.Kind(no.Kind),
+		Host:    no.Peer,
+		Version: no.Version,
+	}
+	if no.Err != nil {
+		en.Detail = no.Err.Error()
+	}
+	re.Control(en)
+}
+
 // operatorParts are what the operators' listener is built from.
 type operatorParts struct {
 	dig.In
@@ -63,6 +91,8 @@
 	Control  *Control
 	Versions *platform.Versions
 	Metrics  *metrics.Set
+	Record   *record.Record
+	Mesh     *mesh
 	KeyPair  *operator.KeyPair
 	Log      zerolog.Logger
 }
@@ -75,6 +105,8 @@
 		View:       ct.View,
 		Acceptor:   pa.Versions,
 		History:    pa.Versions,
+		Explainer:  pa.Record,
+		Mesh:       pa.Mesh,
 		Accepted: func(de *contract.Delta) {
 			ct.Emit(datacentre.Accepted{Delta: de})
 		},
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -129,7 +129,7 @@
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
 		newDialer, newPlatform, platform.NewVersions, newControl,
 		upstream.NewClient, newGate, upstream.NewListener,
-		node.NewLanes, newCaller, newKeyPair, newOperator, newListener,
+		node.NewLanes, newCaller, newRecord, newMesh, newKeyPair, newOperator, newListener,
 		newProcess,
 	} {
 		if err := co.Provide(constructor); err != nil {
@@ -235,10 +235,11 @@
 	})
 }
 
-func newListener(so *sockets, ct *Control, ga *upstream.Gate, co *controlCounters, log zerolog.Logger) *node.Listener {
+func newListener(so *sockets, ct *Control, ms *mesh, ga *upstream.Gate, co *controlCounters, log zerolog.Logger) *node.Listener {
 	return node.NewListener(so.link, node.ListenerConfig{
 		Control: ct.links.Accept,
 		Lane:    func(nc *node.Conn) { node.ServeLane(nc, ga) },
+		Survey:  func(nc *node.Conn) { node.ServeSurvey(nc, ms.answer()) },
 		Refused: func(err error) {
 			co.refusedConn()
 			log.Debug().Err(err).Msg("connection refused")
--- a/cmd/quickstart.go
+++ b/cmd/quickstart.go
@@ -176,7 +176,11 @@
 // ready has the demonstration's document accepted and waits until every node
 // can serve every route.
 func (de *demo) ready(ctx context.Context) error {
-	err := request("POST", "http://"+de.nodes[0].Addresses().Operator+"/api/config", operator.ConfigBody{
+	cl, err := clientOf(de.nodes[0])
+	if err != nil {
+		return err
+	}
+	err = cl.request("POST", "/api/config", operator.ConfigBody{
 		Document: []byte(demoDocument),
 	}, nil)
 	if err != nil {
@@ -194,6 +198,12 @@
 	return nil
 }
 
+// clientOf asks one of the demonstration's nodes.
+func clientOf(pr *process.Process) (*client, error) {
+	cl := &client{node: "http://" + pr.Addresses().Operator}
+	return cl, cl.open()
+}
+
 // NotReadyError reports a demonstration that did not become usable.
 type NotReadyError struct{}
 
@@ -202,7 +212,8 @@
 func (de *demo) serves() bool {
 	for _, pr := range de.nodes {
 		var st operator.Status
-		if request("GET", "http://"+pr.Addresses().Operator+"/api/status", nil, &st) != nil {
+		cl, err := clientOf(pr)
+		if err != nil || cl.request("GET", "/api/status", nil, &st) != nil {
 			return false
 		}
 		if st.Version == 0 || !allServed(st.Services) {
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -2,59 +2,163 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/google/subcommands"
 	"github.com/valyala/fasthttp"
 
+	"lynxfold/core/contract"
 	"lynxfold/io/operator"
 )
 
 // statusCommand shows what a node knows of the mesh.
 type statusCommand struct {
 	streams
-	node string
-	json bool
+	client
+	local bool
+	hosts bool
 }
 
 func (*statusCommand) Name() string     { return "status" }
-func (*statusCommand) Synopsis() string { return "show what a node knows of the mesh" }
+func (*statusCommand) Synopsis() string { return "show the data centres, hosts and versions in force" }
 
 func (*statusCommand) Usage() string {
-	return `lynxfold status --node URL [--json]
+	return `lynxfold status [flags]
 
-Shows the version in force on a node and the usable upstreams of each service.
+Asks a node what it knows of the mesh, and lets it ask every live host which
+version it has in force.
 
-Example:
-  lynxfold status --node http://127.0.0.1:7403
+Exit codes: 0 answered, 1 no node answers, 2 usage, 3 refused.
+
+Examples:
+  lynxfold status
+  lynxfold status --hosts
+  lynxfold status --local --node http://10.0.0.5:7403 --json
 
 `
 }
 
 func (co *statusCommand) SetFlags(fs *flag.FlagSet) {
-	fs.StringVar(&co.node, "node", "http://127.0.0.1:7403", "`URL` of a node's console")
-	fs.BoolVar(&co.json, "json", false, "print JSON")
+	co.flags(fs)
+	fs.BoolVar(&co.local, "local", false, "only what the node knows itself; no other host is asked")
+	fs.BoolVar(&co.hosts, "hosts", false, "list every host")
 }
 
-func (co *statusCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	var st operator.Status
-	if err := request(fasthttp.MethodGet, co.node+"/api/status", nil, &st); err != nil {
+func (co *statusCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() != 0 {
+		_, _ = fmt.Fprintln(co.err, "status: takes no arguments")
+		return exitUsage
+	}
+	if err := co.open(); err != nil {
 		_, _ = fmt.Fprintln(co.err, err)
 		return exitFailure
 	}
+	path := "/api/status?survey=yes"
+	if co.local {
+		path = "/api/status"
+	}
+	var st operator.Status
+	if err := co.request(fasthttp.MethodGet, path, nil, &st); err != nil {
+		return co.fail(co.streams, err)
+	}
 	if co.json {
-		en := json.NewEncoder(co.out)
-		en.SetIndent("", "  ")
-		if err := en.Encode(st); err != nil {
-			return exitFailure
-		}
+		printJSON(co.out, st)
 		return exitOK
 	}
-	_, _ = fmt.Fprintf(co.out, "host %s in %s: version %d in force\n", st.Host, st.DataCentre, st.Version)
+	co.print(st)
+	return exitOK
+}
+
+func (co *statusCommand) print(st operator.Status) {
+	_, _ = fmt.Fprintf(co.out, "host %s in %s has version %d in force", st.Host, st.DataCentre, st.Version)
+	if st.Surveyed {
+		_, _ = fmt.Fprintf(co.out, "; the oldest in force is %d", st.Oldest)
+	}
+	_, _ = fmt.Fprint(co.out, "\n\n")
+	rows := [][]string{{"DATA CENTRE", "HOSTS", "VERSIONS IN FORCE", "READERS", ""}}
+	for _, ce := range st.DataCentres {
+		rows = append(rows, centreRow(ce))
+	}
+	table(co.out, rows)
+	_, _ = fmt.Fprintln(co.out)
+	rows = [][]string{{"SERVICE", "USABLE UPSTREAMS"}}
 	for _, se := range st.Services {
-		_, _ = fmt.Fprintf(co.out, "  %-24s %d upstreams\n", se.Service, se.Upstreams)
+		rows = append(rows, []string{string(se.Service), strconv.Itoa(se.Upstreams)})
 	}
-	return exitOK
+	table(co.out, rows)
+	for _, re := range st.Refused {
+		_, _ = fmt.Fprintf(co.out, "\nversion %d was refused by host %s: %s\n", re.Version, st.Host, re.Detail)
+	}
+	if co.hosts {
+		co.printHosts(st)
+	}
+}
+
+// centreRow counts the hosts of a data centre by state and by version.
+func centreRow(ce operator.CentreStatus) []string {
+	states := map[operator.HostState]int{}
+	versions := map[contract.Version]int{}
+	silent := 0
+	for _, ho := range ce.Hosts {
+		states[ho.Status]++
+		switch {
+		case ho.Answered || ho.Version > 0:
+			versions[ho.Version]++
+		case ho.Status == operator.HostAlive:
+			silent++
+		}
+	}
+	var counts []string
+	for _, hs := range []operator.HostState{operator.HostAlive, operator.HostSuspect, operator.HostDead, operator.HostLeft} {
+		if states[hs] > 0 {
+			counts = append(counts, fmt.Sprintf("%d %s", states[hs], hs))
+		}
+	}
+	readers := make([]string, 0, len(ce.Readers))
+	for _, id := range ce.Readers {
+		readers = append(readers, string(id))
+	}
+	separated := ""
+	if ce.Separated {
+		separated = "separated"
+	}
+	return []string{
+		string(ce.DataCentre),
+		strings.Join(counts, ", "),
+		versionCounts(versions, silent),
+		strings.Join(readers, " "),
+		separated,
+	}
+}
+
+func versionCounts(versions map[contract.Version]int, silent int) string {
+	var parts []string
+	for _, ve := range sortedVersions(versions) {
+		parts = append(parts, fmt.Sprintf("%d on %d", ve, versions[ve]))
+	}
+	if silent > 0 {
+		parts = append(parts, fmt.Sprintf("unknown on %d", silent))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (co *statusCommand) printHosts(st operator.Status) {
+	rows := [][]string{{"HOST", "DATA CENTRE", "STATE", "VERSION", "REFUSED", "LINK ADDRESS"}}
+	for _, ce := range st.DataCentres {
+		for _, ho := range ce.Hosts {
+			ve, refused := "unknown", ""
+			if ho.Answered || ho.Version > 0 {
+				ve = strconv.FormatUint(uint64(ho.Version), 10)
+			}
+			if ho.Refused > 0 {
+				refused = strconv.FormatUint(uint64(ho.Refused), 10)
+			}
+			rows = append(rows, []string{string(ho.Host), string(ce.DataCentre), string(ho.Status), ve, refused, ho.Address})
+		}
+	}
+	_, _ = fmt.Fprintln(co.out)
+	table(co.out, rows)
 }
--- a/io/node/listener.go
+++ b/io/node/listener.go
@@ -30,6 +30,8 @@
 	Control func(co *Conn)
 	// Lane takes connections that carry calls.
 	Lane func(co *Conn)
+	// Survey takes connections that ask what this node has in force.
+	Survey func(co *Conn)
 	// Refused is told why a connection was refused.
 	Refused func(err error)
 }
@@ -103,6 +105,8 @@
 		ls.cfg.Lane(co)
 	case prefaceControl:
 		ls.cfg.Control(co)
+	case prefaceSurvey:
+		ls.cfg.Survey(co)
 	default:
 		ls.cfg.Refused(&PrefaceError{})
 	}
--- a/io/operator/api.go
+++ b/io/operator/api.go
@@ -10,9 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/core/contract"
-	"lynxfold/core/datacentre"
 	"lynxfold/core/draft"
-	"lynxfold/core/host"
 	"lynxfold/io/operator/access"
 	"lynxfold/io/platform"
 )
@@ -79,21 +77,6 @@
 	Changes    []string         `json:"changes"`
 }
 
-// Status is what a node knows of the mesh.
-type Status struct {
-	Host       host.ID          `json:"host"`
-	DataCentre datacentre.Name  `json:"data_centre"`
-	Version    contract.Version `json:"config_version"`
-	Digest     contract.Digest  `json:"config_digest"`
-	Services   []ServiceStatus  `json:"services"`
-}
-
-// ServiceStatus counts the usable upstreams of a service.
-type ServiceStatus struct {
-	Service   contract.ServiceName `json:"service"`
-	Upstreams int                  `json:"upstreams"`
-}
-
 func (sv *Server) getConfig(ctx *fasthttp.RequestCtx, _ access.Operator) {
 	writeConfig(ctx, sv.cfg.View().Config)
 }
@@ -333,28 +316,6 @@
 	writeJSON(ctx, fasthttp.StatusOK, HistoryBody{Versions: entries})
 }
 
-func (sv *Server) getStatus(ctx *fasthttp.RequestCtx, _ access.Operator) {
-	writeJSON(ctx, fasthttp.StatusOK, sv.status())
-}
-
-func (sv *Server) status() Status {
-	vi := sv.cfg.View()
-	st := Status{
-		Host:       sv.cfg.Host,
-		DataCentre: sv.cfg.DataCentre,
-		Version:    vi.Config.Version,
-		Digest:     vi.Config.Digest,
-		Services:   []ServiceStatus{},
-	}
-	for _, se := range vi.Config.Document.Services {
-		st.Services = append(st.Services, ServiceStatus{
-			Service:   se.Name,
-			Upstreams: len(vi.Upstreams[se.Name]),
-		})
-	}
-	return st
-}
-
 func (sv *Server) getMetrics(ctx *fasthttp.RequestCtx, _ access.Operator) {
 	ctx.SetContentType("text/plain; version=0.0.4")
 	sv.cfg.Metrics.WritePrometheus(ctx)
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -19,6 +19,7 @@
 	"lynxfold/core/datacentre"
 	"lynxfold/io/operator"
 	"lynxfold/io/operator/access"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 	"lynxfold/testkit"
 )
@@ -151,6 +152,8 @@
 		View:       st.View,
 		Acceptor:   st,
 		History:    st,
+		Explainer:  explained(),
+		Mesh:       fakeMesh{},
 		Accepted:   st.accepted,
 		Live:       func() []operator.HealthReason { return nil },
 		Ready:      func() []operator.HealthReason { return []operator.HealthReason{operator.HealthNoConfiguration} },
@@ -175,6 +178,18 @@
 	return co
 }
 
+// explained is a record with one decision of each sort.
+func explained() *record.Record {
+	re := record.New(record.Config{
+		Control: 4,
+		Calls:   4,
+	})
+	re.Control(record.Entry{At: begin, Kind: "version_in_force", Version: 1})
+	re.Control(record.Entry{At: begin, Kind: "host_dead", Host: "curing-room-1", Detail: "3 probes without an answer"})
+	re.Call(record.Entry{At: begin, Kind: record.KindAnswer, Call: "press-hall-1.1.1", Outcome: "ran"})
+	return re
+}
+
 // browser is the browser of an operator; by is its name.
 func (co *console) browser(by string) *testkit.Browser {
 	if co.browsers[by] == nil {
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -42,6 +43,8 @@
 	View       func() *datacentre.View
 	Acceptor   Acceptor
 	History    History
+	Explainer  Explainer
+	Mesh       Mesh
 	// Accepted is told of each accepted version.
 	Accepted func(de *contract.Delta)
 	// Live and Ready return why the node is not; empty when it is.
@@ -63,6 +66,8 @@
 	cfg   Config
 	guard *access.Guard
 	http  *fasthttp.Server
+	// surveys is held by the survey that runs.
+	surveys sync.Mutex
 }
 
 const (
@@ -106,6 +111,8 @@
 	ro.GET("/api/config/{version}", sv.api(access.RoleRead, sv.getVersion))
 	ro.GET("/api/history", sv.api(access.RoleRead, sv.getHistory))
 	ro.GET("/api/status", sv.api(access.RoleRead, sv.getStatus))
+	ro.GET("/api/explain", sv.api(access.RoleRead, sv.getLatest))
+	ro.GET("/api/explain/{subject}/{id}", sv.api(access.RoleRead, sv.getExplain))
 	ro.GET("/", func(ctx *fasthttp.RequestCtx) { redirect(ctx, pathConsole) })
 	ro.GET("/console/style.css", getStyle)
 	ro.GET(pathLogin, sv.getLogin)
