--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -132,7 +132,7 @@
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
 		newDialer, newPlatform, platform.NewVersions, newControl,
 		upstream.NewClient, newGate, upstream.NewListener,
-		node.NewLanes, newIncoming, newCaller, newKeyPair, newOperator, newListener,
+		node.NewLanes, newIncoming, newCaller, newRecord, newMesh, newKeyPair, newOperator, newListener,
 		newProcess,
 	} {
 		if err := co.Provide(constructor); err != nil {
@@ -255,10 +255,11 @@
 
 func newIncoming(ga *upstream.Gate) *node.Incoming { return node.NewIncoming(ga) }
 
-func newListener(so *sockets, ct *Control, ic *node.Incoming, co *controlCounters, log zerolog.Logger) *node.Listener {
+func newListener(so *sockets, ct *Control, ic *node.Incoming, ms *mesh, co *controlCounters, log zerolog.Logger) *node.Listener {
 	return node.NewListener(so.link, node.ListenerConfig{
 		Control: ct.links.Accept,
 		Lane:    ic.Serve,
+		Survey:  func(nc *node.Conn) { node.ServeSurvey(nc, ms.answer()) },
 		Refused: func(err error) {
 			co.refusedConn()
 			log.Debug().Err(err).Msg("connection refused")
