feat: keyed calls, executed against the platform's table

Cause: contracts could ask for keys, and nothing looked at them.

Change: a keyed call runs beside its exchange, so that its end is written even when its caller has gone; claims take two writes from the node's share of the fleet's budget (keyed_writes_per_second / fleet_size); answers up to 64 KB are kept with the row.

--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/core/call"
+	"lynxfold/core/call/keyed"
 	"lynxfold/core/host"
 	"lynxfold/io/upstream"
 )
@@ -58,6 +59,10 @@
 	switch {
 	case re.Reason == call.ReasonBodyTooLarge:
 		return fasthttp.StatusRequestEntityTooLarge
+	case re.Reason == keyed.ReasonKeyReused:
+		return fasthttp.StatusUnprocessableEntity
+	case re.Reason == keyed.ReasonInProgress:
+		return fasthttp.StatusConflict
 	case re.Reason == host.ReasonUpstreamTimeout || re.Reason == host.ReasonDeadline:
 		return fasthttp.StatusGatewayTimeout
 	case re.Outcome == call.OutcomeUnknown:
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -8,6 +8,7 @@
 
 	"lynxfold/core/call"
 	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/core/wire"
 	"lynxfold/io/upstream"
@@ -134,7 +135,7 @@
 // ask asks the attempt's gate what became of it.
 func (at *attempt) ask(ac call.Ask) call.Event {
 	ex := at.exchange
-	ve, err := ex.server.cfg.Remote.Ask(at.ctx, ac.Upstream.Address, &wire.Query{
+	ve, err := at.query(ac.Upstream, &wire.Query{
 		Attempt:     string(ac.Attempt),
 		Incarnation: uint64(ac.Upstream.Incarnation),
 		Wait:        true,
@@ -159,6 +160,24 @@
 	}
 }
 
+// HostUnknownError reports a host that is not in the view.
+type HostUnknownError struct {
+	Host host.ID
+}
+
+func (er *HostUnknownError) Error() string { return "host " + string(er.Host) + " is not known" }
+
+func (at *attempt) query(up datacentre.Upstream, qu *wire.Query) (*wire.Verdict, error) {
+	sv := at.exchange.server
+	switch {
+	case up.Host == sv.cfg.Host:
+		return sv.cfg.Local.Query(at.ctx, qu), nil
+	case up.Address == "":
+		return nil, &HostUnknownError{Host: up.Host}
+	}
+	return sv.cfg.Remote.Ask(at.ctx, up.Address, qu)
+}
+
 // drop releases a reply that nobody gets.
 func (at *attempt) drop() {
 	at.cancel()
--- a/io/caller/counters.go
+++ b/io/caller/counters.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"lynxfold/core/call"
+	"lynxfold/core/call/keyed"
 	"lynxfold/core/host"
 	"lynxfold/core/wire"
 )
@@ -69,3 +70,11 @@
 	}
 	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_queries_total{fate=%q}`, fate)).Inc()
 }
+
+func (co *Counters) wroteRow(state keyed.RowState, err error) {
+	end := "done"
+	if err != nil {
+		end = "failed"
+	}
+	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_keyed_writes_total{state=%q,end=%q}`, state, end)).Inc()
+}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -33,6 +33,7 @@
 // Gate is this host's own gate.
 type Gate interface {
 	Serve(ctx context.Context, rq *wire.Request, body io.ReadCloser) upstream.Reply
+	Query(ctx context.Context, qu *wire.Query) *wire.Verdict
 }
 
 // Remote reaches the gates of other hosts.
@@ -228,10 +229,13 @@
 	}
 }
 
-// callerGone ends the exchange; it is called once, by the watch.
+// callerGone ends the exchange; it is called once, by the watch. A keyed call
+// that was sent is seen through.
 func (ex *exchange) callerGone() {
 	close(ex.gone)
-	ex.cancel()
+	if !ex.target.Terms.Keyed {
+		ex.cancel()
+	}
 }
 
 func (ex *exchange) find(id host.AttemptID) *attempt {
--- /dev/null
+++ b/io/caller/keyed.go
@@ -0,0 +1,317 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
+
+	"lynxfold/core/call"
+	"lynxfold/core/call/keyed"
+	"lynxfold/core/host"
+	"lynxfold/core/wire"
+	"lynxfold/io/platform"
+	"lynxfold/io/upstream"
+)
+
+const (
+	// HeaderKey names a keyed call; its repeats carry the same one.
+	HeaderKey = "Idempotency-Key"
+	// HeaderReplayed is on an answer that was given before.
+	HeaderReplayed = "Lynxfold-Replayed"
+	// maxKeyBytes bounds a key, in bytes.
+	maxKeyBytes = 255
+	// maxKeptAnswer bounds the answers kept in the table, in bytes.
+	maxKeptAnswer = 64 << 10
+	// seeThrough is how long after its deadline a keyed call's end may be written.
+	seeThrough = 30 * time.Second
+)
+
+// Reasons for refusals of requests that can't be keyed calls.
+const (
+	ReasonKeyMissing       host.Reason = "key_missing"
+	ReasonKeyMalformed     host.Reason = "key_malformed"
+	ReasonKeyedBodyTooLong host.Reason = "keyed_body_too_long"
+)
+
+// Keys stores the rows of keyed calls.
+type Keys interface {
+	Read(ctx context.Context, ck platform.CallKey) (platform.KeyRecord, error)
+	Claim(ctx context.Context, re platform.KeyRecord) (platform.KeyRecord, error)
+	Finish(ctx context.Context, re platform.KeyRecord, answer []byte) (platform.KeyRecord, error)
+	GiveUp(ctx context.Context, re platform.KeyRecord) (platform.KeyRecord, error)
+}
+
+// keyedCall drives one keyed call. It may outlast its exchange, so that the end
+// of an attempt is written even when the caller has gone.
+type keyedCall struct {
+	exchange *exchange
+	// context bounds the operations on the table.
+	context context.Context
+	cancel  context.CancelFunc
+	call    *keyed.Call
+	key     platform.CallKey
+	// record is the row as last seen.
+	record   platform.KeyRecord
+	events   chan keyed.Event
+	ended    chan struct{}
+	answers  chan keyedAnswer
+	answered bool
+	// streams says that the caller still reads the answer from its attempt.
+	streams bool
+}
+
+// keyedAnswer is what the caller gets.
+type keyedAnswer struct {
+	answer call.Answer
+	reply  upstream.Reply
+	// replayed says that the answer was given before.
+	replayed bool
+}
+
+// checkKey refuses a request that can't be a keyed call; the status is 0 for
+// the rest.
+func (ex *exchange) checkKey() (int, host.Reason) {
+	key := ex.http.Request.Header.Peek(HeaderKey)
+	switch {
+	case len(key) == 0:
+		return fasthttp.StatusBadRequest, ReasonKeyMissing
+	case len(key) > maxKeyBytes:
+		return fasthttp.StatusBadRequest, ReasonKeyMalformed
+	case ex.body != nil:
+		return fasthttp.StatusRequestEntityTooLarge, ReasonKeyedBodyTooLong
+	}
+	return 0, ""
+}
+
+// runKeyed answers a request under a keyed contract.
+func (ex *exchange) runKeyed() {
+	if status, re := ex.checkKey(); status != 0 {
+		ex.server.refuseUnread(ex.http, status, re)
+		return
+	}
+	ex.server.active.Add(1)
+	ex.context, ex.cancel = context.WithDeadline(context.Background(), ex.deadline.Add(seeThrough))
+	ke := &keyedCall{
+		exchange: ex,
+		key:      ex.callKey(),
+		events:   make(chan keyed.Event),
+		ended:    make(chan struct{}),
+		answers:  make(chan keyedAnswer, 1),
+	}
+	ke.context, ke.cancel = context.WithDeadline(context.Background(), ex.deadline.Add(seeThrough))
+	ke.call = keyed.New(ke.config())
+	ex.server.watch.add(ex)
+	ex.server.keyed.Go(ke.run)
+	ka, ok := <-ke.answers
+	ex.server.watch.remove(ex)
+	if !ok {
+		ex.server.cfg.Counters.callerGone()
+		ka.answer.Result = call.Result{
+			Outcome: call.OutcomeUnknown,
+			Reason:  call.ReasonCallerGone,
+		}
+	}
+	ex.answerKeyed(ka)
+}
+
+// callKey is the caller's key within its service.
+func (ex *exchange) callKey() platform.CallKey {
+	key := string(ex.http.Request.Header.Peek(HeaderKey))
+	return platform.CallKey(string(ex.target.Route.Service) + "/" + key)
+}
+
+// digest identifies the request's content.
+func (ex *exchange) digest() keyed.Digest {
+	ha := sha256.New()
+	for _, part := range []string{ex.method, ex.uri} {
+		_, _ = ha.Write([]byte(part + "\n"))
+	}
+	_, _ = ha.Write(ex.inline)
+	return keyed.Digest(hex.EncodeToString(ha.Sum(nil)))
+}
+
+func (ke *keyedCall) config() keyed.Config {
+	ex := ke.exchange
+	cc := ex.config()
+	return keyed.Config{
+		Issuer:   cc.Issuer,
+		Number:   cc.Number,
+		Terms:    cc.Terms,
+		Digest:   ex.digest(),
+		Deadline: cc.Deadline,
+		Margin:   cc.Margin,
+		Estimate: cc.Estimate,
+		ComeBack: cc.ComeBack,
+		Chooser:  ex,
+		Budget:   ex,
+		Writes:   ex.server.writes,
+		Jitter:   cc.Jitter,
+	}
+}
+
+// run drives the call to its end, beside the exchange.
+func (ke *keyedCall) run() {
+	defer ke.end()
+	gone := ke.exchange.gone
+	var ev keyed.Event = call.Begin{}
+	for {
+		for _, ac := range ke.call.Step(ev, time.Now()) {
+			ke.execute(ac)
+		}
+		if ke.call.Done() {
+			break
+		}
+		ev = ke.await(gone)
+		if _, ok := ev.(call.CallerGone); ok {
+			gone = nil
+			ke.giveAnswer(nil)
+		}
+	}
+	ke.giveAnswer(nil)
+}
+
+// end releases what the call held, but for an answer that is still read.
+func (ke *keyedCall) end() {
+	close(ke.ended)
+	ke.cancel()
+	if !ke.streams {
+		ke.exchange.cancel()
+	}
+}
+
+// giveAnswer answers the exchange, once; nil means that there is no answer.
+func (ke *keyedCall) giveAnswer(ka *keyedAnswer) {
+	if ke.answered {
+		return
+	}
+	ke.answered = true
+	if ka != nil {
+		ke.streams = ka.reply.Body != nil
+		ke.answers <- *ka
+	}
+	close(ke.answers)
+}
+
+// await waits for the next event.
+func (ke *keyedCall) await(gone <-chan struct{}) keyed.Event {
+	var timer <-chan time.Time
+	if at := ke.call.WakeAt(); !at.IsZero() {
+		ti := time.NewTimer(time.Until(at))
+		defer ti.Stop()
+		timer = ti.C
+	}
+	select {
+	case ev := <-ke.events:
+		return ev
+	case <-timer:
+		return call.Tick{}
+	case <-gone:
+		return call.CallerGone{}
+	}
+}
+
+// beside runs an operation and brings its event.
+func (ke *keyedCall) beside(run func() keyed.Event) {
+	go func() {
+		ev := run()
+		select {
+		case ke.events <- ev:
+		case <-ke.ended:
+		}
+	}()
+}
+
+func (ke *keyedCall) execute(ac keyed.Action) {
+	ex := ke.exchange
+	switch ac := ac.(type) {
+	case call.Try:
+		at := ex.newAttempt(ac)
+		ex.server.cfg.Counters.tried(ac.Reason)
+		ke.beside(func() keyed.Event { return at.run() })
+	case call.Ask:
+		at := ex.find(ac.Attempt)
+		if at == nil {
+			at = ex.newAttempt(call.Try{
+				Attempt:  ac.Attempt,
+				Upstream: ac.Upstream,
+			})
+		}
+		ac.Upstream.Address = ex.addressOf(ac.Upstream.Host)
+		ke.beside(func() keyed.Event { return at.ask(ac) })
+	case call.Answer:
+		ka := keyedAnswer{answer: ac}
+		if at := ex.find(ac.Attempt); at != nil {
+			ka.reply = at.reply
+		}
+		ke.giveAnswer(&ka)
+	case keyed.AnswerFromRow:
+		ke.replay()
+	case keyed.ReadRow, keyed.CreateRow, keyed.UpdateRow:
+		ke.table(ac)
+	}
+}
+
+// addressOf finds the address of a host in the view; empty when it is not there.
+func (ex *exchange) addressOf(id host.ID) string {
+	for _, up := range ex.view.Upstreams[ex.target.Route.Service] {
+		if up.Host == id {
+			return up.Address
+		}
+	}
+	return ""
+}
+
+// replay answers with what the row holds.
+func (ke *keyedCall) replay() {
+	rs := &wire.Response{}
+	if err := proto.Unmarshal(ke.record.Answer, rs); err != nil {
+		ke.giveAnswer(&keyedAnswer{
+			answer: call.Answer{
+				Result: call.Result{
+					Outcome: call.OutcomeUnknown,
+					Reason:  call.ReasonAnswerLost,
+				},
+			},
+		})
+		return
+	}
+	ke.giveAnswer(&keyedAnswer{
+		answer: call.Answer{
+			Attempt: ke.record.Attempt,
+			Result: call.Result{
+				Outcome: call.OutcomeRan,
+				Status:  int(rs.GetStatus()),
+			},
+		},
+		reply:    upstream.Reply{Response: rs},
+		replayed: true,
+	})
+}
+
+// answerKeyed answers the caller.
+func (ex *exchange) answerKeyed(ka keyedAnswer) {
+	sv := ex.server
+	sv.cfg.Counters.answered(ka.answer, time.Since(ex.begun))
+	if ka.answer.Result.Outcome != call.OutcomeRan || ka.reply.Response == nil {
+		ex.refuse(ka.answer)
+		sv.active.Add(-1)
+		return
+	}
+	sv.succeeded(ex.target.Route.Service, ka.answer.Result)
+	if ka.reply.Body != nil {
+		ka.reply.Body = &finalBody{
+			ReadCloser: ka.reply.Body,
+			exchange:   ex,
+		}
+	} else {
+		sv.active.Add(-1)
+	}
+	respond(ex.http, ka.reply, ka.answer.Result)
+	if ka.replayed {
+		ex.http.Response.Header.Set(HeaderReplayed, "true")
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -37,9 +37,13 @@
 	MaxBodyBytes    int
 	MaxConnections  int
 	RetryPerSuccess float64
-	Rand            *rand.Rand
-	Log             zerolog.Logger
-	Counters        *Counters
+	// Keys stores the rows of keyed calls, KeyedWritesPerSecond is this node's
+	// share of the writes for them.
+	Keys                 Keys
+	KeyedWritesPerSecond float64
+	Rand                 *rand.Rand
+	Log                  zerolog.Logger
+	Counters             *Counters
 }
 
 const (
@@ -68,6 +72,9 @@
 	draining atomic.Bool
 	retries  *budgets
 	hedges   *budgets
+	writes   *writeBudget
+	// keyed are the keyed calls that may outlast their exchanges.
+	keyed sync.WaitGroup
 
 	mu      sync.Mutex // guards chooser and cfg.Rand
 	chooser *call.Chooser
@@ -76,8 +83,9 @@
 // New builds the callers' listener.
 func New(cfg Config) *Server {
 	sv := &Server{
-		cfg:   cfg,
-		watch: newWatch(),
+		cfg:    cfg,
+		watch:  newWatch(),
+		writes: newWriteBudget(cfg.KeyedWritesPerSecond),
 		chooser: call.NewChooser(call.ChooserConfig{
 			DataCentre: cfg.DataCentre,
 			Rand:       cfg.Rand,
@@ -128,7 +136,25 @@
 // when the context ends.
 func (sv *Server) Shutdown(ctx context.Context) error {
 	defer sv.watch.stop()
-	return sv.http.ShutdownWithContext(ctx)
+	if err := sv.http.ShutdownWithContext(ctx); err != nil {
+		return err
+	}
+	return sv.waitKeyed(ctx)
+}
+
+// waitKeyed waits until the ends of keyed calls are written.
+func (sv *Server) waitKeyed(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		sv.keyed.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // Active counts the calls that have no whole answer yet.
@@ -219,6 +245,10 @@
 		return
 	}
 	defer sv.inline.Add(int64(-len(ex.inline)))
+	if ta.Terms.Keyed {
+		ex.runKeyed()
+		return
+	}
 	sv.active.Add(1)
 	ex.run()
 }
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -37,6 +37,7 @@
     {"name": "hedged", "idempotent": true, "timeout_ms": 10000, "hedge_after_ms": 20},
     {"name": "short", "timeout_ms": 100},
     {"name": "book", "timeout_ms": 10000},
+    {"name": "certify", "timeout_ms": 10000, "keyed": true, "retries": 2},
     {"name": "scan", "timeout_ms": 20000, "class": "bulk"}
   ],
   "routes": [
@@ -44,6 +45,7 @@
     {"name": "hedged", "path_prefix": "/hedged", "service": "lookup", "contract": "hedged"},
     {"name": "short", "path_prefix": "/short", "service": "lookup", "contract": "short"},
     {"name": "bookings", "path_prefix": "/bookings", "service": "lookup", "contract": "book"},
+    {"name": "certificates", "path_prefix": "/certificates", "service": "lookup", "contract": "certify"},
     {"name": "scans", "path_prefix": "/scans", "service": "lookup", "contract": "scan"}
   ]
 }`
