--- /dev/null
+++ b/io/caller/bench_test.go
@@ -0,0 +1,417 @@
+package caller_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/call"
+	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
+	"lynxfold/io/caller"
+	"lynxfold/io/node"
+	"lynxfold/io/upstream"
+	"lynxfold/io/upstream/standin"
+)
+
+// The upstream of the benchmarks: its capacity is slots / work, in calls a second.
+const (
+	benchSlots    = 20
+	benchWork     = 4 * time.Millisecond
+	benchCapacity = int(benchSlots * time.Second / benchWork)
+	benchWorkers  = 120
+	benchRound    = time.Second
+	benchRounds   = 5
+)
+
+const benchDocument = `{
+  "services": [{"name": "lookup"}],
+  "contracts": [
+    {"name": "read", "idempotent": true, "timeout_ms": 5000, "retries": 2},
+    {"name": "soon", "idempotent": true, "timeout_ms": 100, "retries": 2}
+  ],
+  "routes": [
+    {"name": "results", "path_prefix": "/results", "service": "lookup", "contract": "read"},
+    {"name": "soon", "path_prefix": "/soon", "service": "lookup", "contract": "soon"}
+  ]
+}`
+
+// path is an ingress before upstreams on other hosts, over real lanes.
+type path struct {
+	ingress   string
+	upstreams []string
+	set       *metrics.Set
+}
+
+// startPath starts a path; with rotate each call sees one upstream, in turn.
+func startPath(b *testing.B, rotate bool, upstreams ...standin.Config) *path {
+	b.Helper()
+	pa := &path{set: metrics.NewSet()}
+	var all []datacentre.Upstream
+	for i, cfg := range upstreams {
+		cfg.Service = "lookup"
+		sv, err := standin.Start("127.0.0.1:0", cfg)
+		assert.NilError(b, err)
+		b.Cleanup(sv.Kill)
+		pa.upstreams = append(pa.upstreams, sv.Address())
+		all = append(all, startGate(b, i, sv.Address(), cfg.Slots))
+	}
+	pa.serve(b, all, rotate)
+	return pa
+}
+
+// startGate starts a gate and its lanes' listener before an upstream.
+func startGate(b *testing.B, i int, address string, slots int) datacentre.Upstream {
+	b.Helper()
+	ga := upstream.NewGate(upstream.GateConfig{
+		Core: host.Config{
+			Incarnation:  7,
+			QueuePerSlot: 2,
+			ComeBack:     time.Second,
+		},
+		LapseAfter: time.Hour,
+		Changed:    func(host.Announcement) {},
+		Client:     upstream.NewClient(),
+	})
+	ga.Announce(host.Announcement{
+		Service:     "lookup",
+		Address:     address,
+		Slots:       host.Slots(slots),
+		Connections: 120,
+	})
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	ln := node.NewListener(li, node.ListenerConfig{
+		Lane:    node.NewIncoming(ga).Serve,
+		Control: func(*node.Conn) {},
+		Refused: func(error) {},
+	})
+	go func() { _ = ln.Serve() }()
+	b.Cleanup(func() { _ = li.Close() })
+	return datacentre.Upstream{
+		Host:        host.ID(fmt.Sprintf("host-%d", i)),
+		Address:     li.Addr().String(),
+		Incarnation: 7,
+		Service:     "lookup",
+	}
+}
+
+func (pa *path) serve(b *testing.B, all []datacentre.Upstream, rotate bool) {
+	b.Helper()
+	doc, err := contract.ParseDocument([]byte(benchDocument))
+	assert.NilError(b, err)
+	sn, err := contract.Compile(1, doc)
+	assert.NilError(b, err)
+	views := []*datacentre.View{{
+		Config:    sn,
+		Upstreams: map[contract.ServiceName][]datacentre.Upstream{"lookup": all},
+	}}
+	if rotate {
+		views = nil
+		for i := range all {
+			views = append(views, &datacentre.View{
+				Config:    sn,
+				Upstreams: map[contract.ServiceName][]datacentre.Upstream{"lookup": all[i : i+1]},
+			})
+		}
+	}
+	var turn atomic.Int64
+	sv := caller.New(caller.Config{
+		Host:            "ingress",
+		Incarnation:     7,
+		View:            func() *datacentre.View { return views[int(turn.Add(1))%len(views)] },
+		Remote:          node.NewLanes(&node.Dialer{Timeout: time.Second}),
+		MaxHeaderBytes:  8 << 10,
+		MaxBodyBytes:    64 << 20,
+		MaxConnections:  4096,
+		RetryPerSuccess: 0.1,
+		Rand:            rand.New(rand.NewPCG(1, 2)),
+		Log:             zerolog.Nop(),
+		Counters:        caller.NewCounters(pa.set),
+	})
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	pa.ingress = li.Addr().String()
+	go func() { _ = sv.Serve(li) }()
+	b.Cleanup(func() { _ = li.Close() })
+}
+
+// load is what a round of calls showed.
+type load struct {
+	latency *hdrhistogram.Histogram
+	good    int64
+	all     int64
+	mallocs uint64
+	cpu     time.Duration
+}
+
+// drive makes calls at a steady rate for one round; a worker that is late skips
+// no call.
+func drive(address, uri string, rate, workers int) *load {
+	lo := &load{latency: hdrhistogram.New(1, 60_000_000, 3)}
+	cl := &fasthttp.HostClient{
+		Addr:                      address,
+		MaxConns:                  workers,
+		MaxIdemponentCallAttempts: 1,
+	}
+	defer cl.CloseIdleConnections()
+	per := time.Duration(workers) * time.Second / time.Duration(rate)
+	begin := time.Now()
+	mallocs, cpu := usage()
+	var mu sync.Mutex
+	var done sync.WaitGroup
+	for i := range workers {
+		done.Go(func() {
+			took, good := work(cl, uri, begin.Add(per*time.Duration(i)/time.Duration(workers)), begin.Add(benchRound), per)
+			mu.Lock()
+			defer mu.Unlock()
+			lo.good += good
+			lo.all += int64(len(took))
+			for _, us := range took {
+				_ = lo.latency.RecordValue(us)
+			}
+		})
+	}
+	done.Wait()
+	mallocs2, cpu2 := usage()
+	lo.mallocs = mallocs2 - mallocs
+	lo.cpu = cpu2 - cpu
+	return lo
+}
+
+// work makes one worker's calls; it returns their times, in microseconds.
+func work(cl *fasthttp.HostClient, uri string, next, end time.Time, per time.Duration) (took []int64, good int64) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + cl.Addr + uri)
+	req.Header.Set("Accept", "application/json")
+	req.Header.Set(standin.HeaderCall, "bench")
+	for ; next.Before(end); next = next.Add(per) {
+		time.Sleep(time.Until(next))
+		begin := time.Now()
+		err := cl.Do(req, resp)
+		took = append(took, max(1, time.Since(begin).Microseconds()))
+		if err == nil && resp.StatusCode() == fasthttp.StatusOK {
+			good++
+		}
+	}
+	return took, good
+}
+
+// usage is what the process has used so far: heap objects and processor time.
+func usage() (uint64, time.Duration) {
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	var ru syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &ru)
+	return ms.Mallocs, time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
+}
+
+// median returns the middle of some numbers.
+func median(of []float64) float64 {
+	for i := range of {
+		for j := i; j > 0 && of[j] < of[j-1]; j-- {
+			of[j], of[j-1] = of[j-1], of[j]
+		}
+	}
+	return of[len(of)/2]
+}
+
+// report compares paths in turns and reports medians over the rounds: what the
+// second adds to the first, and their ratio.
+func report(b *testing.B, direct, through func() *load) {
+	b.Helper()
+	for _, run := range []func() *load{direct, through} {
+		run() // connections are opened
+	}
+	quantiles := map[string]float64{"p50": 50, "p99": 99, "p99.9": 99.9}
+	added := map[string][]float64{}
+	ratio := map[string][]float64{}
+	var mallocs, cpu []float64
+	for range benchRounds {
+		a, c := direct(), through()
+		for name, qu := range quantiles {
+			before := float64(a.latency.ValueAtQuantile(qu))
+			after := float64(c.latency.ValueAtQuantile(qu))
+			added[name] = append(added[name], after-before)
+			ratio[name] = append(ratio[name], after/before)
+		}
+		mallocs = append(mallocs, float64(c.mallocs)/float64(c.all)-float64(a.mallocs)/float64(a.all))
+		cpu = append(cpu, float64(c.cpu.Microseconds())/float64(c.all)-float64(a.cpu.Microseconds())/float64(a.all))
+	}
+	for name := range quantiles {
+		b.ReportMetric(median(added[name]), "added-"+name+"-us")
+		b.ReportMetric(median(ratio[name]), "ratio-"+name)
+	}
+	b.ReportMetric(median(mallocs), "added-allocs/call")
+	b.ReportMetric(median(cpu), "added-cpu-us/call")
+	b.ReportMetric(0, "ns/op")
+}
+
+func benchUpstream() standin.Config {
+	return standin.Config{
+		Slots:      benchSlots,
+		Work:       benchWork,
+		ColdFactor: 1,
+	}
+}
+
+// BenchmarkAdded measures what the path adds to a direct call of the same upstream.
+func BenchmarkAdded(b *testing.B) {
+	for _, it := range []struct {
+		name string
+		rate int
+	}{
+		{name: "300 a second", rate: 300},
+		{name: "a tenth", rate: benchCapacity / 10},
+		{name: "half", rate: benchCapacity / 2},
+		{name: "nine tenths", rate: benchCapacity * 9 / 10},
+	} {
+		b.Run(it.name, func(b *testing.B) {
+			pa := startPath(b, false, benchUpstream())
+			for b.Loop() {
+				report(b,
+					func() *load { return drive(pa.upstreams[0], "/results/1", it.rate, min(it.rate/4, benchWorkers)) },
+					func() *load { return drive(pa.ingress, "/results/1", it.rate, min(it.rate/4, benchWorkers)) })
+			}
+		})
+	}
+}
+
+// BenchmarkOverload measures good answers within the deadline as a share of
+// what the upstream can do, straight and through the path.
+func BenchmarkOverload(b *testing.B) {
+	for _, times := range []float64{1.5, 3} {
+		b.Run(fmt.Sprintf("%g times", times), func(b *testing.B) {
+			pa := startPath(b, false, benchUpstream())
+			rate := int(times * float64(benchCapacity))
+			for b.Loop() {
+				var straight, through []float64
+				for range benchRounds {
+					straight = append(straight, float64(drive(pa.upstreams[0], "/soon/1", rate, 400).good)/float64(benchCapacity))
+					through = append(through, float64(drive(pa.ingress, "/soon/1", rate, 400).good)/float64(benchCapacity))
+				}
+				b.ReportMetric(median(straight), "direct-goodput")
+				b.ReportMetric(median(through), "goodput")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// BenchmarkOneSlow has one upstream of six answer ten times slower, and compares
+// the choice of upstream with taking them in turn.
+func BenchmarkOneSlow(b *testing.B) {
+	six := make([]standin.Config, 6)
+	for i := range six {
+		six[i] = benchUpstream()
+	}
+	six[5].Work *= 10
+	benchChoice(b, six)
+}
+
+// BenchmarkColdStart has one upstream of six start cold.
+func BenchmarkColdStart(b *testing.B) {
+	six := make([]standin.Config, 6)
+	for i := range six {
+		six[i] = benchUpstream()
+	}
+	six[5].ColdFor = time.Hour
+	six[5].ColdFactor = 5
+	benchChoice(b, six)
+}
+
+func benchChoice(b *testing.B, upstreams []standin.Config) {
+	b.Helper()
+	turn := startPath(b, true, upstreams...)
+	choice := startPath(b, false, upstreams...)
+	rate := benchCapacity
+	for b.Loop() {
+		report(b,
+			func() *load { return drive(turn.ingress, "/results/1", rate, benchWorkers) },
+			func() *load { return drive(choice.ingress, "/results/1", rate, benchWorkers) })
+	}
+}
+
+// BenchmarkAmplification has the lowest service fail wholly and counts the calls
+// that reach it for each call at the top, at two depths.
+func BenchmarkAmplification(b *testing.B) {
+	for _, depth := range []int{1, 5} {
+		b.Run(fmt.Sprintf("depth %d", depth), func(b *testing.B) {
+			var reached atomic.Int64
+			next := ""
+			for range depth {
+				next = startLayer(b, next, &reached)
+			}
+			for b.Loop() {
+				reached.Store(0)
+				lo := drive(next, "/results/1", 500, 50)
+				b.ReportMetric(float64(reached.Load())/float64(lo.all), "lowest-calls/call")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+// startLayer starts two upstreams that call the next layer, or fail when there
+// is none, and an ingress before them.
+func startLayer(b *testing.B, next string, reached *atomic.Int64) string {
+	b.Helper()
+	pa := &path{set: metrics.NewSet()}
+	var all []datacentre.Upstream
+	for i := range 2 {
+		li, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(b, err)
+		sv := &http.Server{Handler: layerHandler(next, reached)}
+		go func() { _ = sv.Serve(li) }()
+		b.Cleanup(func() { _ = sv.Close() })
+		all = append(all, startGate(b, i, li.Addr().String(), 100))
+	}
+	pa.serve(b, all, false)
+	return pa.ingress
+}
+
+func layerHandler(next string, reached *atomic.Int64) http.HandlerFunc {
+	cl := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		if next == "" {
+			reached.Add(1)
+			wr.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		down, err := http.NewRequestWithContext(rq.Context(), rq.Method, "http://"+next+rq.URL.Path, bytes.NewReader(nil))
+		if err != nil {
+			wr.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		down.Header.Set(call.HeaderAttempt, rq.Header.Get(call.HeaderAttempt))
+		down.Header.Set(upstream.HeaderDeadline, rq.Header.Get(upstream.HeaderDeadline))
+		rs, err := cl.Do(down)
+		if err != nil {
+			wr.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = rs.Body.Close() }()
+		wr.Header().Set(call.HeaderGaveUp, rs.Header.Get(call.HeaderGaveUp))
+		wr.WriteHeader(rs.StatusCode)
+		_, _ = io.Copy(wr, rs.Body)
+	}
+}
