perf: read a lane on only while its call takes long or wants its body

Cause: each call started a goroutine to read on (a system call that finds nothing, and a wake-up) and a timer of its own. One timer for each lane.

--- a/io/node/lanes_listen.go
+++ b/io/node/lanes_listen.go
@@ -66,6 +66,8 @@
 
 	mu      sync.Mutex
 	current *serving
+	// beat belongs to the goroutine that serves.
+	beat *beat
 	// gone says that nothing more is read from the lane.
 	gone bool
 	// body is the request body that was asked for and is still to come to its end.
@@ -77,10 +79,12 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	idempotent bool
+	// followed says that another goroutine reads the lane on.
+	followed bool
 }
 
-// lead reads frames until one opens a call. It then lets another goroutine
-// read on and serves the call itself, so that no call waits for a hand-over.
+// lead reads frames and serves the calls that they open. When a call takes
+// long, or its body is wanted, another goroutine takes over the reading.
 func (in *incoming) lead() {
 	for {
 		fr, err := in.lane.read()
@@ -95,20 +99,20 @@
 				in.lost()
 				return
 			}
-			in.done.Go(in.lead)
 			in.serve(se, ki.Request, body)
-			in.busy.Add(-1)
-			return
+			if in.followed(se) {
+				return
+			}
 		case *wire.Frame_Query:
 			se, _, ok := in.begin(nil)
 			if !ok {
 				in.lost()
 				return
 			}
-			in.done.Go(in.lead)
 			in.answer(se, ki.Query)
-			in.busy.Add(-1)
-			return
+			if in.followed(se) {
+				return
+			}
 		case *wire.Frame_Body:
 			in.feed(ki.Body)
 		case *wire.Frame_Cancel:
@@ -117,6 +121,27 @@
 	}
 }
 
+// follow starts another reader while a call is served; it is false when there
+// is one, or the call has ended.
+func (in *incoming) follow(se *serving) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.current != se || se.followed {
+		return false
+	}
+	se.followed = true
+	in.done.Go(in.lead)
+	return true
+}
+
+// followed ends a call; it tells whether another goroutine reads on.
+func (in *incoming) followed(se *serving) bool {
+	in.busy.Add(-1)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return se.followed
+}
+
 // begin makes a call the lane's current one; it fails when there is one already.
 func (in *incoming) begin(rq *wire.Request) (*serving, io.ReadCloser, bool) {
 	in.mu.Lock()
@@ -134,13 +159,15 @@
 	if rq.GetLength() == int64(len(rq.GetBody())) {
 		return in.current, nil, true
 	}
+	se := in.current
 	var fb *frameBody
-	fb = newFrameBody(func() { in.demand(fb) })
-	return in.current, fb, true
+	fb = newFrameBody(func() { in.demand(se, fb) })
+	return se, fb, true
 }
 
 // demand asks the ingress for a request body.
-func (in *incoming) demand(fb *frameBody) {
+func (in *incoming) demand(se *serving, fb *frameBody) {
+	in.follow(se)
 	in.mu.Lock()
 	gone := in.gone
 	if !gone {
@@ -203,7 +230,7 @@
 func (in *incoming) serve(se *serving, rq *wire.Request, body io.ReadCloser) {
 	defer se.cancel()
 	in.boundWrites(rq.GetRemainingUs())
-	be := in.startBeat()
+	be := in.startBeat(se)
 	re := in.gate.Serve(se.ctx, rq, body)
 	if body != nil {
 		_ = body.Close()
@@ -261,7 +288,7 @@
 func (in *incoming) answer(se *serving, qu *wire.Query) {
 	defer se.cancel()
 	in.boundWrites(qu.GetRemainingUs())
-	be := in.startBeat()
+	be := in.startBeat(se)
 	ctx, cancel := context.WithTimeout(se.ctx, time.Duration(qu.GetRemainingUs())*time.Microsecond)
 	defer cancel()
 	ve := in.gate.Query(ctx, qu)
@@ -298,30 +325,45 @@
 	}
 }
 
-// beat sends signs of life on a lane while its call runs.
+// beat sends signs of life on a lane while a call runs, and has the lane read
+// on when the call takes long.
 type beat struct {
-	lane *lane
-	mu   sync.Mutex
-	over bool
-	ti   *time.Timer
+	incoming *incoming
+	ti       *time.Timer
+	mu       sync.Mutex
+	// serving is nil while no call runs.
+	serving *serving
 }
 
-func (in *incoming) startBeat() *beat {
-	be := &beat{lane: in.lane}
+func (in *incoming) startBeat(se *serving) *beat {
+	if in.beat == nil {
+		in.beat = &beat{incoming: in}
+	}
+	be := in.beat
 	be.mu.Lock()
 	defer be.mu.Unlock()
-	be.ti = time.AfterFunc(beatEvery, be.fire)
+	be.serving = se
+	if be.ti == nil {
+		be.ti = time.AfterFunc(followAfter, be.fire)
+		return be
+	}
+	be.ti.Reset(followAfter)
 	return be
 }
 
+// fire may come late, in the next call's time; then it is an early sign of that one.
 func (be *beat) fire() {
 	be.mu.Lock()
 	defer be.mu.Unlock()
-	if be.over {
+	if be.serving == nil {
+		return
+	}
+	if be.incoming.follow(be.serving) {
+		be.ti.Reset(beatEvery)
 		return
 	}
 	// A frame without a kind is a sign of life.
-	if err := be.lane.write(&wire.Frame{}); err == nil {
+	if err := be.incoming.lane.write(&wire.Frame{}); err == nil {
 		be.ti.Reset(beatEvery)
 	}
 }
@@ -330,6 +372,6 @@
 func (be *beat) stop() {
 	be.ti.Stop()
 	be.mu.Lock()
-	be.over = true
+	be.serving = nil
 	be.mu.Unlock()
 }
