feat: explain a call by the id that every answer carries

Cause: the record held only control's decisions, and a caller could not name its call.

Change: the callers' path keeps which upstream was chosen among how many, how each attempt ended and what the caller was told; Lynxfold-Call names the call. Small edits to io/caller: three calls, one header, one setting.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -23,6 +24,8 @@
 type script struct {
 	dir  string
 	mesh *testkit.Mesh
+	// lastCall is the id of the latest call.
+	lastCall string
 }
 
 // TestCommands runs each data file's commands and compares what they print.
@@ -46,6 +49,8 @@
 	case "platform":
 		sc.platform(t, td)
 		return ""
+	case "call":
+		return sc.call(t, strings.TrimSpace(td.Input))
 	case "run":
 		out := sc.command(strings.Fields(td.Input))
 		if td.HasArg("quiet") {
@@ -100,10 +105,21 @@
 	sc.mesh.Platform.SetFaults(fa)
 }
 
+// call makes a call through the first node and keeps its id as $CALL.
+func (sc *script) call(t *testing.T, path string) string {
+	resp, err := http.Get("http://" + sc.mesh.Hosts["press-hall-1"].Caller + path)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	sc.lastCall = resp.Header.Get("Lynxfold-Call")
+	assert.Assert(t, sc.lastCall != "")
+	return fmt.Sprintf("%d %s %s\n", resp.StatusCode, resp.Header.Get("Lynxfold-Outcome"), resp.Header.Get("Lynxfold-Reason"))
+}
+
 // command runs one command line; $DIR is the folder of files, $NODE the first node.
 func (sc *script) command(args []string) string {
 	for i := range args {
 		args[i] = strings.ReplaceAll(args[i], "$DIR", sc.dir)
+		args[i] = strings.ReplaceAll(args[i], "$CALL", sc.lastCall)
 		if sc.mesh != nil {
 			args[i] = strings.ReplaceAll(args[i], "$NODE", "http://"+sc.mesh.Hosts["press-hall-1"].Operator)
 		}
@@ -128,6 +144,7 @@
 	{pattern: regexp.MustCompile(`\d{4}-\d\d-\d\d[ T]\d\d:\d\d:\d\d(\.\d+)?Z?`), with: "TIME"},
 	{pattern: regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`), with: "SUBMISSION"},
 	{pattern: regexp.MustCompile(`127(\.\d+){3}:\d+`), with: "ADDRESS"},
+	{pattern: regexp.MustCompile(`-1\.\d{15,}\.\d+`), with: "-1.INCARNATION.N"},
 	{pattern: regexp.MustCompile(`\b[0-9a-f]{64}\b`), with: "DIGEST"},
 	{pattern: regexp.MustCompile(`(?m)^in force on \d+ of .*\n`), with: ""},
 }
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -20,6 +20,7 @@
 	"lynxfold/io/ini"
 	"lynxfold/io/node"
 	"lynxfold/io/operator"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 	"lynxfold/io/upstream"
 )
@@ -226,6 +227,7 @@
 	ga *upstream.Gate,
 	la *node.Lanes,
 	set *metrics.Set,
+	re *record.Record,
 	log zerolog.Logger,
 ) *caller.Server {
 	return caller.New(caller.Config{
@@ -242,6 +244,7 @@
 		Rand:            id.rand(),
 		Log:             log,
 		Counters:        caller.NewCounters(set),
+		Record:          re,
 	})
 }
 
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -55,6 +55,7 @@
 		Bulk:         at.exchange.target.Terms.Class == contract.ClassBulk,
 	}
 	at.exchange.server.attemptEnded(at.try.Upstream, ob, now)
+	at.recordEnd(re)
 	if at.reply.Lost {
 		at.exchange.server.cfg.Counters.lost()
 		return call.LinkLost{Attempt: at.try.Attempt}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -13,6 +13,7 @@
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/core/wire"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/upstream"
 )
 
@@ -49,6 +50,7 @@
 	view    *datacentre.View
 	target  *contract.Target
 	number  uint64
+	name    record.CallID
 	begun   time.Time
 	method  string
 	uri     string
@@ -160,6 +162,7 @@
 		case call.Try:
 			at := ex.newAttempt(ac)
 			ex.server.cfg.Counters.tried(ac.Reason)
+			ex.recordTry(ac)
 			if len(acts) == 1 && ex.beside == 0 && ex.alone() {
 				return nil, ex.checkGone(at.run())
 			}
@@ -244,6 +247,7 @@
 
 // answer answers the caller and releases everything else.
 func (ex *exchange) answer(an call.Answer) {
+	defer ex.recordAnswer(an)
 	sv := ex.server
 	winner := ex.find(an.Attempt)
 	ex.release(winner)
--- /dev/null
+++ b/io/caller/record.go
@@ -0,0 +1,86 @@
+package caller
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"lynxfold/core/call"
+	"lynxfold/io/operator/record"
+)
+
+// HeaderCall is on every answer to a call that took a route; lynxfold explain
+// call takes its value.
+const HeaderCall = "Lynxfold-Call"
+
+// Recorder keeps decisions about calls, so that operators can ask why.
+type Recorder interface {
+	Call(en record.Entry)
+}
+
+// id names the call; the ids of its attempts begin with it.
+func (ex *exchange) id() record.CallID {
+	cfg := &ex.server.cfg
+	buf := make([]byte, 0, len(cfg.Host)+48)
+	buf = append(buf, cfg.Host...)
+	buf = append(buf, '.')
+	buf = strconv.AppendUint(buf, uint64(cfg.Incarnation), 10)
+	buf = append(buf, '.')
+	buf = strconv.AppendUint(buf, ex.number, 10)
+	return record.CallID(buf)
+}
+
+// entry begins an entry about the call.
+func (ex *exchange) entry(ki record.Kind) record.Entry {
+	return record.Entry{
+		At:      time.Now(),
+		Kind:    ki,
+		Call:    ex.name,
+		Route:   ex.target.Route.Name,
+		Service: ex.target.Route.Service,
+	}
+}
+
+// recordTry keeps which upstream was chosen, among how many, and why again.
+func (ex *exchange) recordTry(tr call.Try) {
+	if ex.server.cfg.Record == nil {
+		return
+	}
+	en := ex.entry(record.KindAttempt)
+	en.Attempt = tr.Attempt
+	en.Host = tr.Upstream.Host
+	en.DataCentre = string(tr.Upstream.DataCentre)
+	en.Reason = string(tr.Reason)
+	en.Detail = fmt.Sprintf("chosen by load and latency among %d usable upstreams", len(ex.view.Upstreams[tr.Upstream.Service]))
+	ex.server.cfg.Record.Call(en)
+}
+
+// recordEnd keeps how an attempt ended.
+func (at *attempt) recordEnd(re call.Result) {
+	ex := at.exchange
+	if ex.server.cfg.Record == nil {
+		return
+	}
+	en := ex.entry(record.KindAttemptEnded)
+	en.Attempt = at.try.Attempt
+	en.Host = at.try.Upstream.Host
+	en.Outcome = string(re.Outcome)
+	en.Reason = string(re.Reason)
+	ex.server.cfg.Record.Call(en)
+}
+
+// recordAnswer keeps what the caller was told, and why no further attempt was made.
+func (ex *exchange) recordAnswer(an call.Answer) {
+	ex.http.Response.Header.Set(HeaderCall, string(ex.name))
+	if ex.server.cfg.Record == nil {
+		return
+	}
+	en := ex.entry(record.KindAnswer)
+	en.Attempt = an.Attempt
+	en.Outcome = string(an.Result.Outcome)
+	en.Reason = string(an.Result.Reason)
+	if an.Retry != "" && an.Retry != call.NoRetryFinal {
+		en.Detail = "no further attempt: " + string(an.Retry)
+	}
+	ex.server.cfg.Record.Call(en)
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -39,6 +39,8 @@
 	Rand            *rand.Rand
 	Log             zerolog.Logger
 	Counters        *Counters
+	// Record keeps decisions for explanations; none are kept when it is nil.
+	Record Recorder
 }
 
 const (
@@ -197,6 +199,7 @@
 		deadline: deadlineOf(ctx, ta, now),
 		gone:     make(chan struct{}),
 	}
+	ex.name = ex.id()
 	_ = co.SetReadDeadline(ex.deadline)
 	_ = co.SetWriteDeadline(ex.deadline.Add(answerWithin))
 	if !ex.readBody() {
