--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"lynxfold/core/wire"
 	"lynxfold/io/ini"
 	"lynxfold/io/node"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 )
 
@@ -36,6 +38,8 @@
 	versions *platform.Versions
 	log      zerolog.Logger
 	counters *controlCounters
+	health   health
+	record   *record.Record
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
@@ -53,6 +57,7 @@
 	di *node.Dialer,
 	vs *platform.Versions,
 	co *controlCounters,
+	re *record.Record,
 	log zerolog.Logger,
 ) *Control {
 	contacts := make([]string, 0, len(se.Link.Contacts))
@@ -63,6 +68,7 @@
 		versions: vs,
 		log:      log,
 		counters: co,
+		record:   re,
 		inbox:    make(chan datacentre.Event, inboxSize),
 		linkBox:  make(chan node.Event, inboxSize),
 		stop:     make(chan struct{}),
@@ -129,6 +135,7 @@
 				ct.step(me, now)
 			}
 		case now := <-ti.C:
+			ct.health.beaten(now)
 			ct.links.Tick(now)
 			ct.step(datacentre.Tick{}, now)
 		case <-ct.stop:
@@ -164,7 +171,7 @@
 
 // read reads the platform beside the control goroutine; one read runs at a time.
 func (ct *Control) read(ac datacentre.ReadPlatform) {
-	deltas, whole, known, err := ct.versions.Since(ac.After, ct.known)
+	deltas, whole, known, err := ct.versions.Since(context.Background(), ac.After, ct.known)
 	if err == nil {
 		ct.known = known
 	}
@@ -178,6 +185,7 @@
 
 func (ct *Control) note(no datacentre.Note) {
 	ct.counters.note(no)
+	recordNote(ct.record, no)
 	ev := ct.log.Info()
 	if no.Err != nil || no.Kind == datacentre.NoteInvariant {
 		ev = ct.log.Error().Err(no.Err)
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -14,13 +14,12 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
-	"lynxfold/core/contract"
-	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/io/caller"
 	"lynxfold/io/ini"
 	"lynxfold/io/node"
 	"lynxfold/io/operator"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 	"lynxfold/io/upstream"
 )
@@ -103,12 +102,17 @@
 	gate     *upstream.Gate
 	client   *upstream.Client
 	lanes    *node.Lanes
+	incoming *node.Incoming
 	caller   *caller.Server
 	operator *operator.Server
+	keyPair  *operator.KeyPair
 	announce *upstream.Listener
 	listener *node.Listener
 	log      zerolog.Logger
 	done     sync.WaitGroup
+	// aborted ends the wait for calls in flight.
+	aborted context.Context
+	abort   context.CancelFunc
 }
 
 // New opens a node's sockets and wires it; Run starts it.
@@ -127,9 +131,9 @@
 		func() *sockets { return so },
 		func() zerolog.Logger { return log },
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
-		newDialer, newPlatform, platform.NewVersions, newControl,
+		newDialer, newPlatform, platform.NewVersions, platform.NewKeys, newControl,
 		upstream.NewClient, newGate, upstream.NewListener,
-		node.NewLanes, newCaller, newOperator, newListener,
+		node.NewLanes, newIncoming, newCaller, newRecord, newMesh, newKeyPair, newOperator, newListener,
 		newProcess,
 	} {
 		if err := co.Provide(constructor); err != nil {
@@ -155,23 +159,30 @@
 	Gate     *upstream.Gate
 	Client   *upstream.Client
 	Lanes    *node.Lanes
+	Incoming *node.Incoming
 	Caller   *caller.Server
 	Operator *operator.Server
+	KeyPair  *operator.KeyPair
 	Announce *upstream.Listener
 	Listener *node.Listener
 	Log      zerolog.Logger
 }
 
 func newProcess(pa parts) *Process {
+	aborted, abort := context.WithCancel(context.Background())
 	return &Process{
+		aborted:  aborted,
+		abort:    abort,
 		settings: pa.Settings,
 		sockets:  pa.Sockets,
 		control:  pa.Control,
 		gate:     pa.Gate,
 		client:   pa.Client,
 		lanes:    pa.Lanes,
+		incoming: pa.Incoming,
 		caller:   pa.Caller,
 		operator: pa.Operator,
+		keyPair:  pa.KeyPair,
 		announce: pa.Announce,
 		listener: pa.Listener,
 		log:      pa.Log,
@@ -194,12 +205,22 @@
 // comeBack is when a refused caller is told to come back.
 const comeBack = time.Second
 
+const (
+	// drainGrace is how long a draining gate lets in attempts of nodes that have
+	// not heard of it yet.
+	drainGrace = 1500 * time.Millisecond
+	// announceLag bounds the age of what an announcement says.
+	announceLag = time.Second
+)
+
 func newGate(se *ini.Settings, id identity, ct *Control, cl *upstream.Client) *upstream.Gate {
 	return upstream.NewGate(upstream.GateConfig{
 		Core: host.Config{
 			Incarnation:  id.incarnation,
 			QueuePerSlot: se.Upstream.QueuePerSlot,
 			ComeBack:     comeBack,
+			DrainGrace:   drainGrace,
+			AnnounceLag:  announceLag,
 		},
 		LapseAfter: se.Upstream.LapseAfter,
 		Changed:    ct.upstreamChanged,
@@ -213,43 +234,38 @@
 	ct *Control,
 	ga *upstream.Gate,
 	la *node.Lanes,
+	ks *platform.Keys,
 	set *metrics.Set,
+	re *record.Record,
 	log zerolog.Logger,
 ) *caller.Server {
 	return caller.New(caller.Config{
-		Host:            se.Host.ID,
-		Incarnation:     id.incarnation,
-		DataCentre:      se.Host.DataCentre,
-		View:            ct.View,
-		Local:           ga,
-		Remote:          la,
-		MaxHeaderBytes:  se.Caller.MaxHeaderBytes,
-		MaxBodyBytes:    se.Caller.MaxBodyBytes,
-		MaxConnections:  se.Caller.MaxConnections,
-		RetryPerSuccess: se.Caller.RetryPerSuccess,
-		Rand:            id.rand(),
-		Log:             log,
-		Counters:        caller.NewCounters(set),
+		Host:                 se.Host.ID,
+		Incarnation:          id.incarnation,
+		DataCentre:           se.Host.DataCentre,
+		View:                 ct.View,
+		Local:                ga,
+		Remote:               la,
+		MaxHeaderBytes:       se.Caller.MaxHeaderBytes,
+		MaxBodyBytes:         se.Caller.MaxBodyBytes,
+		MaxConnections:       se.Caller.MaxConnections,
+		RetryPerSuccess:      se.Caller.RetryPerSuccess,
+		Keys:                 ks,
+		KeyedWritesPerSecond: se.Platform.KeyedWritesPerSecond / float64(se.Mesh.FleetSize),
+		Rand:                 id.rand(),
+		Log:                  log,
+		Counters:             caller.NewCounters(set),
+		Record:               re,
 	})
 }
 
-func newOperator(se *ini.Settings, ct *Control, vs *platform.Versions, set *metrics.Set) *operator.Server {
-	return operator.New(operator.Config{
-		Host:       se.Host.ID,
-		DataCentre: se.Host.DataCentre,
-		View:       ct.View,
-		Acceptor:   vs,
-		Accepted: func(de *contract.Delta) {
-			ct.Emit(datacentre.Accepted{Delta: de})
-		},
-		Metrics: set,
-	})
-}
+func newIncoming(ga *upstream.Gate) *node.Incoming { return node.NewIncoming(ga) }
 
-func newListener(so *sockets, ct *Control, ga *upstream.Gate, co *controlCounters, log zerolog.Logger) *node.Listener {
+func newListener(so *sockets, ct *Control, ic *node.Incoming, ms *mesh, co *controlCounters, log zerolog.Logger) *node.Listener {
 	return node.NewListener(so.link, node.ListenerConfig{
 		Control: ct.links.Accept,
-		Lane:    func(nc *node.Conn) { node.ServeLane(nc, ga) },
+		Lane:    ic.Serve,
+		Survey:  func(nc *node.Conn) { node.ServeSurvey(nc, ms.answer()) },
 		Refused: func(err error) {
 			co.refusedConn()
 			log.Debug().Err(err).Msg("connection refused")
@@ -283,10 +299,12 @@
 	pr.start("upstream", func() error { return pr.announce.Serve(pr.sockets.upstream) })
 	pr.start("caller", func() error { return pr.caller.Serve(pr.sockets.caller) })
 	pr.start("operator", func() error { return pr.operator.Serve(pr.sockets.operator) })
-	pr.start("tick", func() error { pr.tickGate(ctx); return nil })
+	ticking, stopTicking := context.WithCancel(context.Background())
+	defer stopTicking()
+	pr.start("tick", func() error { pr.tickGate(ticking); return nil })
 	pr.log.Info().Interface("addresses", pr.Addresses()).Msg("node started")
 	<-ctx.Done()
-	pr.drain()
+	pr.drain(stopTicking)
 }
 
 func (pr *Process) start(step string, run func() error) {
@@ -309,41 +327,3 @@
 		}
 	}
 }
-
-func (pr *Process) drain() {
-	pr.log.Info().Msg("node drains")
-	ctx, cancel := context.WithTimeout(context.Background(), pr.settings.Caller.DrainWithin)
-	defer cancel()
-	pr.control.Emit(datacentre.Leave{})
-	pr.gate.Drain()
-	pr.stop("caller", pr.caller.Shutdown)
-	pr.waitGate(ctx)
-	pr.stop("upstream", pr.announce.Shutdown)
-	pr.stop("operator", pr.operator.Shutdown)
-	pr.lanes.Close()
-	pr.control.links.Close()
-	pr.listener.Close()
-	pr.control.end()
-	pr.client.Close()
-	pr.done.Wait()
-	pr.log.Info().Int("cut", pr.gate.Running()).Msg("node ended")
-}
-
-func (pr *Process) stop(step string, shutdown func() error) {
-	if err := shutdown(); err != nil {
-		pr.log.Warn().Err(err).Str("step", step).Msg("step did not end cleanly")
-	}
-}
-
-// waitGate waits until the upstream runs nothing more.
-func (pr *Process) waitGate(ctx context.Context) {
-	ti := time.NewTicker(tickEvery / 10)
-	defer ti.Stop()
-	for pr.gate.Running() > 0 {
-		select {
-		case <-ti.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
--- a/core/contract/validate.go
+++ b/core/contract/validate.go
@@ -22,10 +22,10 @@
 
 // checker collects the faults of one document, or of the items that a change put.
 type checker struct {
-	doc         *Document
-	hasService  func(name ServiceName) bool
-	hasContract func(name TermsName) bool
-	route       func(name RouteName) (Route, bool)
+	doc        *Document
+	hasService func(name ServiceName) bool
+	terms      func(name TermsName) (Terms, bool)
+	route      func(name RouteName) (Route, bool)
 	// count is how many routes a chain of fallbacks can have at most.
 	count  int
 	fields []FieldError
@@ -37,11 +37,11 @@
 	contracts := byName(doc.Contracts, termsKey)
 	routes := byName(doc.Routes, routeKey)
 	ch := &checker{
-		doc:         doc,
-		count:       len(doc.Routes),
-		hasService:  func(name ServiceName) bool { _, ok := services[string(name)]; return ok },
-		hasContract: func(name TermsName) bool { _, ok := contracts[string(name)]; return ok },
-		route:       func(name RouteName) (Route, bool) { ro, ok := routes[string(name)]; return ro, ok },
+		doc:        doc,
+		count:      len(doc.Routes),
+		hasService: func(name ServiceName) bool { _, ok := services[string(name)]; return ok },
+		terms:      func(name TermsName) (Terms, bool) { te, ok := contracts[string(name)]; return te, ok },
+		route:      func(name RouteName) (Route, bool) { ro, ok := routes[string(name)]; return ro, ok },
 	}
 	ch.checkSizes()
 	ch.checkServices()
@@ -146,7 +146,7 @@
 	if !ch.hasService(ro.Service) {
 		ch.add(path+".service", FaultUnknownService, "%q is not a service of this document", ro.Service)
 	}
-	if !ch.hasContract(ro.Contract) {
+	if _, ok := ch.terms(ro.Contract); !ok {
 		ch.add(path+".contract", FaultUnknownContract, "%q is not a contract of this document", ro.Contract)
 	}
 }
@@ -164,9 +164,24 @@
 		if ch.cyclic(ro) {
 			ch.add(path, FaultCyclicFallback, "%q leads back to itself", ro.Fallback)
 		}
+		if fb, _ := ch.route(ro.Fallback); !ch.sameSafety(ro, fb) {
+			ch.add(path, FaultContradiction, "%q has a contract that is idempotent or keyed where this route's is not, or the other way round", ro.Fallback)
+		}
 	}
 }
 
+// sameSafety tells whether a fallback treats repeats as its route does: a call
+// that may run once may not become one that is retried.
+func (ch *checker) sameSafety(ro, fb Route) bool {
+	a, _ := ch.terms(ro.Contract)
+	b, _ := ch.terms(fb.Contract)
+	return sameSafety(a, b)
+}
+
+func sameSafety(a, b Terms) bool {
+	return a.Idempotent == b.Idempotent && a.Keyed == b.Keyed
+}
+
 // cyclic follows the fallbacks of a route for at most one step per route.
 func (ch *checker) cyclic(ro Route) bool {
 	next := ro
--- a/core/contract/validchange.go
+++ b/core/contract/validchange.go
@@ -9,10 +9,10 @@
 			Contracts: ch.putContracts,
 			Routes:    ch.putRoutes,
 		},
-		count:       sn.targets.count,
-		hasService:  func(name ServiceName) bool { return sn.services.has(string(name)) },
-		hasContract: func(name TermsName) bool { return sn.terms.has(string(name)) },
-		route:       sn.route,
+		count:      sn.targets.count,
+		hasService: func(name ServiceName) bool { return sn.services.has(string(name)) },
+		terms:      func(name TermsName) (Terms, bool) { return sn.terms.get(string(name)) },
+		route:      sn.route,
 	}
 	if sn.services.count+sn.terms.count+sn.targets.count > maxItems {
 		return false
@@ -21,7 +21,7 @@
 	ck.checkContracts()
 	ck.checkRoutes()
 	ck.checkFallbacks()
-	return len(ck.fields) == 0 && !sn.overlaps(ch) && !sn.misses(base, ch)
+	return len(ck.fields) == 0 && !sn.overlaps(ch) && !sn.misses(base, ch) && !sn.mixesSafety()
 }
 
 func (sn *Snapshot) route(name RouteName) (Route, bool) {
@@ -67,3 +67,14 @@
 	})
 	return found
 }
+
+// mixesSafety tells whether a route falls back to one that treats repeats in
+// another way; a change of terms may bring that about for unchanged routes.
+func (sn *Snapshot) mixesSafety() bool {
+	mixed := false
+	sn.targets.all(func(_ string, ta *Target) bool {
+		mixed = ta.Fallback != nil && !sameSafety(ta.Terms, ta.Fallback.Terms)
+		return !mixed
+	})
+	return mixed
+}
