fix: hold slots and records until the deadlines of their calls

Cause: what an upstream may still work on was taken as ended after the ledger's two minutes, though a contract may allow ten; a record could go before its call's deadline. Change: left attempts are held until their own deadline, those of a former incarnation until the longest timeout of a contract, and records until the deadline of their attempt at least.

--- /dev/null
+++ b/core/call/bench_test.go
@@ -0,0 +1,35 @@
+package call_test
+
+import (
+	"testing"
+	"time"
+
+	"lynxfold/core/call"
+	"lynxfold/core/contract"
+	"lynxfold/core/host"
+)
+
+// BenchmarkCall makes a call with one attempt: what the decisions cost the ingress.
+func BenchmarkCall(b *testing.B) {
+	now := time.Unix(1_000_000, 0)
+	up := hosts{"a", "b"}
+	bu := call.NewBudget(call.BudgetConfig{PerSuccess: 0.1, Ceiling: 20})
+	number := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		number++
+		ca := call.New(call.Config{
+			Issuer:   host.Issuer{Host: "press-hall-1", Incarnation: 7},
+			Number:   number,
+			Terms:    contract.Terms{Retries: 2},
+			Deadline: now.Add(time.Second),
+			Chooser:  up,
+			Budget:   bu,
+		})
+		tr := ca.Step(call.Begin{}, now)[0].(call.Try)
+		ca.Step(call.AttemptEnded{
+			Attempt: tr.Attempt,
+			Result:  call.Result{Outcome: call.OutcomeRan, Status: 200},
+		}, now)
+	}
+}
--- a/core/call/gate_process_test.go
+++ b/core/call/gate_process_test.go
@@ -75,6 +75,7 @@
 		ComeBack:     50 * time.Millisecond,
 		DrainGrace:   100 * time.Millisecond,
 		AnnounceLag:  announceLag,
+		LongestCall:  callTimeout,
 		Ledger: host.LedgerConfig{
 			KeepFor:        keepFor,
 			MaxEntries:     maxEntries,
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -20,9 +20,14 @@
 	// AnnounceLag bounds the age of an announcement's in_flight. A gate lets
 	// nothing in until it is that old, as its former incarnation may have.
 	AnnounceLag time.Duration
+	// LongestCall bounds the timeouts of calls; it is 10 minutes when not set.
+	LongestCall time.Duration
 	Ledger      LedgerConfig
 }
 
+// defaultLongestCall is the longest timeout that a contract may have.
+const defaultLongestCall = 10 * time.Minute
+
 // Gate is the only way to the upstream on its host. It is driven by one
 // goroutine at a time.
 type Gate struct {
@@ -48,14 +53,17 @@
 
 // NewGate builds a gate that knows no upstream yet.
 func NewGate(cfg Config) *Gate {
+	if cfg.LongestCall <= 0 {
+		cfg.LongestCall = defaultLongestCall
+	}
 	le := newLedger(cfg.Ledger)
 	return &Gate{
 		cfg:     cfg,
 		ledger:  le,
 		running: map[AttemptID]*entry{},
 		occupancy: occupancy{
-			lag:         cfg.AnnounceLag,
-			expireAfter: le.cfg.KeepFor,
+			lag:     cfg.AnnounceLag,
+			longest: cfg.LongestCall,
 		},
 	}
 }
@@ -295,7 +303,7 @@
 		ga.occupancy.fell(ga.started)
 	}
 	if ev.Working {
-		ga.occupancy.leave(now)
+		ga.occupancy.leave(en.attempt.Deadline)
 	}
 	switch ev.Outcome {
 	case OutcomeRan:
--- a/core/host/ledger.go
+++ b/core/host/ledger.go
@@ -86,8 +86,8 @@
 
 // LedgerConfig bounds what a gate remembers.
 type LedgerConfig struct {
-	// KeepFor is how long an ended attempt is remembered; it is not shorter
-	// than the longest timeout of a call.
+	// KeepFor is how long an ended attempt is remembered at least; it is not
+	// forgotten before its deadline either.
 	KeepFor time.Duration
 	// MaxEntries bounds the attempts remembered. When it is reached, the oldest
 	// ended ones are dropped early, and queries for them are told unknown.
@@ -163,7 +163,7 @@
 	}
 	le.closed = append(le.closed, closedEntry{
 		id:     en.attempt.ID,
-		dropAt: now.Add(le.cfg.KeepFor),
+		dropAt: latest(now.Add(le.cfg.KeepFor), en.attempt.Deadline),
 	})
 	if kept <= 0 {
 		return nil
@@ -174,6 +174,13 @@
 	return le.shrinkAnswers()
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 func dropped(kept int, id AttemptID) []AttemptID {
 	if kept <= 0 {
 		return nil
--- a/core/host/occupancy.go
+++ b/core/host/occupancy.go
@@ -8,12 +8,13 @@
 // be up to lag old.
 type occupancy struct {
 	lag time.Duration
-	// expireAfter is when held calls count no more, as their deadlines have passed.
-	expireAfter time.Duration
+	// longest bounds the calls of a former incarnation.
+	longest time.Duration
 
 	settled bool
 	held    int
-	heldTo  time.Time
+	// heldTo is when the deadlines of all held calls have passed.
+	heldTo time.Time
 	// current and former cover the last lag to two lags.
 	current, former window
 	turnAt          time.Time
@@ -45,11 +46,13 @@
 	oc.current.least = min(oc.current.least, started)
 }
 
-// leave counts an attempt that the upstream may still work on.
-func (oc *occupancy) leave(now time.Time) {
+// leave counts an attempt that the upstream may still work on until its deadline.
+func (oc *occupancy) leave(deadline time.Time) {
 	oc.held++
 	oc.current.left++
-	oc.heldTo = now.Add(oc.expireAfter)
+	if to := deadline.Add(oc.lag); to.After(oc.heldTo) {
+		oc.heldTo = to
+	}
 }
 
 // announced lowers the held calls to what an announcement doesn't explain.
@@ -57,7 +60,7 @@
 	if !oc.settled {
 		oc.settled = true
 		oc.held = inFlight
-		oc.heldTo = now.Add(oc.expireAfter)
+		oc.heldTo = now.Add(oc.longest)
 		return
 	}
 	least := min(oc.current.least, oc.former.least)
