fix: tell the gate when the upstream has a request

Cause: without Started the gate explains in_flight by none of its own calls, so that after a restart under steady load it holds the former incarnation's slots until the longest timeout of a contract. Change: the client tells when a request is written, or when the answer to a long one begins (wiring in io/upstream, agreed types of core/host).

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -58,7 +58,7 @@
 	ctx    context.Context
 	conn   *conn
 	stop   func() bool
-	ended  func(en Ending)
+	watch  Watch
 	// body is nil when the request carries it.
 	body io.ReadCloser
 	// sent is closed when the request was sent or given up; sendErr is set before.
@@ -66,14 +66,28 @@
 	sendErr error
 }
 
-// Do passes a request on and returns when the response's head is there; ended
-// is called when the upstream no longer works on the call. A body that was read
-// from is closed before that.
-func (cl *Client) Do(ctx context.Context, address string, rq *wire.Request, body io.ReadCloser, ended func(en Ending)) Reply {
+// Watch is told how far a request has come, once each.
+type Watch struct {
+	// Started is called when the upstream has a request: when a short one is
+	// written, or when the answer to a long one begins. It may be nil.
+	Started func()
+	// Ended is called when the upstream no longer works on the call.
+	Ended func(en Ending)
+}
+
+func (wa Watch) started() {
+	if wa.Started != nil {
+		wa.Started()
+	}
+}
+
+// Do passes a request on and returns when the response's head is there. A body
+// that was read from is closed before the watch is told of the end.
+func (cl *Client) Do(ctx context.Context, address string, rq *wire.Request, body io.ReadCloser, watch Watch) Reply {
 	co, err := cl.take(ctx, address, rq.GetIdempotent())
 	if err != nil {
 		re := connectReason(ctx, err)
-		ended(Ending{Outcome: host.OutcomeNotRun, Reason: re})
+		watch.Ended(Ending{Outcome: host.OutcomeNotRun, Reason: re})
 		return Refuse(re, true)
 	}
 	ex := &exchange{
@@ -81,7 +95,7 @@
 		ctx:    ctx,
 		conn:   co,
 		stop:   context.AfterFunc(ctx, func() { _ = co.Close() }),
-		ended:  ended,
+		watch:  watch,
 		body:   body,
 		sent:   make(chan struct{}),
 	}
@@ -110,6 +124,9 @@
 	if err := resp.ReadLimitBody(ex.conn.reader, 0); err != nil {
 		return ex.fail()
 	}
+	if ex.body != nil {
+		ex.watch.started()
+	}
 	if rq.GetMethod() == fasthttp.MethodHead || withoutBody(resp.StatusCode()) {
 		return ex.complete(resp, nil)
 	}
@@ -139,6 +156,9 @@
 	if ex.body == nil {
 		ex.sendErr = ex.conn.send(ex.ctx, rq, nil)
 		close(ex.sent)
+		if ex.sendErr == nil {
+			ex.watch.started()
+		}
 		return
 	}
 	go func() {
@@ -222,7 +242,7 @@
 	reusable = ex.stop() && reusable
 	reusable = ex.stopSending() && reusable
 	ex.client.release(ex.conn, reusable)
-	ex.ended(en)
+	ex.watch.Ended(en)
 }
 
 // stopSending returns when the request is no longer sent; it is false when the
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -82,7 +82,7 @@
 func do(t *testing.T, cl *Client, sc *script, rq *wire.Request, body io.ReadCloser) (Reply, []byte, Ending, error) {
 	t.Helper()
 	endings := make(chan Ending, 2)
-	re := cl.Do(bound(t), sc.address, rq, body, func(en Ending) { endings <- en })
+	re := cl.Do(bound(t), sc.address, rq, body, Watch{Ended: func(en Ending) { endings <- en }})
 	data, err := re.Response.GetBody(), error(nil)
 	if re.Body != nil {
 		data, err = io.ReadAll(re.Body)
@@ -331,7 +331,7 @@
 	cl.SetLimit(2)
 	var done sync.WaitGroup
 	for range 2 {
-		done.Go(func() { cl.Do(bound(t), sc.address, get("POST"), nil, func(Ending) {}) })
+		done.Go(func() { cl.Do(bound(t), sc.address, get("POST"), nil, Watch{Ended: func(Ending) {}}) })
 	}
 	for cl.Open() < 2 {
 		time.Sleep(time.Millisecond)
@@ -354,7 +354,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	var en Ending
-	re := cl.Do(ctx, sc.address, get("POST"), nil, func(it Ending) { en = it })
+	re := cl.Do(ctx, sc.address, get("POST"), nil, Watch{Ended: func(it Ending) { en = it }})
 	assert.Equal(t, re.Refusal.GetReason(), string(host.ReasonUpstreamTimeout))
 	assert.Check(t, en.Working, "the upstream may still work on it")
 	assert.Equal(t, cl.Open(), 0)
@@ -369,3 +369,26 @@
 	assert.Check(t, re.Refusal.GetNotRun())
 	assert.Equal(t, en.Outcome, host.OutcomeNotRun)
 }
+
+// TestStartIsTold tells of a start that the upstream has seen, and of no other.
+func TestStartIsTold(t *testing.T) {
+	sc := startScript(t, func(sc *script, nc net.Conn, rd *bufio.Reader) {
+		sc.readRequest(rd)
+		_, _ = io.WriteString(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+	})
+	var told []string
+	watch := Watch{
+		Started: func() { told = append(told, "started") },
+		Ended:   func(en Ending) { told = append(told, string(en.Outcome)) },
+	}
+	cl := newClient(t)
+	cl.Do(bound(t), sc.address, get("POST"), nil, watch)
+	assert.DeepEqual(t, told, []string{"started", "ran"})
+
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, li.Close())
+	told = nil
+	cl.Do(bound(t), li.Addr().String(), get("POST"), nil, watch)
+	assert.DeepEqual(t, told, []string{"not_run"})
+}
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -141,12 +141,15 @@
 }
 
 func (ga *Gate) dispatch(ctx context.Context, ad *admission, di host.Dispatch, rq *wire.Request, body io.ReadCloser) Reply {
-	ended := func(en Ending) {
-		ga.ended(di.ID, rq.GetIdempotent(), en)
-		ga.forget(di.ID, ad)
-		ad.cancel()
+	watch := Watch{
+		Started: func() { ga.step(host.Started{ID: di.ID}) },
+		Ended: func(en Ending) {
+			ga.ended(di.ID, rq.GetIdempotent(), en)
+			ga.forget(di.ID, ad)
+			ad.cancel()
+		},
 	}
-	return ga.load(ga.cfg.Client.Do(ctx, di.Address, rq, body, ended))
+	return ga.load(ga.cfg.Client.Do(ctx, di.Address, rq, body, watch))
 }
 
 // ended reports the end of an attempt, and holds its answer for later queries.
