test: benchmarks announce their upstreams as real ones do

Cause: a gate holds slots of calls it left until an announcement explains them; the benchmarks announced once, so overload showed no goodput at all. Change: stand-ins and layers announce every 100 ms.

--- a/io/caller/bench_test.go
+++ b/io/caller/bench_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -38,6 +39,7 @@
 	benchWorkers  = 120
 	benchRound    = time.Second
 	benchRounds   = 5
+	announceEvery = 100 * time.Millisecond
 )
 
 const benchDocument = `{
@@ -65,36 +67,40 @@
 	pa := &path{set: metrics.NewSet()}
 	var all []datacentre.Upstream
 	for i, cfg := range upstreams {
+		up, announceTo := startGate(b, i)
 		cfg.Service = "lookup"
+		cfg.AnnounceTo = announceTo
+		cfg.AnnounceEvery = announceEvery
 		sv, err := standin.Start("127.0.0.1:0", cfg)
 		assert.NilError(b, err)
 		b.Cleanup(sv.Kill)
 		pa.upstreams = append(pa.upstreams, sv.Address())
-		all = append(all, startGate(b, i, sv.Address(), cfg.Slots))
+		all = append(all, up)
 	}
 	pa.serve(b, all, rotate)
+	time.Sleep(3 * announceEvery) // gates let nothing in before
 	return pa
 }
 
-// startGate starts a gate and its lanes' listener before an upstream.
-func startGate(b *testing.B, i int, address string, slots int) datacentre.Upstream {
+// startGate starts a gate with its listeners for lanes and announcements, and
+// returns the URL of the latter.
+func startGate(b *testing.B, i int) (datacentre.Upstream, string) {
 	b.Helper()
 	ga := upstream.NewGate(upstream.GateConfig{
 		Core: host.Config{
 			Incarnation:  7,
 			QueuePerSlot: 2,
 			ComeBack:     time.Second,
+			AnnounceLag:  announceEvery,
 		},
 		LapseAfter: time.Hour,
 		Changed:    func(host.Announcement) {},
 		Client:     upstream.NewClient(),
 	})
-	ga.Announce(host.Announcement{
-		Service:     "lookup",
-		Address:     address,
-		Slots:       host.Slots(slots),
-		Connections: 120,
-	})
+	an, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	go func() { _ = upstream.NewListener(ga).Serve(an) }()
+	b.Cleanup(func() { _ = an.Close() })
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
 	ln := node.NewListener(li, node.ListenerConfig{
@@ -109,7 +115,7 @@
 		Address:     li.Addr().String(),
 		Incarnation: 7,
 		Service:     "lookup",
-	}
+	}, "http://" + an.Addr().String()
 }
 
 func (pa *path) serve(b *testing.B, all []datacentre.Upstream, rotate bool) {
@@ -383,12 +389,33 @@
 		sv := &http.Server{Handler: layerHandler(next, reached)}
 		go func() { _ = sv.Serve(li) }()
 		b.Cleanup(func() { _ = sv.Close() })
-		all = append(all, startGate(b, i, li.Addr().String(), 100))
+		up, announceTo := startGate(b, i)
+		keepAnnouncing(b, announceTo, li.Addr().String())
+		all = append(all, up)
 	}
 	pa.serve(b, all, false)
+	time.Sleep(3 * announceEvery)
 	return pa.ingress
 }
 
+// keepAnnouncing tells a gate of an upstream until the benchmark ends.
+func keepAnnouncing(b *testing.B, to, address string) {
+	b.Helper()
+	body := fmt.Sprintf(`{"service":"lookup","address":%q,"slots":100,"connections":120,"state":"ready"}`, address)
+	ti := time.NewTicker(announceEvery)
+	b.Cleanup(ti.Stop)
+	go func() {
+		for {
+			rs, err := http.Post(to+"/announce", "application/json", strings.NewReader(body))
+			if err != nil {
+				return
+			}
+			_ = rs.Body.Close()
+			<-ti.C
+		}
+	}()
+}
+
 func layerHandler(next string, reached *atomic.Int64) http.HandlerFunc {
 	cl := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
 	return func(wr http.ResponseWriter, rq *http.Request) {
