--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -19,6 +19,7 @@
 	"lynxfold/io/ini"
 	"lynxfold/io/node"
 	"lynxfold/io/operator"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 	"lynxfold/io/upstream"
 )
@@ -235,6 +236,7 @@
 	la *node.Lanes,
 	ks *platform.Keys,
 	set *metrics.Set,
+	re *record.Record,
 	log zerolog.Logger,
 ) *caller.Server {
 	return caller.New(caller.Config{
@@ -253,6 +255,7 @@
 		Rand:                 id.rand(),
 		Log:                  log,
 		Counters:             caller.NewCounters(set),
+		Record:               re,
 	})
 }
 
