--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -44,20 +44,28 @@
 	cd.Output = out
 	cd.Error = err
 	cd.Register(cd.HelpCommand(), "")
-	cd.Register(&nodeCommand{streams: st}, "")
-	cd.Register(&checkCommand{streams: st}, "")
-	cd.Register(&applyCommand{streams: st}, "")
-	cd.Register(&statusCommand{streams: st}, "")
-	cd.Register(&explainCommand{streams: st}, "")
-	cd.Register(&tokenCommand{streams: st}, "")
-	cd.Register(&quickstartCommand{streams: st}, "")
-	cd.Register(&standinCommand{streams: st}, "")
+	for _, co := range commands(st) {
+		cd.Register(co, "")
+	}
 	if fs.Parse(args) != nil {
 		return int(exitUsage)
 	}
 	return int(cd.Execute(context.Background()))
 }
 
+func commands(st streams) []subcommands.Command {
+	return []subcommands.Command{
+		&nodeCommand{streams: st},
+		&checkCommand{streams: st},
+		&applyCommand{streams: st},
+		&statusCommand{streams: st},
+		&explainCommand{streams: st},
+		&tokenCommand{streams: st},
+		&quickstartCommand{streams: st},
+		&standinCommand{streams: st},
+	}
+}
+
 // untilSignal ends its context on SIGINT or SIGTERM.
 func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
--- /dev/null
+++ b/cmd/night_test.go
@@ -0,0 +1,165 @@
+package cmd_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxfold/cmd"
+	platformstandin "lynxfold/io/platform/standin"
+	upstreamstandin "lynxfold/io/upstream/standin"
+	"lynxfold/testkit"
+)
+
+// nightWithin bounds each wait of the story.
+const nightWithin = 60 * time.Second
+
+const nightDocument = `{
+  "services": [{"name": "lookup"}],
+  "contracts": [{"name": "read", "idempotent": true, "timeout_ms": %d, "retries": 2}],
+  "routes": [{"name": "results", "path_prefix": "/results", "service": "lookup", "contract": "read"}]
+}`
+
+// night is a mesh of two data centres and the commands of its operators.
+type night struct {
+	t    *testing.T
+	mesh *testkit.Mesh
+	dir  string
+}
+
+// TestNight tells a night without anybody on shift: the platform goes down, two
+// hosts are lost, one data centre is cut off, and all heals. In the morning
+// status and explain tell it from the record.
+func TestNight(t *testing.T) {
+	var hosts []testkit.HostSpec
+	for _, centre := range []string{"press-hall", "curing-room"} {
+		for i := 1; i <= 3; i++ {
+			id := fmt.Sprintf("%s-%d", centre, i)
+			hosts = append(hosts, testkit.HostSpec{
+				ID:         id,
+				DataCentre: centre,
+				Upstream:   upstreamstandin.Config{Name: id, Service: "lookup", Slots: 4},
+			})
+		}
+	}
+	ni := &night{
+		t:    t,
+		mesh: testkit.StartMesh(t, testkit.MeshConfig{Hosts: hosts, ProxiedRemote: true}),
+		dir:  t.TempDir(),
+	}
+	ni.eventually("all hosts are known", func() bool { return ni.alive("press-hall-1") == 6 && ni.alive("curing-room-1") == 6 })
+	assert.Equal(t, ni.apply(2000), 0)
+
+	ni.fall()
+	assert.Equal(t, ni.call("press-hall-1"), http.StatusOK, "a data centre alone serves what it can")
+	assert.Equal(t, ni.call("curing-room-1"), http.StatusOK, "a data centre alone serves what it can")
+	assert.Equal(t, ni.apply(3000), 3, "nothing is accepted without the platform")
+	ni.heal()
+
+	assert.Equal(t, ni.apply(4000), 0)
+	ni.morning()
+}
+
+// fall takes the platform, two hosts and the links between the data centres away.
+func (ni *night) fall() {
+	ni.mesh.Platform.SetFaults(platformstandin.Faults{Down: true})
+	ni.mesh.Hosts["press-hall-3"].Kill()
+	ni.mesh.Hosts["curing-room-3"].Kill()
+	for _, ho := range ni.mesh.Hosts {
+		ho.Cut()
+	}
+	ni.eventually("the loss is known", func() bool { return ni.alive("press-hall-1") < 6 && ni.alive("curing-room-1") < 6 })
+	ni.eventually("the lost host is held for dead", func() bool {
+		_, out := ni.run("explain", "--node", ni.node("press-hall-1"), "host", "press-hall-3")
+		return strings.Contains(out, "host dead, host press-hall-3")
+	})
+}
+
+// heal gives everything back in another order.
+func (ni *night) heal() {
+	ni.mesh.Hosts["press-hall-3"].Start()
+	ni.mesh.Hosts["curing-room-3"].Start()
+	for _, ho := range ni.mesh.Hosts {
+		ho.Mend()
+	}
+	ni.mesh.Platform.SetFaults(platformstandin.Faults{})
+	ni.eventually("all hosts are back", func() bool { return ni.alive("press-hall-1") == 6 && ni.alive("curing-room-3") == 6 })
+}
+
+// morning reads what happened from any node that stayed up.
+func (ni *night) morning() {
+	node := ni.node("press-hall-1")
+	code, out := ni.run("status", "--node", node)
+	assert.Equal(ni.t, code, 0, out)
+	assert.Assert(ni.t, strings.Contains(out, "has version 2 in force; the oldest in force is 2"), out)
+	assert.Equal(ni.t, strings.Count(out, "3 alive"), 2, out)
+	assert.Equal(ni.t, strings.Count(out, "2 on 3"), 2, out)
+
+	code, out = ni.run("explain", "--node", node, "host", "press-hall-3")
+	assert.Equal(ni.t, code, 0, out)
+	dead := strings.Index(out, "host dead, host press-hall-3")
+	assert.Assert(ni.t, dead >= 0, out)
+	assert.Assert(ni.t, strings.LastIndex(out, "host alive, host press-hall-3") > dead, out)
+
+	for _, version := range []string{"1", "2"} {
+		code, out = ni.run("explain", "--node", node, "version", version)
+		assert.Equal(ni.t, code, 0, out)
+		assert.Assert(ni.t, strings.Contains(out, "version in force, version "+version), out)
+	}
+	for id := range ni.mesh.Hosts {
+		assert.Assert(ni.t, !strings.Contains(ni.mesh.Hosts[id].Log(), "invariant_violation"), id)
+	}
+}
+
+func (ni *night) node(id string) string { return "http://" + ni.mesh.Hosts[id].Operator }
+
+func (ni *night) run(args ...string) (int, string) {
+	var out, err bytes.Buffer
+	code := cmd.Run(args, &out, &err)
+	return code, out.String() + err.String()
+}
+
+// apply has a document with a timeout accepted and waits until it is everywhere.
+func (ni *night) apply(timeoutMS int) int {
+	file := filepath.Join(ni.dir, "mesh.json")
+	assert.NilError(ni.t, os.WriteFile(file, []byte(fmt.Sprintf(nightDocument, timeoutMS)), 0o600))
+	code, out := ni.run("apply", "--node", ni.node("press-hall-1"), file)
+	ni.t.Log(out)
+	return code
+}
+
+func (ni *night) call(id string) int {
+	resp, err := http.Get("http://" + ni.mesh.Hosts[id].Caller + "/results/cube-17")
+	assert.NilError(ni.t, err)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// alive counts the hosts that a node holds for alive.
+func (ni *night) alive(id string) int {
+	st := ni.mesh.Status(id)
+	if st == nil {
+		return 0
+	}
+	count := 0
+	for _, ce := range st.DataCentres {
+		for _, ho := range ce.Hosts {
+			if ho.Status == "alive" {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (ni *night) eventually(what string, holds func() bool) {
+	ni.t.Helper()
+	testkit.Eventually(ni.t, nightWithin, what, holds)
+}
--- /dev/null
+++ b/cmd/process/gauges.go
@@ -0,0 +1,29 @@
+package process
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"lynxfold/io/upstream"
+)
+
+// registerGauges has the node's present state on its metrics page.
+func registerGauges(set *metrics.Set, ct *Control, ga *upstream.Gate) {
+	for name, value := range map[string]func() int{
+		`lynxfold_config_version`:         func() int { return int(ct.View().Config.Version) },
+		`lynxfold_usable_upstreams`:       func() int { return usableUpstreams(ct) },
+		`lynxfold_gate_slots`:             func() int { return int(ga.Measures().Slots) },
+		`lynxfold_gate_running_calls`:     func() int { return ga.Measures().Running },
+		`lynxfold_gate_queued_calls`:      func() int { return ga.Measures().Queued },
+		`lynxfold_gate_kept_answer_bytes`: func() int { return ga.Measures().KeptBytes },
+	} {
+		set.NewGauge(name, func() float64 { return float64(value()) })
+	}
+}
+
+func usableUpstreams(ct *Control) int {
+	count := 0
+	for _, ups := range ct.View().Upstreams {
+		count += len(ups)
+	}
+	return count
+}
--- a/cmd/process/operators.go
+++ b/cmd/process/operators.go
@@ -15,6 +15,7 @@
 	"lynxfold/io/operator"
 	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
+	"lynxfold/io/upstream"
 )
 
 // stalledAfter is how long the control goroutine may take over one step before
@@ -93,12 +94,14 @@
 	Metrics  *metrics.Set
 	Record   *record.Record
 	Mesh     *mesh
+	Gate     *upstream.Gate
 	KeyPair  *operator.KeyPair
 	Log      zerolog.Logger
 }
 
 func newOperator(pa operatorParts) *operator.Server {
 	ct := pa.Control
+	registerGauges(pa.Metrics, ct, pa.Gate)
 	return operator.New(operator.Config{
 		Host:       pa.Settings.Host.ID,
 		DataCentre: pa.Settings.Host.DataCentre,
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
@@ -89,6 +90,7 @@
 	sv.http = &fasthttp.Server{
 		Handler:               sv.routes().Handler,
 		ErrorHandler:          sv.malformed,
+		Logger:                quiet{},
 		NoDefaultServerHeader: true,
 		MaxRequestBodySize:    maxDocumentBytes,
 		Concurrency:           maxConnections,
@@ -139,12 +141,21 @@
 // Shutdown ends Serve.
 func (sv *Server) Shutdown() error { return sv.http.Shutdown() }
 
-// malformed answers what can't be read as a request.
+// malformed answers what can't be read as a request. Nothing of what came is
+// repeated.
 func (sv *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
 	sv.count("lynxfold_operator_bad_requests_total")
-	writeJSON(ctx, fasthttp.StatusBadRequest, Problem{
+	var small *fasthttp.ErrSmallBuffer
+	status, detail := fasthttp.StatusBadRequest, "this is no HTTP request"
+	switch {
+	case errors.As(err, &small):
+		status, detail = fasthttp.StatusRequestHeaderFieldsTooLarge, "the request's header is too large"
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status, detail = fasthttp.StatusRequestEntityTooLarge, "the request's body is too large"
+	}
+	writeJSON(ctx, status, Problem{
 		Reason: ReasonInvalid,
-		Detail: err.Error(),
+		Detail: detail,
 	})
 	ctx.SetConnectionClose()
 }
@@ -167,4 +178,11 @@
 	})
 }
 
+// quiet keeps the HTTP library from logging what strangers send; malformed
+// counts it.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
 func (sv *Server) count(name string) { sv.cfg.Metrics.GetOrCreateCounter(name).Inc() }
