feat: who had a version accepted in its explanation, and how long apply waited

Cause: explain version told when a version came into force and not from whom; apply did not say how long it took to be in force everywhere.

--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -69,6 +69,8 @@
 	Submission string           `json:"submission"`
 	// Everywhere tells whether every host that answers has the version in force.
 	Everywhere bool `json:"everywhere"`
+	// EverywhereAfterMS is the time from the acceptance until that was seen, in milliseconds.
+	EverywhereAfterMS int64 `json:"everywhere_after_ms"`
 }
 
 func (co *applyCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -125,13 +127,18 @@
 	if !co.json {
 		_, _ = fmt.Fprintf(co.out, "version %d accepted\n", ve)
 	}
-	everywhere := co.noWait || co.waitEverywhere(ve)
+	accepted := time.Now()
+	everywhere := co.noWait || co.waitEverywhere(ve, accepted)
 	if co.json {
-		printJSON(co.out, applyResult{
+		re := applyResult{
 			Version:    ve,
 			Submission: id,
 			Everywhere: everywhere && !co.noWait,
-		})
+		}
+		if re.Everywhere {
+			re.EverywhereAfterMS = time.Since(accepted).Milliseconds()
+		}
+		printJSON(co.out, re)
 	}
 	if !everywhere {
 		return exitNotEverywhere
@@ -229,7 +236,7 @@
 
 // waitEverywhere prints the progress until every host that answers has a
 // version in force.
-func (co *applyCommand) waitEverywhere(ve contract.Version) bool {
+func (co *applyCommand) waitEverywhere(ve contract.Version, accepted time.Time) bool {
 	last := ""
 	for {
 		var st operator.Status
@@ -238,7 +245,7 @@
 		if err == nil {
 			pr := progressOf(st, ve)
 			if pr.done() {
-				co.progress("", fmt.Sprintf("in force on all %s", plural(pr.hosts, "host")))
+				co.progress("", fmt.Sprintf("in force on all %s after %s", plural(pr.hosts, "host"), time.Since(accepted).Round(time.Millisecond)))
 				return true
 			}
 			line = pr.String()
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -147,6 +147,7 @@
 	{pattern: regexp.MustCompile(`-1\.\d{15,}\.\d+`), with: "-1.INCARNATION.N"},
 	{pattern: regexp.MustCompile(`\b[0-9a-f]{64}\b`), with: "DIGEST"},
 	{pattern: regexp.MustCompile(`(?m)^in force on \d+ of .*\n`), with: ""},
+	{pattern: regexp.MustCompile(`(hosts after|_after_ms":) [0-9.]+(ms|s|)`), with: "$1 DURATION"},
 }
 
 func (sc *script) mask(text string) string {
--- a/cmd/process/operators.go
+++ b/cmd/process/operators.go
@@ -13,6 +13,7 @@
 	"lynxfold/core/datacentre"
 	"lynxfold/io/ini"
 	"lynxfold/io/operator"
+	"lynxfold/io/operator/access"
 	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 	"lynxfold/io/upstream"
@@ -110,7 +111,13 @@
 		History:    pa.Versions,
 		Explainer:  pa.Record,
 		Mesh:       pa.Mesh,
-		Accepted: func(de *contract.Delta) {
+		Accepted: func(de *contract.Delta, by access.OperatorName) {
+			pa.Record.Control(record.Entry{
+				At:      time.Now(),
+				Kind:    record.KindAccepted,
+				Version: de.Result,
+				Detail:  "submitted here by " + string(by),
+			})
 			ct.Emit(datacentre.Accepted{Delta: de})
 		},
 		Live:    ct.health.live,
--- a/io/operator/record/record.go
+++ b/io/operator/record/record.go
@@ -15,8 +15,10 @@
 // Kind names what was decided.
 type Kind string
 
-// Kinds of decisions about calls; those of control are the kinds of its notes.
+// Kinds of decisions; the others of control are the kinds of its notes.
 const (
+	// KindAccepted says that the platform accepted a version through this node.
+	KindAccepted Kind = "version_accepted"
 	// KindAttempt says that an upstream was chosen for an attempt.
 	KindAttempt Kind = "attempt"
 	// KindAttemptEnded says how an attempt ended.
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -46,8 +46,8 @@
 	History    History
 	Explainer  Explainer
 	Mesh       Mesh
-	// Accepted is told of each accepted version.
-	Accepted func(de *contract.Delta)
+	// Accepted is told of each accepted version and who had it accepted.
+	Accepted func(de *contract.Delta, by access.OperatorName)
 	// Live and Ready return why the node is not; empty when it is.
 	Live    func() []HealthReason
 	Ready   func() []HealthReason
