feat: a mesh page and explanations in every console

Cause: status and explain were there on the command line only; in the morning an operator may have a browser at hand and nothing else.

Change: the page Mesh asks every live host and names those to look at; explain shows what the node remembers of a host, version or call. The words for counts and decisions stand once, for console and command line.

--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -12,7 +12,6 @@
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/io/operator"
-	"lynxfold/io/operator/record"
 )
 
 // explainCommand tells which decisions led to something.
@@ -97,42 +96,9 @@
 	_, _ = fmt.Fprintf(co.out, "what host %s remembers:\n", body.Host)
 	rows := make([][]string, 0, len(body.Entries))
 	for _, en := range body.Entries {
-		rows = append(rows, []string{stamp(en.At), sentence(en)})
+		rows = append(rows, []string{stamp(en.At), en.Sentence()})
 	}
 	table(co.out, rows)
 }
 
 func stamp(at time.Time) string { return at.UTC().Format("2006-01-02 15:04:05.000") }
-
-// sentence writes one decision in plain words.
-func sentence(en record.Entry) string {
-	line := strings.ReplaceAll(string(en.Kind), "_", " ")
-	for _, pa := range []struct {
-		label string
-		value string
-	}{
-		{label: "host", value: string(en.Host)},
-		{label: "data centre", value: en.DataCentre},
-		{label: "version", value: versionText(en)},
-		{label: "attempt", value: string(en.Attempt)},
-		{label: "route", value: string(en.Route)},
-		{label: "service", value: string(en.Service)},
-		{label: "outcome", value: en.Outcome},
-		{label: "because", value: en.Reason},
-	} {
-		if pa.value != "" {
-			line += ", " + pa.label + " " + pa.value
-		}
-	}
-	if en.Detail != "" {
-		line += ": " + en.Detail
-	}
-	return line
-}
-
-func versionText(en record.Entry) string {
-	if en.Version == 0 {
-		return ""
-	}
-	return fmt.Sprint(en.Version)
-}
--- a/cmd/print.go
+++ b/cmd/print.go
@@ -4,11 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
-	"slices"
 	"strings"
 
-	"lynxfold/core/contract"
 	"lynxfold/core/draft"
 	"lynxfold/io/operator"
 )
@@ -74,7 +71,3 @@
 		_, _ = fmt.Fprintln(wr, strings.TrimRight(sb.String(), " "))
 	}
 }
-
-func sortedVersions(versions map[contract.Version]int) []contract.Version {
-	return slices.Sorted(maps.Keys(versions))
-}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -10,7 +10,6 @@
 	"github.com/google/subcommands"
 	"github.com/valyala/fasthttp"
 
-	"lynxfold/core/contract"
 	"lynxfold/io/operator"
 )
 
@@ -97,26 +96,7 @@
 	}
 }
 
-// centreRow counts the hosts of a data centre by state and by version.
 func centreRow(ce operator.CentreStatus) []string {
-	states := map[operator.HostState]int{}
-	versions := map[contract.Version]int{}
-	silent := 0
-	for _, ho := range ce.Hosts {
-		states[ho.Status]++
-		switch {
-		case ho.Answered || ho.Version > 0:
-			versions[ho.Version]++
-		case ho.Status == operator.HostAlive:
-			silent++
-		}
-	}
-	var counts []string
-	for _, hs := range []operator.HostState{operator.HostAlive, operator.HostSuspect, operator.HostDead, operator.HostLeft} {
-		if states[hs] > 0 {
-			counts = append(counts, fmt.Sprintf("%d %s", states[hs], hs))
-		}
-	}
 	readers := make([]string, 0, len(ce.Readers))
 	for _, id := range ce.Readers {
 		readers = append(readers, string(id))
@@ -127,24 +107,13 @@
 	}
 	return []string{
 		string(ce.DataCentre),
-		strings.Join(counts, ", "),
-		versionCounts(versions, silent),
+		ce.HostCounts(),
+		ce.VersionCounts(),
 		strings.Join(readers, " "),
 		separated,
 	}
 }
 
-func versionCounts(versions map[contract.Version]int, silent int) string {
-	var parts []string
-	for _, ve := range sortedVersions(versions) {
-		parts = append(parts, fmt.Sprintf("%d on %d", ve, versions[ve]))
-	}
-	if silent > 0 {
-		parts = append(parts, fmt.Sprintf("unknown on %d", silent))
-	}
-	return strings.Join(parts, ", ")
-}
-
 func (co *statusCommand) printHosts(st operator.Status) {
 	rows := [][]string{{"HOST", "DATA CENTRE", "STATE", "VERSION", "REFUSED", "LINK ADDRESS"}}
 	for _, ce := range st.DataCentres {
--- a/io/operator/console.go
+++ b/io/operator/console.go
@@ -247,6 +247,8 @@
 		"carry":    func(vi *visit, _ string) { vi.carry() },
 		"history":  (*visit).historyFrom,
 		"rollback": (*visit).rollBack,
+		"mesh":     func(vi *visit, _ string) { vi.showMesh() },
+		"explain":  func(vi *visit, _ string) { vi.explain() },
 	}
 }
 
--- a/io/operator/explain.go
+++ b/io/operator/explain.go
@@ -37,24 +37,20 @@
 func (sv *Server) getExplain(ctx *fasthttp.RequestCtx, _ access.Operator) {
 	subject, _ := ctx.UserValue("subject").(string)
 	id, _ := ctx.UserValue("id").(string)
-	body := ExplainBody{Host: sv.cfg.Host}
 	switch subject {
-	case SubjectVersion:
-		ve, err := strconv.ParseUint(id, 10, 64)
-		if err != nil {
-			sv.problem(ctx, &platform.NotFoundError{Name: "version " + id})
-			return
-		}
-		body.Answer = sv.cfg.Explainer.Version(contract.Version(ve))
-	case SubjectHost:
-		body.Answer = sv.cfg.Explainer.Host(host.ID(id))
-	case SubjectCall:
-		body.Answer = sv.cfg.Explainer.CallOf(id)
+	case SubjectVersion, SubjectHost, SubjectCall:
 	default:
 		sv.notFound(ctx)
 		return
 	}
-	writeJSON(ctx, fasthttp.StatusOK, body)
+	if _, err := strconv.ParseUint(id, 10, 64); err != nil && subject == SubjectVersion {
+		sv.problem(ctx, &platform.NotFoundError{Name: "version " + id})
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, ExplainBody{
+		Host:   sv.cfg.Host,
+		Answer: sv.answerFor(subject, id),
+	})
 }
 
 // latestEntries bounds the decisions that are listed without a subject.
--- a/io/operator/page.go
+++ b/io/operator/page.go
@@ -31,10 +31,12 @@
 	pageDoubt    pageName = "doubt"
 	pageAccepted pageName = "accepted"
 	pageHistory  pageName = "history"
+	pageMesh     pageName = "mesh"
+	pageExplain  pageName = "explain"
 )
 
 var pages = parsePages(pageLogin, pageResume, pageDenied, pageOverview, pageForm, pageReview,
-	pageWait, pageConflict, pageDoubt, pageAccepted, pageHistory)
+	pageWait, pageConflict, pageDoubt, pageAccepted, pageHistory, pageMesh, pageExplain)
 
 func parsePages(names ...pageName) map[pageName]*template.Template {
 	all := map[pageName]*template.Template{}
@@ -44,7 +46,7 @@
 			"plural": plural,
 			"inc":    inc,
 		})
-		all[na] = template.Must(te.ParseFS(pageFiles, "pages/layout.html", "pages/"+string(na)+".html"))
+		all[na] = template.Must(te.ParseFS(pageFiles, "pages/layout.html", "pages/explained.html", "pages/"+string(na)+".html"))
 	}
 	return all
 }
