feat: measure a join through the pure core

Change: bench/slopes links a member that knows nothing to one that knows up to 12,000 hosts and 700 services, with the real messages.

--- a/bench/slopes/main.go
+++ b/bench/slopes/main.go
@@ -25,6 +25,7 @@
 	return []step{
 		{name: "config", run: measureConfig},
 		{name: "members", run: measureMembers},
+		{name: "join", run: measureJoin},
 		{name: "gate", run: measureGate},
 		{name: "readers", run: measureReaders},
 		{name: "links", run: measureLinks},
--- a/bench/slopes/members.go
+++ b/bench/slopes/members.go
@@ -9,6 +9,7 @@
 
 	"lynxfold/bench/capacity"
 	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
 	"lynxfold/core/wire"
 )
 
@@ -68,12 +69,30 @@
 		Rand:           rand.New(rand.NewPCG(1, 2)),
 	})
 	now := time.Unix(1_796_000_000, 0)
+	me.Step(datacentre.PlatformRead{}, now)
+	linkTo(me, "host-00001", now)
 	for from := 1; from < hosts; from += batch {
 		receive(me, records(from, min(from+batch, hosts), 1), now)
 	}
 	return me
 }
 
+// linkTo opens a control link to a host of the same data centre.
+func linkTo(me *datacentre.Member, id host.ID, now time.Time) {
+	me.Step(datacentre.LinkOpened{
+		Peer: id,
+		Hello: &wire.Hello{
+			Mesh: "target",
+			Host: &wire.Host{
+				Id:          string(id),
+				DataCentre:  "data-centre-00",
+				Address:     "10.0.0.1:7400",
+				Incarnation: 1,
+			},
+		},
+	}, now)
+}
+
 // receive decodes a message as a link would and feeds it.
 func receive(me *datacentre.Member, ms *wire.Control, now time.Time) {
 	data, err := proto.Marshal(ms)
