feat: measure how a change spreads in one data centre

Cause: the 4 s budget and the control bytes rest on hops and copies of a change.

Change: bench/slopes delivers the messages of 32 to 512 members of one data centre in rounds.

--- a/bench/slopes/main.go
+++ b/bench/slopes/main.go
@@ -26,6 +26,7 @@
 		{name: "config", run: measureConfig},
 		{name: "members", run: measureMembers},
 		{name: "join", run: measureJoin},
+		{name: "spread", run: measureSpread},
 		{name: "gate", run: measureGate},
 		{name: "readers", run: measureReaders},
 		{name: "links", run: measureLinks},
