--- a/bench/slopes/members.go
+++ b/bench/slopes/members.go
@@ -55,15 +55,16 @@
 // member knows a number of hosts.
 func member(hosts int) *datacentre.Member {
 	me := datacentre.New(datacentre.Config{
-		Mesh:        "target",
-		Host:        "host-00000",
-		DataCentre:  "data-centre-00",
-		Address:     "10.0.0.0:7400",
-		Incarnation: 1,
-		ReadEvery:   time.Minute,
-		DialBase:    time.Second,
-		DialCap:     time.Minute,
-		Rand:        rand.New(rand.NewPCG(1, 2)),
+		Mesh:           "target",
+		Host:           "host-00000",
+		DataCentre:     "data-centre-00",
+		Address:        "10.0.0.0:7400",
+		Incarnation:    1,
+		FleetSize:      hosts,
+		ReadsPerSecond: 1,
+		DialBase:       time.Second,
+		DialCap:        time.Minute,
+		Rand:           rand.New(rand.NewPCG(1, 2)),
 	})
 	now := time.Unix(1_796_000_000, 0)
 	for from := 1; from < hosts; from += batch {
--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -24,7 +24,7 @@
 	// inboxSize bounds the events that wait for the control goroutine.
 	inboxSize = 1024
 	// probeAfter and answerWithin find a silent link within 2 s.
-	probeAfter   = time.Second
+	probeAfter   = 800 * time.Millisecond
 	answerWithin = 800 * time.Millisecond
 	dialBase     = 200 * time.Millisecond
 	dialCap      = 5 * time.Second
@@ -54,6 +54,7 @@
 	di *node.Dialer,
 	vs *platform.Versions,
 	co *controlCounters,
+	lc *node.Counters,
 	log zerolog.Logger,
 ) *Control {
 	contacts := make([]string, 0, len(se.Link.Contacts))
@@ -92,8 +93,11 @@
 			ProbeAfter:   probeAfter,
 			AnswerWithin: answerWithin,
 		},
-		Hello: ct.hello.Load,
-		Emit:  ct.emitLink,
+		Joins:                se.Link.Joins,
+		ResyncBytesPerSecond: se.Link.ResyncBytesPerSecond,
+		Hello:                ct.hello.Load,
+		Emit:                 ct.emitLink,
+		Counters:             lc,
 	})
 	return ct
 }
--- a/cmd/process/counters.go
+++ b/cmd/process/counters.go
@@ -26,7 +26,3 @@
 	}
 	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_platform_reads_total{outcome=%q}`, outcome)).Inc()
 }
-
-func (co *controlCounters) refusedConn() {
-	co.set.GetOrCreateCounter(`lynxfold_link_connections_refused_total`).Inc()
-}
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -127,7 +127,7 @@
 		func() *sockets { return so },
 		func() zerolog.Logger { return log },
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
-		newDialer, newPlatform, platform.NewVersions, newControl,
+		newCertificates, node.NewCounters, newDialer, newPlatform, platform.NewVersions, newControl,
 		upstream.NewClient, newGate, upstream.NewListener,
 		node.NewLanes, newCaller, newOperator, newListener,
 		newProcess,
@@ -181,7 +181,25 @@
 // dialTimeout bounds the opening of a connection to another node.
 const dialTimeout = 2 * time.Second
 
-func newDialer() *node.Dialer { return &node.Dialer{Timeout: dialTimeout} }
+func newDialer(ce *node.Certificates) *node.Dialer {
+	return &node.Dialer{
+		Certificates: ce,
+		Timeout:      dialTimeout,
+	}
+}
+
+// newCertificates is nil when connections between nodes are not encrypted.
+func newCertificates(se *ini.Settings) (*node.Certificates, error) {
+	if se.TLS.CertFile == "" {
+		return nil, nil
+	}
+	return node.NewCertificates(node.CertificatesConfig{
+		Mesh:     se.Mesh.Name,
+		CertFile: se.TLS.CertFile,
+		KeyFile:  se.TLS.KeyFile,
+		CAFile:   se.TLS.CAFile,
+	})
+}
 
 func newPlatform(se *ini.Settings) *platform.Client {
 	return platform.NewClient(platform.Config{
@@ -246,14 +264,34 @@
 	})
 }
 
-func newListener(so *sockets, ct *Control, ga *upstream.Gate, co *controlCounters, log zerolog.Logger) *node.Listener {
+// maxHandshakes bounds the connections of other nodes that are not in use yet.
+const maxHandshakes = 256
+
+func newListener(
+	se *ini.Settings,
+	so *sockets,
+	ct *Control,
+	ga *upstream.Gate,
+	ce *node.Certificates,
+	lc *node.Counters,
+	log zerolog.Logger,
+) *node.Listener {
+	refused := func(er *node.RefusedError) {
+		lc.Refused(er.Reason)
+		log.Debug().Err(er).Str("reason", string(er.Reason)).Msg("connection of another node refused")
+	}
 	return node.NewListener(so.link, node.ListenerConfig{
-		Control: ct.links.Accept,
-		Lane:    func(nc *node.Conn) { node.ServeLane(nc, ga) },
-		Refused: func(err error) {
-			co.refusedConn()
-			log.Debug().Err(err).Msg("connection refused")
+		Certificates:  ce,
+		MaxConns:      se.Link.MaxConnections,
+		MaxHandshakes: maxHandshakes,
+		Control: func(co *node.Conn) {
+			var er *node.RefusedError
+			if errors.As(ct.links.Accept(co), &er) {
+				refused(er)
+			}
 		},
+		Lane:    func(nc *node.Conn) { node.ServeLane(nc, ga) },
+		Refused: refused,
 	})
 }
 
--- a/io/ini/keys.go
+++ b/io/ini/keys.go
@@ -121,6 +121,21 @@
 			help: "Addresses of nodes to try first, separated by commas.",
 			set:  setContacts,
 		},
+		{
+			section: "link", name: "joins", fallback: "8", remedy: remedyCount,
+			help: "Most nodes that may join through this one at once; others are sent elsewhere.",
+			set:  count(func(se *Settings) *int { return &se.Link.Joins }),
+		},
+		{
+			section: "link", name: "resync_bytes_per_second", fallback: "1048576", remedy: remedyCount,
+			help: "Bytes a second for large control messages to all other nodes together.",
+			set:  count(func(se *Settings) *int { return &se.Link.ResyncBytesPerSecond }),
+		},
+		{
+			section: "link", name: "max_connections", fallback: "16384", remedy: remedyCount,
+			help: "Most connections of other nodes at once.",
+			set:  count(func(se *Settings) *int { return &se.Link.MaxConnections }),
+		},
 	}
 }
 
--- a/io/ini/settings.go
+++ b/io/ini/settings.go
@@ -42,6 +42,11 @@
 	// AdvertiseRemote is told to nodes of other data centres.
 	AdvertiseRemote netip.AddrPort
 	Contacts        []netip.AddrPort
+	// Joins bounds the nodes that join through this one at once.
+	Joins int
+	// ResyncBytesPerSecond bounds large control messages to all other nodes together.
+	ResyncBytesPerSecond int
+	MaxConnections       int
 }
 
 // CallerSettings are the callers' listener and its limits.
--- /dev/null
+++ b/io/node/certificates_test.go
@@ -0,0 +1,247 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/testkit"
+)
+
+// taker is a listener that records what it took and refused.
+type taker struct {
+	address string
+	mu      sync.Mutex
+	taken   int
+	refused []RefusalReason
+}
+
+func startTaker(t *testing.T, cfg ListenerConfig) *taker {
+	t.Helper()
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ta := &taker{address: li.Addr().String()}
+	take := func(co *Conn) {
+		ta.mu.Lock()
+		ta.taken++
+		ta.mu.Unlock()
+		_, _ = co.Reader.ReadByte()
+	}
+	cfg.Control, cfg.Lane = take, take
+	cfg.Refused = func(er *RefusedError) {
+		ta.mu.Lock()
+		defer ta.mu.Unlock()
+		ta.refused = append(ta.refused, er.Reason)
+	}
+	if cfg.MaxConns == 0 {
+		cfg.MaxConns = 100
+	}
+	if cfg.MaxHandshakes == 0 {
+		cfg.MaxHandshakes = 100
+	}
+	ls := NewListener(li, cfg)
+	var done sync.WaitGroup
+	done.Go(func() { _ = ls.Serve() })
+	t.Cleanup(func() {
+		ls.Close()
+		done.Wait()
+	})
+	return ta
+}
+
+func (ta *taker) counts() (taken int, refused []RefusalReason) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	return ta.taken, append([]RefusalReason(nil), ta.refused...)
+}
+
+func certificates(t *testing.T, mesh string, files testkit.CertificateFiles, ca string) *Certificates {
+	t.Helper()
+	ce, err := NewCertificates(CertificatesConfig{
+		Mesh:     mesh,
+		CertFile: files.Cert,
+		KeyFile:  files.Key,
+		CAFile:   ca,
+	})
+	assert.NilError(t, err)
+	return ce
+}
+
+func TestMutualTLS(t *testing.T) {
+	hour := time.Now().Add(time.Hour)
+	own, other := testkit.NewAuthority(t, "own"), testkit.NewAuthority(t, "other")
+	server := certificates(t, "szeged", own.Sign("szeged", hour), own.File)
+	dialer := func(ce *Certificates) *Dialer {
+		return &Dialer{
+			Certificates: ce,
+			Timeout:      2 * time.Second,
+		}
+	}
+	for _, tc := range []struct {
+		name   string
+		dialer *Dialer
+		// client is why the dialling side refuses, server why the other side does.
+		client RefusalReason
+		server RefusalReason
+	}{
+		{
+			name:   "same mesh",
+			dialer: dialer(certificates(t, "szeged", own.Sign("szeged", hour), own.File)),
+		},
+		{
+			name:   "client of another authority",
+			dialer: dialer(mixed(t, other, own, "szeged")),
+			server: RefusedUnknownAuthority,
+		},
+		{
+			name:   "client that trusts another authority",
+			dialer: dialer(certificates(t, "szeged", other.Sign("szeged", hour), other.File)),
+			client: RefusedUnknownAuthority,
+			server: RefusedByPeer,
+		},
+		{
+			name:   "client of another mesh",
+			dialer: dialer(certificates(t, "cuyo", own.Sign("cuyo", hour), own.File)),
+			client: RefusedOtherMesh,
+			server: RefusedByPeer,
+		},
+		{
+			name:   "certificate of another mesh",
+			dialer: dialer(shown(t, own, "cuyo", hour)),
+			server: RefusedOtherMesh,
+		},
+		{
+			name:   "expired certificate",
+			dialer: dialer(shown(t, own, "szeged", time.Now().Add(-time.Minute))),
+			server: RefusedBadCertificate,
+		},
+		{
+			name:   "no certificate",
+			dialer: dialer(shown(t, own, "", hour)),
+			server: RefusedNoCertificate,
+		},
+		{
+			name:   "no TLS",
+			dialer: dialer(nil),
+			server: RefusedNotTLS,
+		},
+	} {
+		for _, preface := range []string{prefaceControl, prefaceLane} {
+			t.Run(tc.name+" "+preface[9:14], func(t *testing.T) {
+				ta := startTaker(t, ListenerConfig{Certificates: server})
+				co, err := tc.dialer.dial(context.Background(), ta.address, preface)
+				if tc.client != "" {
+					var er *RefusedError
+					assert.Assert(t, errors.As(err, &er), "%v", err)
+					assert.Equal(t, er.Reason, tc.client)
+				} else {
+					assert.NilError(t, err)
+					defer co.raw.Close()
+				}
+				testkit.Eventually(t, 5*time.Second, "a verdict", func() bool {
+					taken, refused := ta.counts()
+					return taken+len(refused) > 0
+				})
+				taken, refused := ta.counts()
+				if tc.server == "" {
+					assert.Equal(t, taken, 1)
+					return
+				}
+				assert.Equal(t, taken, 0)
+				assert.DeepEqual(t, refused, []RefusalReason{tc.server})
+			})
+		}
+	}
+}
+
+// mixed shows a certificate of one authority and trusts another one.
+func mixed(t *testing.T, signer, trusted *testkit.Authority, mesh string) *Certificates {
+	t.Helper()
+	ce := certificates(t, mesh, signer.Sign(mesh, time.Now().Add(time.Hour)), signer.File)
+	kp := *ce.current.Load()
+	kp.roots = certificates(t, mesh, trusted.Sign(mesh, time.Now().Add(time.Hour)), trusted.File).current.Load().roots
+	ce.current.Store(&kp)
+	return ce
+}
+
+// shown trusts the mesh's servers but shows a certificate for another name, or none.
+func shown(t *testing.T, au *testkit.Authority, name string, until time.Time) *Certificates {
+	t.Helper()
+	ce := certificates(t, "szeged", au.Sign("szeged", time.Now().Add(time.Hour)), au.File)
+	kp := *ce.current.Load()
+	kp.own = tls.Certificate{}
+	if name != "" {
+		files := au.Sign(name, until)
+		var err error
+		kp.own, err = tls.LoadX509KeyPair(files.Cert, files.Key)
+		assert.NilError(t, err)
+	}
+	ce.current.Store(&kp)
+	return ce
+}
+
+func TestTLSIsAtLeast13(t *testing.T) {
+	own := testkit.NewAuthority(t, "own")
+	ce := certificates(t, "szeged", own.Sign("szeged", time.Now().Add(time.Hour)), own.File)
+	ta := startTaker(t, ListenerConfig{Certificates: ce})
+	cfg := ce.client()
+	cfg.MinVersion, cfg.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+	co, err := tls.Dial("tcp", ta.address, cfg)
+	if err == nil {
+		_ = co.Close()
+	}
+	assert.Assert(t, err != nil)
+}
+
+func TestCertificatesThatCannotBeUsed(t *testing.T) {
+	hour := time.Now().Add(time.Hour)
+	own, other := testkit.NewAuthority(t, "own"), testkit.NewAuthority(t, "other")
+	good := own.Sign("szeged", hour)
+	for _, tc := range []struct {
+		name  string
+		files testkit.CertificateFiles
+		ca    string
+	}{
+		{name: "missing key", files: testkit.CertificateFiles{Cert: good.Cert, Key: "none"}, ca: own.File},
+		{name: "missing authority", files: good, ca: "none"},
+		{name: "authority without certificate", files: good, ca: good.Key},
+		{name: "another authority", files: good, ca: other.File},
+		{name: "another mesh", files: own.Sign("cuyo", hour), ca: own.File},
+		{name: "expired", files: own.Sign("szeged", time.Now().Add(-time.Minute)), ca: own.File},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := NewCertificates(CertificatesConfig{
+				Mesh:     "szeged",
+				CertFile: tc.files.Cert,
+				KeyFile:  tc.files.Key,
+				CAFile:   tc.ca,
+			})
+			assert.Assert(t, errors.HasType(err, &CertificateError{}), "%v", err)
+		})
+	}
+}
+
+func TestReloadKeepsTheFormerCertificateWhenTheNewOneIsBad(t *testing.T) {
+	own := testkit.NewAuthority(t, "own")
+	files := own.Sign("szeged", time.Now().Add(time.Hour))
+	ce := certificates(t, "szeged", files, own.File)
+	before := ce.current.Load()
+	assert.NilError(t, os.WriteFile(files.Cert, []byte("torn"), 0o600))
+	assert.Assert(t, errors.HasType(ce.Reload(), &CertificateError{}))
+	assert.Equal(t, ce.current.Load(), before)
+	next := own.Sign("szeged", time.Now().Add(time.Hour))
+	for from, to := range map[string]string{next.Cert: files.Cert, next.Key: files.Key} {
+		data, err := os.ReadFile(from)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(to, data, 0o600))
+	}
+	assert.NilError(t, ce.Reload())
+	assert.Assert(t, ce.current.Load() != before)
+}
--- /dev/null
+++ b/io/node/counters.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"lynxfold/core/wire"
+)
+
+// Direction is which way a message went.
+type Direction string
+
+// Directions of messages.
+const (
+	DirectionIn  Direction = "in"
+	DirectionOut Direction = "out"
+)
+
+// ClosedReason names why a control link has ended.
+type ClosedReason string
+
+// Reasons for ended control links.
+const (
+	ClosedByPeer    ClosedReason = "by_peer"
+	ClosedSilent    ClosedReason = "silent"
+	ClosedReplaced  ClosedReason = "replaced"
+	ClosedDuplicate ClosedReason = "duplicate"
+	ClosedSlowPeer  ClosedReason = "slow_peer"
+	ClosedOnPurpose ClosedReason = "on_purpose"
+	ClosedBadFrame  ClosedReason = "bad_frame"
+	ClosedShutdown  ClosedReason = "shutdown"
+)
+
+// Counters count what happens on links between nodes.
+type Counters struct {
+	set *metrics.Set
+	// messages caches the counters of each kind and direction.
+	messages sync.Map
+}
+
+// messageKey finds the counters of one kind and direction.
+type messageKey struct {
+	kind      string
+	direction Direction
+}
+
+// messageCounters are the counters of one kind and direction.
+type messageCounters struct {
+	count *metrics.Counter
+	bytes *metrics.Counter
+}
+
+// NewCounters builds the counters in a set.
+func NewCounters(set *metrics.Set) *Counters { return &Counters{set: set} }
+
+// kindOf names the kind of a control message in snake case.
+func kindOf(ms *wire.Control) string {
+	mr := ms.ProtoReflect()
+	field := mr.WhichOneof(mr.Descriptor().Oneofs().ByName("kind"))
+	if field == nil {
+		return "unknown"
+	}
+	return string(field.Name())
+}
+
+func (co *Counters) message(di Direction, ms *wire.Control, size int) {
+	key := messageKey{
+		kind:      kindOf(ms),
+		direction: di,
+	}
+	found, ok := co.messages.Load(key)
+	if !ok {
+		labels := fmt.Sprintf(`{direction=%q,kind=%q}`, di, key.kind)
+		found, _ = co.messages.LoadOrStore(key, &messageCounters{
+			count: co.set.GetOrCreateCounter("lynxfold_control_messages_total" + labels),
+			bytes: co.set.GetOrCreateCounter("lynxfold_control_bytes_total" + labels),
+		})
+	}
+	mc, _ := found.(*messageCounters)
+	mc.count.Inc()
+	mc.bytes.Add(size)
+}
+
+// Refused counts a connection from another node that was not taken.
+func (co *Counters) Refused(reason RefusalReason) {
+	co.inc("lynxfold_link_connections_refused_total", "reason", string(reason))
+}
+
+func (co *Counters) dialFailed(reason RefusalReason) {
+	co.inc("lynxfold_link_dials_failed_total", "reason", string(reason))
+}
+
+func (co *Counters) closed(reason ClosedReason) {
+	co.inc("lynxfold_links_closed_total", "reason", string(reason))
+}
+
+func (co *Counters) dropped(ms *wire.Control) {
+	co.inc("lynxfold_control_messages_dropped_total", "kind", kindOf(ms))
+}
+
+func (co *Counters) replacement(outcome string) {
+	co.inc("lynxfold_link_replacements_total", "outcome", outcome)
+}
+
+func (co *Counters) inc(name, label, value string) {
+	co.set.GetOrCreateCounter(fmt.Sprintf(`%s{%s=%q}`, name, label, value)).Inc()
+}
--- a/io/node/dialer.go
+++ b/io/node/dialer.go
@@ -11,36 +11,65 @@
 
 // Dialer opens connections to other nodes.
 type Dialer struct {
-	// TLS is nil when links are not encrypted.
-	TLS *tls.Config
+	// Certificates is nil when connections between nodes are not encrypted.
+	Certificates *Certificates
 	// Timeout bounds the opening of a connection.
 	Timeout time.Duration
 }
 
+// dial opens a connection and says what it is for. A failure is a RefusedError
+// when the peer was reached but not accepted, or did not accept this node.
 func (di *Dialer) dial(ctx context.Context, address, preface string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, di.Timeout)
 	defer cancel()
 	var nd net.Dialer
-	nc, err := nd.DialContext(ctx, "tcp", address)
+	raw, err := nd.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	if di.TLS != nil {
-		tc := tls.Client(nc, di.TLS)
+	co, err := di.handshake(ctx, raw, preface)
+	if err != nil {
+		_ = raw.Close()
+		return nil, refuse(err)
+	}
+	return co, nil
+}
+
+func (di *Dialer) handshake(ctx context.Context, raw net.Conn, preface string) (*Conn, error) {
+	stream := raw
+	if di.Certificates != nil {
+		tc := tls.Client(raw, di.Certificates.client())
 		if err := tc.HandshakeContext(ctx); err != nil {
-			_ = nc.Close()
 			return nil, err
 		}
-		nc = tc
+		stream = tc
 	}
-	_ = nc.SetWriteDeadline(time.Now().Add(di.Timeout))
-	if _, err := io.WriteString(nc, preface); err != nil {
-		_ = nc.Close()
+	_ = raw.SetWriteDeadline(time.Now().Add(di.Timeout))
+	if _, err := io.WriteString(stream, preface); err != nil {
 		return nil, err
 	}
-	_ = nc.SetWriteDeadline(time.Time{})
+	_ = raw.SetWriteDeadline(time.Time{})
+	return newConn(raw, stream), nil
+}
+
+// connBufferBytes is the size of a connection's read buffer, in bytes.
+const connBufferBytes = 16 << 10
+
+// Conn is a connection with its buffered reader.
+type Conn struct {
+	net.Conn
+	Reader *bufio.Reader
+	// raw is the connection below TLS; closing it never blocks.
+	raw net.Conn
+}
+
+func newConn(raw, stream net.Conn) *Conn {
 	return &Conn{
-		Conn:   nc,
-		Reader: bufio.NewReaderSize(nc, 16<<10),
-	}, nil
+		Conn:   stream,
+		Reader: bufio.NewReaderSize(stream, connBufferBytes),
+		raw:    raw,
+	}
 }
+
+// Read reads through the buffer.
+func (co *Conn) Read(buf []byte) (int, error) { return co.Reader.Read(buf) }
--- /dev/null
+++ b/io/node/errors.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+)
+
+// RefusalReason names why a connection between nodes was not taken.
+type RefusalReason string
+
+// Reasons for refused connections.
+const (
+	RefusedUnknownAuthority RefusalReason = "unknown_authority"
+	RefusedOtherMesh        RefusalReason = "other_mesh"
+	RefusedNoCertificate    RefusalReason = "no_certificate"
+	RefusedBadCertificate   RefusalReason = "bad_certificate"
+	RefusedNotTLS           RefusalReason = "not_tls"
+	RefusedByPeer           RefusalReason = "refused_by_peer"
+	RefusedBadPreface       RefusalReason = "bad_preface"
+	RefusedBadHello         RefusalReason = "bad_hello"
+	RefusedItself           RefusalReason = "this_host_itself"
+	RefusedOversize         RefusalReason = "oversize"
+	RefusedMalformed        RefusalReason = "malformed"
+	RefusedSlow             RefusalReason = "too_slow"
+	RefusedBusy             RefusalReason = "busy"
+	RefusedClosed           RefusalReason = "closed_early"
+	RefusedUnreachable      RefusalReason = "unreachable"
+	RefusedOther            RefusalReason = "other"
+)
+
+// RefusedError reports a connection between nodes that was not taken.
+type RefusedError struct {
+	Reason RefusalReason
+	Err    error
+}
+
+func (er *RefusedError) Error() string {
+	if er.Err == nil {
+		return "connection refused: " + string(er.Reason)
+	}
+	return fmt.Sprintf("connection refused: %s: %v", er.Reason, er.Err)
+}
+
+// Unwrap returns the cause.
+func (er *RefusedError) Unwrap() error { return er.Err }
+
+// PrefaceError reports a connection that does not speak the protocol.
+type PrefaceError struct{}
+
+func (er *PrefaceError) Error() string { return "connection does not start with a known preface" }
+
+// HelloError reports a peer that can't be linked to.
+type HelloError struct {
+	Reason RefusalReason
+}
+
+func (er *HelloError) Error() string { return "hello refused: " + string(er.Reason) }
+
+// NoCertificateError reports a peer that showed no certificate.
+type NoCertificateError struct{}
+
+func (er *NoCertificateError) Error() string { return "peer showed no certificate" }
+
+// refuse classifies why a connection failed before it was in use.
+func refuse(err error) *RefusedError {
+	var already *RefusedError
+	if errors.As(err, &already) {
+		return already
+	}
+	return &RefusedError{
+		Reason: reasonOf(err),
+		Err:    err,
+	}
+}
+
+func reasonOf(err error) RefusalReason {
+	if reason := certificateReason(err); reason != "" {
+		return reason
+	}
+	var (
+		hello     *HelloError
+		preface   *PrefaceError
+		oversize  *OversizeError
+		malformed *MalformedError
+		timeout   net.Error
+		dial      *net.OpError
+	)
+	switch {
+	case errors.As(err, &hello):
+		return hello.Reason
+	case errors.As(err, &preface):
+		return RefusedBadPreface
+	case errors.As(err, &oversize):
+		return RefusedOversize
+	case errors.As(err, &malformed):
+		return RefusedMalformed
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return RefusedSlow
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return RefusedUnreachable
+	}
+	return streamReason(err)
+}
+
+// streamReason classifies what broke an open connection.
+func streamReason(err error) RefusalReason {
+	switch {
+	case errors.Is(err, yamux.ErrInvalidVersion), errors.Is(err, yamux.ErrInvalidMsgType),
+		errors.Is(err, yamux.ErrUnexpectedFlag), errors.Is(err, yamux.ErrRecvWindowExceeded):
+		return RefusedMalformed
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed),
+		errors.Is(err, yamux.ErrSessionShutdown), errors.Is(err, yamux.ErrConnectionReset),
+		errors.Is(err, yamux.ErrStreamClosed), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return RefusedClosed
+	}
+	return RefusedOther
+}
+
+// alertOp marks the errors in which crypto/tls reports what the peer objects to.
+const alertOp = "remote error"
+
+// certificateReason is empty when the failure is not about certificates.
+func certificateReason(err error) RefusalReason {
+	var (
+		missing   *NoCertificateError
+		authority x509.UnknownAuthorityError
+		name      x509.HostnameError
+		invalid   x509.CertificateInvalidError
+		record    tls.RecordHeaderError
+		alert     *net.OpError
+	)
+	switch {
+	case errors.As(err, &missing):
+		return RefusedNoCertificate
+	case errors.As(err, &authority):
+		return RefusedUnknownAuthority
+	case errors.As(err, &name):
+		return RefusedOtherMesh
+	case errors.As(err, &invalid):
+		return RefusedBadCertificate
+	case errors.As(err, &record):
+		return RefusedNotTLS
+	case errors.As(err, &alert) && alert.Op == alertOp:
+		return RefusedByPeer
+	}
+	return ""
+}
--- a/io/node/frame.go
+++ b/io/node/frame.go
@@ -18,6 +18,8 @@
 	maxFrameBytes = 1 << 20
 	// pieceBytes is the size of a body's pieces, in bytes.
 	pieceBytes = 32 << 10
+	// growBytes is what is allocated before any of a message has arrived, in bytes.
+	growBytes = 64 << 10
 	// lengthBytes is the size of a message's length, big-endian, in bytes.
 	lengthBytes = 4
 )
@@ -50,22 +52,45 @@
 
 // readMessage reads one length-prefixed message.
 func readMessage(rd *bufio.Reader, ms proto.Message, limit int) error {
+	_, err := readSized(rd, ms, limit)
+	return err
+}
+
+// readSized reads one length-prefixed message and returns its length on the
+// wire, in bytes.
+func readSized(rd *bufio.Reader, ms proto.Message, limit int) (int, error) {
 	var head [lengthBytes]byte
 	if _, err := io.ReadFull(rd, head[:]); err != nil {
-		return err
+		return 0, err
 	}
 	size := int(binary.BigEndian.Uint32(head[:]))
 	if size > limit {
-		return &OversizeError{Length: size, Limit: limit}
+		return 0, &OversizeError{Length: size, Limit: limit}
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(rd, data); err != nil {
-		return err
+	data, err := readBytes(rd, size)
+	if err != nil {
+		return 0, err
 	}
 	if err := proto.Unmarshal(data, ms); err != nil {
-		return &MalformedError{Err: err}
+		return 0, &MalformedError{Err: err}
+	}
+	return size + lengthBytes, nil
+}
+
+// readBytes reads that many bytes. Memory grows with what has arrived, not with
+// what was promised.
+func readBytes(rd *bufio.Reader, size int) ([]byte, error) {
+	data := make([]byte, min(size, growBytes))
+	for read := 0; ; {
+		if _, err := io.ReadFull(rd, data[read:]); err != nil {
+			return nil, err
+		}
+		read = len(data)
+		if read == size {
+			return data, nil
+		}
+		data = append(data, make([]byte, min(read, size-read))...)
 	}
-	return nil
 }
 
 // appendMessage appends one length-prefixed message to a buffer.
--- a/io/node/links.go
+++ b/io/node/links.go
@@ -1,14 +1,11 @@
 package node
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
+	"golang.org/x/time/rate"
 
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
@@ -16,8 +13,17 @@
 	"lynxfold/core/wire"
 )
 
-// sendQueue bounds the messages that wait on one link.
-const sendQueue = 512
+const (
+	// maxHelloBytes bounds the first message of a link, in bytes.
+	maxHelloBytes = 64 << 10
+	// maxSessions bounds the control links to one peer.
+	maxSessions = 4
+	// retireAfter is how long a second link to a peer is kept, so that what is
+	// under way on it arrives.
+	retireAfter = time.Second
+	// maxTold bounds the addresses told to a peer that is refused.
+	maxTold = 5
+)
 
 // Event is something that happened on a control link.
 type Event interface{ isEvent() }
@@ -26,6 +32,8 @@
 type Opened struct {
 	Session *Session
 	Hello   *wire.Hello
+	// Address is what was dialled; empty when the peer opened the link.
+	Address string
 }
 
 // Heard brings a message.
@@ -45,27 +53,33 @@
 	Err     error
 }
 
-func (Opened) isEvent()     {}
-func (Heard) isEvent()      {}
-func (Closed) isEvent()     {}
-func (DialFailed) isEvent() {}
-
-// HelloError reports a peer that can't be linked to.
-type HelloError struct {
-	Detail string
+// ReplaceFailed says that no new link could be opened beside a silent one.
+type ReplaceFailed struct {
+	Session *Session
+	Err     error
 }
 
-func (er *HelloError) Error() string { return "hello refused: " + er.Detail }
+func (Opened) isEvent()        {}
+func (Heard) isEvent()         {}
+func (Closed) isEvent()        {}
+func (DialFailed) isEvent()    {}
+func (ReplaceFailed) isEvent() {}
 
 // LinksConfig sets up the control links.
 type LinksConfig struct {
 	Mesh   string
 	Dialer *Dialer
 	Watch  link.Config
+	// Joins bounds the peers that join through this node at once.
+	Joins int
+	// ResyncBytesPerSecond bounds large messages on all links together.
+	ResyncBytesPerSecond int
 	// Hello is called on any goroutine for what this node says first.
 	Hello func() *wire.Hello
 	// Emit passes events to the control goroutine; it may block.
 	Emit func(ev Event)
+	// Counters count what happens on the links.
+	Counters *Counters
 }
 
 // Links holds the control links of a node. Its methods that are not marked
@@ -75,17 +89,14 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	joins  chan struct{}
+	budget *rate.Limiter
 	// peers holds the sessions of each peer, the newest last.
 	peers map[host.ID][]*Session
-}
 
-// Session is one control link.
-type Session struct {
-	peer   host.ID
-	mux    *yamux.Session
-	stream net.Conn
-	out    chan *wire.Control
-	watch  *link.Link
+	mu sync.Mutex
+	// told are the addresses of linked peers, for those that are refused.
+	told []string
 }
 
 // NewLinks builds the control links.
@@ -95,6 +106,8 @@
 		cfg:    cfg,
 		ctx:    ctx,
 		cancel: cancel,
+		joins:  make(chan struct{}, cfg.Joins),
+		budget: rate.NewLimiter(rate.Limit(cfg.ResyncBytesPerSecond), max(cfg.ResyncBytesPerSecond, bulkBytes)),
 		peers:  map[host.ID][]*Session{},
 	}
 }
@@ -108,142 +121,136 @@
 	})
 }
 
+// dial returns when the link has ended, or at once when it can't be opened.
 func (ls *Links) dial(address string) error {
-	co, err := ls.cfg.Dialer.dial(ls.ctx, address, prefaceControl)
+	se, he, err := ls.open(address)
 	if err != nil {
-		return err
+		er := refuse(err)
+		ls.cfg.Counters.dialFailed(er.Reason)
+		return er
 	}
-	mux, err := yamux.Client(co, muxConfig())
+	ls.run(se, he, address)
+	return nil
+}
+
+func (ls *Links) open(address string) (*Session, *wire.Hello, error) {
+	co, err := ls.cfg.Dialer.dial(ls.ctx, address, prefaceControl)
 	if err != nil {
-		_ = co.Close()
-		return err
+		return nil, nil, err
 	}
-	st, err := mux.Open()
+	_ = co.raw.SetDeadline(time.Now().Add(ls.cfg.Dialer.Timeout))
+	stop := context.AfterFunc(ls.ctx, func() { _ = co.raw.Close() })
+	defer stop()
+	se, err := openSession(co, ls.cfg.Counters)
 	if err != nil {
-		_ = mux.Close()
-		return err
+		_ = co.raw.Close()
+		return nil, nil, err
 	}
-	se, he, err := ls.greet(mux, st)
+	he, err := ls.greet(se)
 	if err != nil {
-		_ = mux.Close()
-		return err
+		se.abandon()
+		return nil, nil, err
 	}
-	ls.run(se, he)
-	return nil
+	return se, he, nil
 }
 
-// Accept runs a link that a peer opened; it belongs to the listener's goroutine.
-func (ls *Links) Accept(co *Conn) {
-	mux, err := yamux.Server(co, muxConfig())
+// Accept runs a link that a peer opened; it belongs to the listener's
+// goroutine. It fails with a RefusedError when the peer is not accepted.
+func (ls *Links) Accept(co *Conn) error {
+	se, err := acceptSession(co, ls.cfg.Counters)
 	if err != nil {
-		return
+		return refuse(err)
 	}
-	st, err := mux.Accept()
-	if err != nil {
-		_ = mux.Close()
-		return
+	select {
+	case ls.joins <- struct{}{}:
+		se.joined = sync.OnceFunc(func() { <-ls.joins })
+	default:
+		ls.sendElsewhere(se)
+		se.abandon()
+		return &RefusedError{Reason: RefusedBusy}
 	}
-	se, he, err := ls.greet(mux, st)
+	he, err := ls.greet(se)
 	if err != nil {
-		_ = mux.Close()
-		return
+		se.joined()
+		se.abandon()
+		return refuse(err)
 	}
-	ls.run(se, he)
+	ls.run(se, he, "")
+	return nil
 }
 
-func muxConfig() *yamux.Config {
-	cfg := yamux.DefaultConfig()
-	cfg.EnableKeepAlive = false // core/link probes instead
-	cfg.LogOutput = io.Discard
-	cfg.StreamOpenTimeout = 0
-	return cfg
+// sendElsewhere tells a peer that this node is busy, and whom else to ask.
+func (ls *Links) sendElsewhere(se *Session) {
+	ls.mu.Lock()
+	told := ls.told
+	ls.mu.Unlock()
+	_ = se.write(&wire.Control{
+		Kind: &wire.Control_LinkEnd{
+			LinkEnd: &wire.LinkEnd{
+				Refused:   true,
+				Addresses: told,
+			},
+		},
+	})
+	// The peer ends the connection once it has read this, or the deadline does.
+	_, _ = se.read(se.control, maxHelloBytes)
+	_, _ = se.control.reader.ReadByte()
 }
 
-// greet exchanges hellos on a new stream.
-func (ls *Links) greet(mux *yamux.Session, st net.Conn) (*Session, *wire.Hello, error) {
-	_ = st.SetDeadline(time.Now().Add(prefaceTimeout))
-	hello := &wire.Control{
+// greet exchanges hellos; the connection's deadline bounds it.
+func (ls *Links) greet(se *Session) (*wire.Hello, error) {
+	own := ls.cfg.Hello()
+	err := se.write(&wire.Control{
 		Kind: &wire.Control_Hello{
-			Hello: ls.cfg.Hello(),
+			Hello: own,
 		},
+	})
+	if err != nil {
+		return nil, err
 	}
-	if err := writeControl(st, hello); err != nil {
-		return nil, nil, err
+	answer, err := se.read(se.control, maxHelloBytes)
+	if err != nil {
+		return nil, err
 	}
-	var answer wire.Control
-	rd := bufio.NewReader(st)
-	if err := readMessage(rd, &answer, maxControlBytes); err != nil {
-		return nil, nil, err
+	if answer.GetLinkEnd().GetRefused() {
+		return nil, &RefusedError{Reason: RefusedBusy}
 	}
 	he := answer.GetHello()
-	if err := ls.checkHello(he); err != nil {
-		return nil, nil, err
+	if err := ls.checkHello(own, he); err != nil {
+		return nil, err
 	}
-	_ = st.SetDeadline(time.Time{})
-	return &Session{
-		peer:   host.ID(he.GetHost().GetId()),
-		mux:    mux,
-		stream: &Conn{Conn: st, Reader: rd},
-		out:    make(chan *wire.Control, sendQueue),
-	}, he, nil
+	_ = se.raw.SetDeadline(time.Time{})
+	se.greeted = se.meter.read.Load()
+	se.peer = host.ID(he.GetHost().GetId())
+	se.incarnation = host.Incarnation(he.GetHost().GetIncarnation())
+	se.address = he.GetHost().GetAddress()
+	if he.GetHost().GetDataCentre() != own.GetHost().GetDataCentre() && he.GetHost().GetRemoteAddress() != "" {
+		se.address = he.GetHost().GetRemoteAddress()
+	}
+	return he, nil
 }
 
-func (ls *Links) checkHello(he *wire.Hello) error {
+func (ls *Links) checkHello(own, he *wire.Hello) error {
 	switch {
 	case he == nil || he.GetHost().GetId() == "":
-		return &HelloError{Detail: "no hello"}
+		return &HelloError{Reason: RefusedBadHello}
 	case he.GetMesh() != ls.cfg.Mesh:
-		return &HelloError{Detail: "another mesh"}
-	case he.GetHost().GetId() == ls.cfg.Hello().GetHost().GetId():
-		return &HelloError{Detail: "this host itself"}
+		return &HelloError{Reason: RefusedOtherMesh}
+	case he.GetHost().GetId() == own.GetHost().GetId():
+		return &HelloError{Reason: RefusedItself}
 	}
 	return nil
 }
 
 // run emits the events of a session until it ends.
-func (ls *Links) run(se *Session, he *wire.Hello) {
-	ls.cfg.Emit(Opened{Session: se, Hello: he})
-	var done sync.WaitGroup
-	done.Go(func() { se.writeLoop(ls.ctx) })
-	rd := bufio.NewReader(se.stream)
-	for {
-		ms := &wire.Control{}
-		if err := readMessage(rd, ms, maxControlBytes); err != nil {
-			break
-		}
+func (ls *Links) run(se *Session, he *wire.Hello, address string) {
+	ls.cfg.Emit(Opened{Session: se, Hello: he, Address: address})
+	se.run(ls.ctx, ls.budget, func(ms *wire.Control) {
 		ls.cfg.Emit(Heard{Session: se, Message: ms})
-	}
-	_ = se.mux.Close()
-	done.Wait()
+	})
 	ls.cfg.Emit(Closed{Session: se})
 }
 
-func (se *Session) writeLoop(ctx context.Context) {
-	for {
-		select {
-		case ms := <-se.out:
-			if err := writeControl(se.stream, ms); err != nil {
-				_ = se.mux.Close()
-				return
-			}
-		case <-se.mux.CloseChan():
-			return
-		case <-ctx.Done():
-			_ = se.mux.Close()
-			return
-		}
-	}
-}
-
-func writeControl(wr io.Writer, ms *wire.Control) error {
-	data, err := appendMessage(nil, ms)
-	if err != nil {
-		return err
-	}
-	_, err = wr.Write(data)
-	return err
-}
-
 // Handle takes an event in and returns what the member must know.
 func (ls *Links) Handle(ev Event, now time.Time) []datacentre.Event {
 	switch ev := ev.(type) {
@@ -255,6 +262,9 @@
 		return ls.closed(ev.Session)
 	case DialFailed:
 		return []datacentre.Event{datacentre.DialFailed{Address: ev.Address}}
+	case ReplaceFailed:
+		ls.cfg.Counters.replacement("failed")
+		ev.Session.close(ClosedSilent)
 	}
 	return nil
 }
@@ -262,12 +272,70 @@
 func (ls *Links) opened(ev Opened, now time.Time) []datacentre.Event {
 	se := ev.Session
 	se.watch = link.New(ls.cfg.Watch, now)
-	first := len(ls.peers[se.peer]) == 0
-	ls.peers[se.peer] = append(ls.peers[se.peer], se)
-	if !first {
-		return nil
+	se.heard = se.greeted
+	former := ls.peers[se.peer]
+	ls.peers[se.peer] = append(former, se)
+	ls.tell()
+	opened := datacentre.LinkOpened{
+		Peer:    se.peer,
+		Hello:   ev.Hello,
+		Address: ev.Address,
+	}
+	if len(former) == 0 {
+		return []datacentre.Event{opened}
+	}
+	if former[len(former)-1].incarnation != se.incarnation {
+		for _, old := range former {
+			old.close(ClosedReplaced)
+		}
+		return []datacentre.Event{datacentre.LinkClosed{Peer: se.peer}, opened}
+	}
+	ls.move(former, se, now)
+	return []datacentre.Event{datacentre.Received{
+		Peer: se.peer,
+		Message: &wire.Control{
+			Kind: &wire.Control_Notice{
+				Notice: &wire.Notice{
+					Version: ev.Hello.GetVersion(),
+					Digest:  ev.Hello.GetDigest(),
+				},
+			},
+		},
+	}}
+}
+
+// move passes what waits on silent links to a new one and closes them. Of two
+// links that both work, the host with the lower id closes the older one.
+func (ls *Links) move(former []*Session, se *Session, now time.Time) {
+	self := host.ID(ls.cfg.Hello().GetHost().GetId())
+	for i, old := range former {
+		switch {
+		case old.silent:
+			old.close(ClosedSilent)
+			old.moveTo(se)
+			se.replacement = true
+			ls.cfg.Counters.replacement("done")
+		case len(former)-i >= maxSessions:
+			old.close(ClosedDuplicate)
+		case self < se.peer && old.retireAt.IsZero():
+			old.retireAt = now.Add(retireAfter)
+		}
+	}
+}
+
+// moveTo passes what was not written yet to another session.
+func (se *Session) moveTo(other *Session) {
+	for _, st := range []*stream{se.control, se.bulk} {
+		for len(st.out) > 0 {
+			select {
+			case qu := <-st.out:
+				if qu.message != nil && qu.message.GetProbe() == nil && qu.message.GetProbeAck() == nil {
+					other.send(qu.message)
+				}
+			default:
+			}
+		}
 	}
-	return []datacentre.Event{datacentre.LinkOpened{Peer: se.peer, Hello: ev.Hello}}
 }
 
 func (ls *Links) heard(ev Heard, now time.Time) []datacentre.Event {
@@ -289,7 +357,7 @@
 }
 
 func (ls *Links) closed(se *Session) []datacentre.Event {
-	left := ls.peers[se.peer][:0]
+	var left []*Session
 	for _, other := range ls.peers[se.peer] {
 		if other != se {
 			left = append(left, other)
@@ -299,57 +367,103 @@
 		ls.peers[se.peer] = left
 		return nil
 	}
+	if ls.peers[se.peer] == nil {
+		return nil
+	}
 	delete(ls.peers, se.peer)
+	ls.tell()
 	return []datacentre.Event{datacentre.LinkClosed{Peer: se.peer}}
 }
 
-// Tick probes quiet links and closes silent ones.
+// tell renews the addresses for peers that are refused.
+func (ls *Links) tell() {
+	var told []string
+	for _, sessions := range ls.peers {
+		if len(told) < maxTold {
+			told = append(told, sessions[0].address)
+		}
+	}
+	ls.mu.Lock()
+	ls.told = told
+	ls.mu.Unlock()
+}
+
+// Tick probes quiet links and replaces silent ones.
 func (ls *Links) Tick(now time.Time) {
 	for _, sessions := range ls.peers {
 		for _, se := range sessions {
-			for _, ac := range se.watch.Step(link.Tick{}, now) {
-				se.execute(ac)
-			}
+			ls.tick(se, now)
 		}
 	}
 }
 
-func (se *Session) execute(ac link.Action) {
-	switch ac := ac.(type) {
-	case link.SendProbe:
-		se.send(&wire.Control{
-			Kind: &wire.Control_Probe{
-				Probe: &wire.Probe{
-					Number: ac.Number,
+func (ls *Links) tick(se *Session, now time.Time) {
+	// Any bytes are a sign of life, also a part of a large message.
+	if read := se.meter.read.Load(); read != se.heard {
+		se.heard = read
+		se.watch.Step(link.Heard{}, now)
+	}
+	if !se.retireAt.IsZero() && !now.Before(se.retireAt) {
+		se.finish()
+	}
+	for _, ac := range se.watch.Step(link.Tick{}, now) {
+		switch ac := ac.(type) {
+		case link.SendProbe:
+			se.send(&wire.Control{
+				Kind: &wire.Control_Probe{
+					Probe: &wire.Probe{
+						Number: ac.Number,
+					},
 				},
-			},
-		})
-	case link.Replace:
-		_ = se.mux.Close()
+			})
+		case link.Replace:
+			ls.replace(se)
+		}
 	}
 }
 
-// send queues a message; a link whose queue is full is closed.
-func (se *Session) send(ms *wire.Control) {
-	select {
-	case se.out <- ms:
-	default:
-		_ = se.mux.Close()
+// replace opens a new link beside a silent one; the silent one is closed when
+// the new one works, or can't be opened. A replacement on which nothing was ever
+// heard is not replaced: its peer takes connections but does no more.
+func (ls *Links) replace(se *Session) {
+	if se.silent || se.finishing || se.replacement && se.heard == se.greeted {
+		se.close(ClosedSilent)
+		return
 	}
+	se.silent = true
+	ls.cfg.Counters.replacement("started")
+	ls.done.Go(func() {
+		if err := ls.dial(se.address); err != nil {
+			ls.cfg.Emit(ReplaceFailed{Session: se, Err: err})
+		}
+	})
+}
+
+// current is the newest session of a peer that is not silent, if there is one.
+func (ls *Links) current(peer host.ID) *Session {
+	sessions := ls.peers[peer]
+	if len(sessions) == 0 {
+		return nil
+	}
+	for i := len(sessions) - 1; i >= 0; i-- {
+		if se := sessions[i]; !se.silent && !se.finishing {
+			return se
+		}
+	}
+	return sessions[len(sessions)-1]
 }
 
 // Send passes a message to a peer over its newest link.
 func (ls *Links) Send(peer host.ID, ms *wire.Control) {
-	sessions := ls.peers[peer]
-	if len(sessions) > 0 {
-		sessions[len(sessions)-1].send(ms)
+	if se := ls.current(peer); se != nil {
+		se.send(ms)
 	}
 }
 
-// CloseLink ends the links to a peer.
+// CloseLink ends the links to a peer once what was sent before is written.
 func (ls *Links) CloseLink(peer host.ID) {
 	for _, se := range ls.peers[peer] {
-		_ = se.mux.Close()
+		se.finish()
 	}
 }
 
--- a/io/node/listener.go
+++ b/io/node/listener.go
@@ -1,8 +1,7 @@
 package node
 
 import (
-	"bufio"
-	"context"
+	"container/list"
 	"crypto/tls"
 	"io"
 	"net"
@@ -10,51 +9,49 @@
 	"time"
 )
 
-// prefaceTimeout bounds the wait for a new connection's preface and hello.
+// prefaceTimeout bounds the wait for a new connection's handshake, preface and hello.
 const prefaceTimeout = 5 * time.Second
 
-// Conn is a connection with its buffered reader.
-type Conn struct {
-	net.Conn
-	Reader *bufio.Reader
-}
-
-// Read reads through the buffer.
-func (co *Conn) Read(buf []byte) (int, error) { return co.Reader.Read(buf) }
-
 // ListenerConfig sets up a listener.
 type ListenerConfig struct {
-	// TLS is nil when links are not encrypted.
-	TLS *tls.Config
-	// Control takes connections that carry a control link.
+	// Certificates is nil when connections between nodes are not encrypted.
+	Certificates *Certificates
+	// MaxConns bounds the connections at once.
+	MaxConns int
+	// MaxHandshakes bounds the connections that have not said yet what they are for.
+	MaxHandshakes int
+	// Control takes connections that carry a control link. It must end the
+	// deadline that is set on the connection.
 	Control func(co *Conn)
 	// Lane takes connections that carry calls.
 	Lane func(co *Conn)
 	// Refused is told why a connection was refused.
-	Refused func(err error)
+	Refused func(er *RefusedError)
 }
 
 // Listener takes the connections of other nodes.
 type Listener struct {
-	cfg   ListenerConfig
-	ln    net.Listener
-	done  sync.WaitGroup
+	cfg  ListenerConfig
+	ln   net.Listener
+	done sync.WaitGroup
+
 	mu    sync.Mutex
 	conns map[net.Conn]bool
-	ended bool
+	// handshakes holds the connections that have not said what they are for, the
+	// oldest first; elements finds them there.
+	handshakes *list.List
+	elements   map[net.Conn]*list.Element
+	ended      bool
 }
 
-// PrefaceError reports a connection that does not speak the protocol.
-type PrefaceError struct{}
-
-func (er *PrefaceError) Error() string { return "connection does not start with a known preface" }
-
 // NewListener builds a listener over a socket.
 func NewListener(ln net.Listener, cfg ListenerConfig) *Listener {
 	return &Listener{
-		cfg:   cfg,
-		ln:    ln,
-		conns: map[net.Conn]bool{},
+		cfg:        cfg,
+		ln:         ln,
+		conns:      map[net.Conn]bool{},
+		handshakes: list.New(),
+		elements:   map[net.Conn]*list.Element{},
 	}
 }
 
@@ -67,6 +64,7 @@
 		}
 		if !ls.track(nc) {
 			_ = nc.Close()
+			ls.cfg.Refused(&RefusedError{Reason: RefusedBusy})
 			continue
 		}
 		ls.done.Go(func() {
@@ -79,45 +77,68 @@
 func (ls *Listener) serveConn(nc net.Conn) {
 	defer func() { _ = nc.Close() }()
 	_ = nc.SetDeadline(time.Now().Add(prefaceTimeout))
-	stream := nc
-	if ls.cfg.TLS != nil {
-		tc := tls.Server(nc, ls.cfg.TLS)
-		if err := tc.HandshakeContext(context.Background()); err != nil {
-			ls.cfg.Refused(err)
-			return
-		}
-		stream = tc
-	}
-	co := &Conn{
-		Conn:   stream,
-		Reader: bufio.NewReaderSize(stream, 16<<10),
-	}
-	preface := make([]byte, len(prefaceLane))
-	if _, err := io.ReadFull(co.Reader, preface); err != nil {
-		ls.cfg.Refused(&PrefaceError{})
+	co, preface, err := ls.handshake(nc)
+	ls.settle(nc)
+	if err != nil {
+		ls.cfg.Refused(refuse(err))
 		return
 	}
-	_ = nc.SetDeadline(time.Time{})
-	switch string(preface) {
+	switch preface {
 	case prefaceLane:
+		_ = nc.SetDeadline(time.Time{})
 		ls.cfg.Lane(co)
 	case prefaceControl:
 		ls.cfg.Control(co)
 	default:
-		ls.cfg.Refused(&PrefaceError{})
+		ls.cfg.Refused(refuse(&PrefaceError{}))
+	}
+}
+
+func (ls *Listener) handshake(nc net.Conn) (*Conn, string, error) {
+	stream := nc
+	if ls.cfg.Certificates != nil {
+		tc := tls.Server(nc, ls.cfg.Certificates.server())
+		if err := tc.Handshake(); err != nil {
+			return nil, "", err
+		}
+		stream = tc
+	}
+	co := newConn(nc, stream)
+	preface := make([]byte, len(prefaceLane))
+	if _, err := io.ReadFull(co.Reader, preface); err != nil {
+		return nil, "", err
 	}
+	return co, string(preface), nil
 }
 
+// track takes a connection in. When too many have not said what they are for,
+// the oldest of them is closed, since a working peer needs only a moment.
 func (ls *Listener) track(nc net.Conn) bool {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	if ls.ended {
+	if ls.ended || len(ls.conns) >= ls.cfg.MaxConns {
 		return false
 	}
+	if ls.handshakes.Len() >= ls.cfg.MaxHandshakes {
+		oldest, _ := ls.handshakes.Remove(ls.handshakes.Front()).(net.Conn)
+		delete(ls.elements, oldest)
+		_ = oldest.Close()
+	}
 	ls.conns[nc] = true
+	ls.elements[nc] = ls.handshakes.PushBack(nc)
 	return true
 }
 
+// settle records that a connection's handshake is over.
+func (ls *Listener) settle(nc net.Conn) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	if el, ok := ls.elements[nc]; ok {
+		ls.handshakes.Remove(el)
+		delete(ls.elements, nc)
+	}
+}
+
 func (ls *Listener) untrack(nc net.Conn) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
--- /dev/null
+++ b/io/node/main_test.go
@@ -0,0 +1,14 @@
+package node
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"lynxfold/testkit"
+)
+
+func TestMain(m *testing.M) {
+	testkit.FixRapid()
+	goleak.VerifyTestMain(m)
+}
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -107,7 +107,7 @@
 		T:        t,
 		Platform: platformstandin.New(),
 		Hosts:    map[string]*Host{},
-		proxies:  toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
+		proxies:  toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), nopLog()),
 	}
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -280,12 +280,31 @@
 // Silence makes the host's proxy swallow everything, both ways, without a reset.
 func (ho *Host) Silence() {
 	for _, dir := range []string{"upstream", "downstream"} {
-		toxic := fmt.Sprintf(`{"name":"silent-%s","type":"timeout","stream":%q,"attributes":{"timeout":0}}`, dir, dir)
-		_, err := ho.Proxy.Toxics.AddToxicJson(bytes.NewReader([]byte(toxic)))
-		assert.NilError(ho.mesh.T, err)
+		addToxic(ho.mesh.T, ho.Proxy, "timeout", dir, map[string]int64{"timeout": 0})
 	}
 }
 
+func nopLog() zerolog.Logger { return zerolog.Nop() }
+
+// addToxic adds a toxic in one direction of a proxy.
+func addToxic(t testing.TB, px *toxiproxy.Proxy, kind, direction string, attributes map[string]int64) {
+	t.Helper()
+	toxic, err := json.Marshal(struct {
+		Name       string           `json:"name"`
+		Type       string           `json:"type"`
+		Stream     string           `json:"stream"`
+		Attributes map[string]int64 `json:"attributes"`
+	}{
+		Name:       kind + "-" + direction,
+		Type:       kind,
+		Stream:     direction,
+		Attributes: attributes,
+	})
+	assert.NilError(t, err)
+	_, err = px.Toxics.AddToxicJson(bytes.NewReader(toxic))
+	assert.NilError(t, err)
+}
+
 // Cut stops the host's proxy; Mend starts it again.
 func (ho *Host) Cut() { ho.Proxy.Stop() }
 
