--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,6 +22,8 @@
 	exitRefused  = subcommands.ExitStatus(3)
 	exitConflict = subcommands.ExitStatus(4)
 	exitInDoubt  = subcommands.ExitStatus(5)
+	// exitNotEverywhere says that a version is accepted and not yet in force on all hosts.
+	exitNotEverywhere = subcommands.ExitStatus(6)
 )
 
 // streams are where a command writes.
@@ -46,6 +48,8 @@
 	cd.Register(&checkCommand{streams: st}, "")
 	cd.Register(&applyCommand{streams: st}, "")
 	cd.Register(&statusCommand{streams: st}, "")
+	cd.Register(&explainCommand{streams: st}, "")
+	cd.Register(&tokenCommand{streams: st}, "")
 	cd.Register(&quickstartCommand{streams: st}, "")
 	cd.Register(&standinCommand{streams: st}, "")
 	if fs.Parse(args) != nil {
@@ -59,6 +63,27 @@
 	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 }
 
+// onHangup calls a function on each SIGHUP until it is stopped.
+func onHangup(call func()) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	ended := make(chan struct{})
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				call()
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(ended)
+	}
+}
+
 func newLog(wr io.Writer, level string) zerolog.Logger {
 	le, err := zerolog.ParseLevel(level)
 	if err != nil {
--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -15,6 +15,7 @@
 	"lynxfold/core/wire"
 	"lynxfold/io/ini"
 	"lynxfold/io/node"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 )
 
@@ -37,6 +38,8 @@
 	versions *platform.Versions
 	log      zerolog.Logger
 	counters *controlCounters
+	health   health
+	record   *record.Record
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
@@ -55,6 +58,7 @@
 	vs *platform.Versions,
 	co *controlCounters,
 	lc *node.Counters,
+	re *record.Record,
 	log zerolog.Logger,
 ) *Control {
 	contacts := make([]string, 0, len(se.Link.Contacts))
@@ -65,6 +69,7 @@
 		versions: vs,
 		log:      log,
 		counters: co,
+		record:   re,
 		inbox:    make(chan datacentre.Event, inboxSize),
 		linkBox:  make(chan node.Event, inboxSize),
 		stop:     make(chan struct{}),
@@ -134,6 +139,7 @@
 				ct.step(me, now)
 			}
 		case now := <-ti.C:
+			ct.health.beaten(now)
 			ct.links.Tick(now)
 			ct.step(datacentre.Tick{}, now)
 		case <-ct.stop:
@@ -183,6 +189,7 @@
 
 func (ct *Control) note(no datacentre.Note) {
 	ct.counters.note(no)
+	recordNote(ct.record, no)
 	ev := ct.log.Info()
 	if no.Err != nil || no.Kind == datacentre.NoteInvariant {
 		ev = ct.log.Error().Err(no.Err)
--- a/io/node/links.go
+++ b/io/node/links.go
@@ -304,14 +304,15 @@
 	}}
 }
 
-// move passes what waits on silent links to a new one and closes them. Of two
+// move passes what waits on silent links to a new one and retires them. Of two
 // links that both work, the host with the lower id closes the older one.
 func (ls *Links) move(former []*Session, se *Session, now time.Time) {
 	self := host.ID(ls.cfg.Hello().GetHost().GetId())
 	for i, old := range former {
 		switch {
-		case old.silent:
-			old.close(ClosedSilent)
+		case old.silent && old.retireAt.IsZero():
+			// The peer must know of the new link before it loses the old one.
+			old.retireAt = now.Add(retireAfter)
 			old.moveTo(se)
 			se.replacement = true
 			ls.cfg.Counters.replacement("done")
@@ -365,6 +366,7 @@
 	}
 	if len(left) > 0 {
 		ls.peers[se.peer] = left
+		se.moveTo(ls.current(se.peer))
 		return nil
 	}
 	if ls.peers[se.peer] == nil {
@@ -404,7 +406,7 @@
 		se.watch.Step(link.Heard{}, now)
 	}
 	if !se.retireAt.IsZero() && !now.Before(se.retireAt) {
-		se.finish()
+		se.retire()
 	}
 	for _, ac := range se.watch.Step(link.Tick{}, now) {
 		switch ac := ac.(type) {
@@ -422,6 +424,15 @@
 	}
 }
 
+// retire ends a session beside which another one works.
+func (se *Session) retire() {
+	if se.silent {
+		se.close(ClosedSilent)
+		return
+	}
+	se.finish()
+}
+
 // replace opens a new link beside a silent one; the silent one is closed when
 // the new one works, or can't be opened. A replacement on which nothing was ever
 // heard is not replaced: its peer takes connections but does no more.
--- a/io/node/listener.go
+++ b/io/node/listener.go
@@ -12,19 +12,28 @@
 // prefaceTimeout bounds the wait for a new connection's handshake, preface and hello.
 const prefaceTimeout = 5 * time.Second
 
+// Bounds of a listener whose configuration gives none.
+const (
+	defaultMaxConns      = 16384
+	defaultMaxHandshakes = 256
+)
+
 // ListenerConfig sets up a listener.
 type ListenerConfig struct {
 	// Certificates is nil when connections between nodes are not encrypted.
 	Certificates *Certificates
-	// MaxConns bounds the connections at once.
+	// MaxConns bounds the connections at once; 0 takes the default.
 	MaxConns int
-	// MaxHandshakes bounds the connections that have not said yet what they are for.
+	// MaxHandshakes bounds the connections that have not said yet what they
+	// are for; 0 takes the default.
 	MaxHandshakes int
 	// Control takes connections that carry a control link. It must end the
 	// deadline that is set on the connection.
 	Control func(co *Conn)
 	// Lane takes connections that carry calls.
 	Lane func(co *Conn)
+	// Survey takes connections that ask what this node has in force.
+	Survey func(co *Conn)
 	// Refused is told why a connection was refused.
 	Refused func(er *RefusedError)
 }
@@ -46,6 +55,12 @@
 
 // NewListener builds a listener over a socket.
 func NewListener(ln net.Listener, cfg ListenerConfig) *Listener {
+	if cfg.MaxConns == 0 {
+		cfg.MaxConns = defaultMaxConns
+	}
+	if cfg.MaxHandshakes == 0 {
+		cfg.MaxHandshakes = defaultMaxHandshakes
+	}
 	return &Listener{
 		cfg:        cfg,
 		ln:         ln,
@@ -89,6 +104,8 @@
 		ls.cfg.Lane(co)
 	case prefaceControl:
 		ls.cfg.Control(co)
+	case prefaceSurvey:
+		ls.cfg.Survey(co)
 	default:
 		ls.cfg.Refused(refuse(&PrefaceError{}))
 	}
