--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -19,6 +19,7 @@
 	"lynxfold/io/ini"
 	"lynxfold/io/node"
 	"lynxfold/io/operator"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
 	"lynxfold/io/upstream"
 )
@@ -130,7 +131,7 @@
 		func() *sockets { return so },
 		func() zerolog.Logger { return log },
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
-		newCertificates, node.NewCounters, newDialer, newPlatform, platform.NewVersions, newControl,
+		newCertificates, node.NewCounters, newDialer, newPlatform, platform.NewVersions, platform.NewKeys, newControl,
 		upstream.NewClient, newGate, upstream.NewListener,
 		node.NewLanes, newIncoming, newCaller, newRecord, newMesh, newKeyPair, newOperator, newListener,
 		newProcess,
@@ -251,23 +252,28 @@
 	ct *Control,
 	ga *upstream.Gate,
 	la *node.Lanes,
+	ks *platform.Keys,
 	set *metrics.Set,
+	re *record.Record,
 	log zerolog.Logger,
 ) *caller.Server {
 	return caller.New(caller.Config{
-		Host:            se.Host.ID,
-		Incarnation:     id.incarnation,
-		DataCentre:      se.Host.DataCentre,
-		View:            ct.View,
-		Local:           ga,
-		Remote:          la,
-		MaxHeaderBytes:  se.Caller.MaxHeaderBytes,
-		MaxBodyBytes:    se.Caller.MaxBodyBytes,
-		MaxConnections:  se.Caller.MaxConnections,
-		RetryPerSuccess: se.Caller.RetryPerSuccess,
-		Rand:            id.rand(),
-		Log:             log,
-		Counters:        caller.NewCounters(set),
+		Host:                 se.Host.ID,
+		Incarnation:          id.incarnation,
+		DataCentre:           se.Host.DataCentre,
+		View:                 ct.View,
+		Local:                ga,
+		Remote:               la,
+		MaxHeaderBytes:       se.Caller.MaxHeaderBytes,
+		MaxBodyBytes:         se.Caller.MaxBodyBytes,
+		MaxConnections:       se.Caller.MaxConnections,
+		RetryPerSuccess:      se.Caller.RetryPerSuccess,
+		Keys:                 ks,
+		KeyedWritesPerSecond: se.Platform.KeyedWritesPerSecond / float64(se.Mesh.FleetSize),
+		Rand:                 id.rand(),
+		Log:                  log,
+		Counters:             caller.NewCounters(set),
+		Record:               re,
 	})
 }
 
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -14,6 +14,7 @@
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/core/wire"
+	"lynxfold/io/operator/record"
 	"lynxfold/io/upstream"
 )
 
@@ -33,6 +34,7 @@
 // Gate is this host's own gate.
 type Gate interface {
 	Serve(ctx context.Context, rq *wire.Request, body io.ReadCloser) upstream.Reply
+	Query(ctx context.Context, qu *wire.Query) *wire.Verdict
 }
 
 // Remote reaches the gates of other hosts.
@@ -50,6 +52,7 @@
 	view    *datacentre.View
 	target  *contract.Target
 	number  uint64
+	name    record.CallID
 	begun   time.Time
 	method  string
 	uri     string
@@ -161,6 +164,7 @@
 		case call.Try:
 			at := ex.newAttempt(ac)
 			ex.server.cfg.Counters.tried(ac.Reason)
+			ex.recordTry(ac)
 			if len(acts) == 1 && ex.beside == 0 && ex.alone() {
 				return nil, ex.checkGone(at.run())
 			}
@@ -228,10 +232,13 @@
 	}
 }
 
-// callerGone ends the exchange; it is called once, by the watch.
+// callerGone ends the exchange; it is called once, by the watch. A keyed call
+// that was sent is seen through.
 func (ex *exchange) callerGone() {
 	close(ex.gone)
-	ex.cancel()
+	if !ex.target.Terms.Keyed {
+		ex.cancel()
+	}
 }
 
 func (ex *exchange) find(id host.AttemptID) *attempt {
@@ -245,6 +252,7 @@
 
 // answer answers the caller and releases everything else.
 func (ex *exchange) answer(an call.Answer) {
+	defer ex.recordAnswer(an)
 	sv := ex.server
 	winner := ex.find(an.Attempt)
 	ex.release(winner)
