--- a/io/caller/bench_test.go
+++ b/io/caller/bench_test.go
@@ -100,7 +100,7 @@
 	ln := node.NewListener(li, node.ListenerConfig{
 		Lane:    node.NewIncoming(ga).Serve,
 		Control: func(*node.Conn) {},
-		Refused: func(error) {},
+		Refused: func(*node.RefusedError) {},
 	})
 	go func() { _ = ln.Serve() }()
 	b.Cleanup(func() { _ = li.Close() })
