fix: pick the next nearest data centre, and an avoided upstream rather than none

Cause: with nobody usable in the own data centre any other one was taken, whatever its distance; a service whose only gate had refused once had no upstream for five seconds. Change: data centres are added one at a time for the pick; as a last resort an upstream that is avoided or ejected is taken; a gate that is not ready is avoided for one second instead of five.

--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lynxfold/core/contract"
@@ -63,20 +64,41 @@
 		return datacentre.Upstream{}, false
 	}
 	po := ch.pool(name, all, now)
-	a := ch.sample(po, po.prefix(), tried, now)
+	a, n := ch.first(po, tried, now)
 	if a == nil {
-		a = ch.sample(po, len(po.peers), tried, now)
+		return ch.lastResort(po, tried)
 	}
-	if a == nil {
-		return datacentre.Upstream{}, false
-	}
-	b := ch.sample(po, po.prefix(), tried, now)
-	if b != nil && b.score(po, now) < a.score(po, now) {
+	b := ch.sample(po, n, tried, now)
+	if b.score(po, now) < a.score(po, now) {
 		a = b
 	}
 	return a.upstream, true
 }
 
+// first samples the data centres in use, and one more at a time while none of
+// them has a usable upstream. It returns how many upstreams were looked at.
+func (ch *Chooser) first(po *pool, tried []host.ID, now time.Time) (*peer, int) {
+	for _, n := range po.ends[po.centres-1:] {
+		if pe := ch.sample(po, n, tried, now); pe != nil {
+			return pe, n
+		}
+	}
+	return nil, 0
+}
+
+// lastResort picks among upstreams that are avoided, when there are no others: a
+// refusal costs less than a service without upstreams.
+func (ch *Chooser) lastResort(po *pool, tried []host.ID) (datacentre.Upstream, bool) {
+	from := ch.cfg.Rand.IntN(len(po.peers))
+	for i := range po.peers {
+		up := po.peers[(from+i)%len(po.peers)].upstream
+		if !slices.Contains(tried, up.Host) {
+			return up, true
+		}
+	}
+	return datacentre.Upstream{}, false
+}
+
 // samples bounds the random candidates looked at before the list is searched.
 const samples = 4
 
--- a/core/call/chooser_test.go
+++ b/core/call/chooser_test.go
@@ -152,6 +152,25 @@
 	}
 }
 
+// TestChooserLastResort uses upstreams that it avoids when there are no others.
+func TestChooserLastResort(t *testing.T) {
+	fi := newField(t, map[datacentre.Name]int{local: 2})
+	counts := fi.picks(10, always(refused(host.ReasonSettling)))
+	assert.Equal(t, len(counts), 2)
+}
+
+// TestChooserNextNearest goes to the next data centre, not to any, when the own
+// one has nobody.
+func TestChooserNextNearest(t *testing.T) {
+	fi := newField(t, map[datacentre.Name]int{local: 1, "curing-room": 2, "server-room": 2})
+	fi.chooser.SetDistance("curing-room", 50*time.Millisecond)
+	fi.chooser.SetDistance("server-room", time.Millisecond)
+	gone := at("press-hall-0", refused(host.ReasonDraining), ok(time.Millisecond, 100))
+	sums := fi.centres(fi.picks(200, gone))
+	assert.Equal(t, sums["curing-room"], 0)
+	assert.Equal(t, sums["server-room"], 199)
+}
+
 // TestChooserEjects keeps a failing upstream out for a while, and gives it a
 // chance afterwards.
 func TestChooserEjects(t *testing.T) {
--- a/core/call/peer.go
+++ b/core/call/peer.go
@@ -21,8 +21,10 @@
 	slowStart = 10 * time.Second
 	// slowStartFloor is the share that a new incarnation begins with.
 	slowStartFloor = 0.1
-	// leftFor is how long an upstream is avoided whose gate said that it is leaving.
-	leftFor = 5 * time.Second
+	// drainingFor is how long an upstream is avoided whose gate drains, and
+	// unreadyFor one whose gate refused for another reason of its own.
+	drainingFor = 5 * time.Second
+	unreadyFor  = time.Second
 	// ejectBase and ejectCap bound how long an upstream is ejected.
 	ejectBase = 5 * time.Second
 	ejectCap  = time.Minute
@@ -47,7 +49,7 @@
 	// zero when the upstream was there from the beginning.
 	warmFrom  time.Time
 	failures  int
-	leftTo    time.Time
+	avoidedTo time.Time
 	ejectedTo time.Time
 	ejections int
 	// gone upstreams left the view with attempts outstanding.
@@ -68,7 +70,7 @@
 
 // usable tells whether the upstream may be picked.
 func (pe *peer) usable(tried []host.ID, now time.Time) bool {
-	return !now.Before(pe.leftTo) && !now.Before(pe.ejectedTo) && !slices.Contains(tried, pe.upstream.Host)
+	return !now.Before(pe.avoidedTo) && !now.Before(pe.ejectedTo) && !slices.Contains(tried, pe.upstream.Host)
 }
 
 // weight is the share of picks that the upstream takes, from 0 to 1.
@@ -108,6 +110,14 @@
 	return (busy + 1) / slots * pe.agedLatency(po, now).Seconds() * float64(1+pe.failures)
 }
 
+// avoidFor is how long an upstream is avoided after a refusal.
+func avoidFor(re host.Reason) time.Duration {
+	if re == host.ReasonDraining {
+		return drainingFor
+	}
+	return unreadyFor
+}
+
 // faulty tells whether a result speaks against the upstream itself.
 func faulty(re Result) bool {
 	if re.Outcome == OutcomeRan {
@@ -128,7 +138,7 @@
 		pe.loadAt = now
 	}
 	if Moved(ob.Result) {
-		pe.leftTo = now.Add(leftFor)
+		pe.avoidedTo = now.Add(avoidFor(ob.Result.Reason))
 		return
 	}
 	if faulty(ob.Result) {
--- a/core/call/pool.go
+++ b/core/call/pool.go
@@ -131,9 +131,6 @@
 	po.centres = min(po.centres, len(po.ends))
 }
 
-// prefix is how many upstreams the data centres in use hold.
-func (po *pool) prefix() int { return po.ends[po.centres-1] }
-
 // observe learns the utilisation of the data centres in use and the service's latency.
 func (po *pool) observe(pe *peer, ob Observation, now time.Time) {
 	if ob.Result.Outcome == OutcomeRan && !ob.Bulk && ob.Latency > 0 {
