fix: spread the times at which refused callers come back

Cause: a gate tells all that it refuses the same time, and so did the ingress. Change: the delay is lengthened by up to its half at random. Conclusion: callers refused together don't return together.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -338,12 +338,19 @@
 // not be repeated and may have run has none.
 func (ca *Call) comeBack(re Result) time.Time {
 	again := re.Outcome == OutcomeNotRun || ca.cfg.Terms.Idempotent
-	switch {
-	case re.Outcome == OutcomeRan || !again:
+	if re.Outcome == OutcomeRan || !again {
 		return time.Time{}
-	case re.ComeBack.After(ca.now):
-		return re.ComeBack
 	}
-	delay := float64(ca.cfg.ComeBack) * (1 + ca.cfg.Jitter())
-	return ca.now.Add(time.Duration(delay))
+	return SpreadComeBack(re.ComeBack, ca.now, ca.cfg.ComeBack, ca.cfg.Jitter())
+}
+
+// SpreadComeBack lengthens the delay until a time, or a shortest delay when the
+// time is past, by up to its half, so that callers who are refused together don't
+// come back together. Jitter is from 0 up to 1.
+func SpreadComeBack(at, now time.Time, shortest time.Duration, jitter float64) time.Time {
+	delay := shortest
+	if at.After(now) {
+		delay = at.Sub(now)
+	}
+	return now.Add(delay + time.Duration(jitter*float64(delay)/2))
 }
--- a/core/call/keyed/keyed.go
+++ b/core/call/keyed/keyed.go
@@ -265,9 +265,8 @@
 		return
 	}
 	ca.answered = true
-	if mayComeBack(re) && !re.ComeBack.After(ca.now) {
-		delay := float64(ca.cfg.ComeBack) * (1 + ca.cfg.Jitter())
-		re.ComeBack = ca.now.Add(time.Duration(delay))
+	if mayComeBack(re) {
+		re.ComeBack = call.SpreadComeBack(re.ComeBack, ca.now, ca.cfg.ComeBack, ca.cfg.Jitter())
 	}
 	re.GaveUp = re.Outcome != call.OutcomeRan
 	ca.do(call.Answer{
