feat: invariants of gate and call checked before each dispatch and attempt

A longer run then found that an announcement exactly as old as the lag could settle a restarted gate with a count from before its start. Change: the gate refuses and reports a dispatch that would break at-most-once, the slots or the drain, the call an attempt that would repeat a call that may have run; counted and logged in cmd/process. A gate settles only by an announcement later than its start plus the lag. The runs drain nodes too.

--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -196,6 +196,15 @@
 		Msg("control decision")
 }
 
+// gateViolated reports a fault of the gate's own decisions.
+func (ct *Control) gateViolated(vi host.Violated) {
+	ct.counters.gateViolated(vi)
+	ct.log.Error().
+		Str("reason", string(vi.Invariant)).
+		Str("attempt", string(vi.ID)).
+		Msg("gate invariant violated, attempt refused")
+}
+
 // upstreamChanged passes the state of this host's upstream to the member.
 func (ct *Control) upstreamChanged(an host.Announcement) {
 	ct.Emit(datacentre.LocalUpstream{
--- a/cmd/process/counters.go
+++ b/cmd/process/counters.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
 )
 
 // controlCounters count what the control goroutine decides.
@@ -30,3 +31,7 @@
 func (co *controlCounters) refusedConn() {
 	co.set.GetOrCreateCounter(`lynxfold_link_connections_refused_total`).Inc()
 }
+
+func (co *controlCounters) gateViolated(vi host.Violated) {
+	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_invariant_violations_total{invariant=%q}`, vi.Invariant)).Inc()
+}
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -224,6 +224,7 @@
 		},
 		LapseAfter: se.Upstream.LapseAfter,
 		Changed:    ct.upstreamChanged,
+		Violated:   ct.gateViolated,
 		Client:     cl,
 	})
 }
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -130,6 +130,11 @@
 
 // try starts an attempt at an upstream.
 func (ca *Call) try(up datacentre.Upstream, re RetryReason) {
+	if !ca.cfg.Terms.Idempotent && (ca.mayHaveRun || len(ca.open) > 0) {
+		ca.do(Violated{Upstream: up})
+		ca.answer("", Result{Outcome: OutcomeUnknown, Reason: host.ReasonInvariant}, NoRetryInvariant)
+		return
+	}
 	ca.attempts++
 	id := host.Origin{
 		Issuer:     ca.cfg.Issuer,
--- a/core/call/gate_process_test.go
+++ b/core/call/gate_process_test.go
@@ -8,6 +8,8 @@
 	"lynxfold/core/host"
 )
 
+const drainGrace = 100 * time.Millisecond
+
 // upstreamRun is what an upstream works on, whether or not a gate still waits for it.
 type upstreamRun struct {
 	attempt  host.AttemptID
@@ -41,13 +43,16 @@
 	slots       int
 	connections int
 	draining    bool
-	gate        *host.Gate
-	core        stepper
-	jobs        map[host.AttemptID]*job
-	kept        map[host.AttemptID]int
-	queries     map[host.QueryID]func(te host.Tell, body int)
-	query       host.QueryID
-	working     []*upstreamRun
+	// nodeEnds and upstreamEnds are when new work must end, by what the gate was told.
+	nodeEnds     time.Time
+	upstreamEnds time.Time
+	gate         *host.Gate
+	core         stepper
+	jobs         map[host.AttemptID]*job
+	kept         map[host.AttemptID]int
+	queries      map[host.QueryID]func(te host.Tell, body int)
+	query        host.QueryID
+	working      []*upstreamRun
 	// direct takes the answer to the arrival being fed.
 	direct func(re reply)
 }
@@ -61,7 +66,7 @@
 	ga.connections = ga.slots + wo.src.intn(2) - wo.src.intn(2)
 	ga.connections = max(1, ga.connections)
 	ga.restart()
-	wo.now = wo.now.Add(announceLag)
+	wo.now = wo.now.Add(announceLag + time.Millisecond)
 	ga.announce(wo.now)
 	return ga
 }
@@ -69,11 +74,12 @@
 // restart replaces the process; the upstream goes on with what it runs.
 func (ga *gateProcess) restart() {
 	ga.incarnation++
+	ga.nodeEnds, ga.upstreamEnds = time.Time{}, time.Time{}
 	ga.gate = host.NewGate(host.Config{
 		Incarnation:  ga.incarnation,
 		QueuePerSlot: 2,
 		ComeBack:     50 * time.Millisecond,
-		DrainGrace:   100 * time.Millisecond,
+		DrainGrace:   drainGrace,
 		AnnounceLag:  announceLag,
 		LongestCall:  callTimeout,
 		Ledger: host.LedgerConfig{
@@ -107,6 +113,7 @@
 	ga.world.send(&message{
 		deliver: func() {
 			if ga.world.now.Sub(sampled) <= announceLag {
+				ga.noteState(an.State)
 				ga.step(host.Announced{
 					Announcement: an,
 					Lapse:        ga.world.now.Add(time.Second),
@@ -118,6 +125,33 @@
 	})
 }
 
+// noteState follows what the gate is told of its upstream.
+func (ga *gateProcess) noteState(st host.State) {
+	switch {
+	case st != host.StateDraining:
+		ga.upstreamEnds = time.Time{}
+	case ga.upstreamEnds.IsZero():
+		ga.upstreamEnds = ga.world.now.Add(drainGrace)
+	}
+}
+
+// drain is the node's own.
+func (ga *gateProcess) drain() {
+	if ga.nodeEnds.IsZero() {
+		ga.nodeEnds = ga.world.now.Add(drainGrace)
+	}
+	ga.step(host.Drain{RefuseFrom: ga.world.now.Add(drainGrace)})
+}
+
+// checkDrain reports a dispatch after the grace.
+func (ga *gateProcess) checkDrain(id host.AttemptID) {
+	for _, ends := range []time.Time{ga.nodeEnds, ga.upstreamEnds} {
+		if !ends.IsZero() && !ga.world.now.Before(ends) {
+			ga.world.fail(checkDrain, "%s dispatched %s", ga.id, id)
+		}
+	}
+}
+
 // alive tells whether the process is still the one of an incarnation.
 func (ga *gateProcess) alive(inc host.Incarnation) func() bool {
 	return func() bool { return ga.incarnation == inc }
@@ -138,6 +172,7 @@
 	switch ac := ac.(type) {
 	case host.Dispatch:
 		// The job is there already: it waits for the decision.
+		ga.checkDrain(ac.ID)
 	case host.Refuse:
 		ga.end(ac.ID, reply{outcome: host.OutcomeNotRun, reason: ac.Reason})
 	case host.RefuseDuplicate:
@@ -157,6 +192,8 @@
 		}
 	case host.DropAnswer:
 		delete(ga.kept, ac.ID)
+	case host.Violated:
+		ga.world.fail(checkInside, "%s: %s of %s", ga.id, ac.Invariant, ac.ID)
 	}
 	if di, ok := ac.(host.Dispatch); ok {
 		ga.jobs[di.ID].started = false
--- a/core/call/ingress_test.go
+++ b/core/call/ingress_test.go
@@ -272,6 +272,8 @@
 		in.cancel(ca, ac.Attempt)
 	case call.Answer:
 		in.answer(ca, ac)
+	case call.Violated:
+		in.world.fail(checkInside, "call %s", ca.name())
 	case keyed.AnswerFromRow:
 		in.answerFromRow(ca, ac)
 	case keyed.ReadRow, keyed.CreateRow, keyed.UpdateRow:
--- a/core/call/proof_test.go
+++ b/core/call/proof_test.go
@@ -88,9 +88,14 @@
 
 // rare does what seldom happens.
 func (wo *world) rare(in *ingress, ga *gateProcess) {
-	switch wo.src.intn(10) {
+	switch wo.src.intn(11) {
 	case 0, 9:
 		ga.restart()
+		if wo.chance(2) {
+			wo.advance(announceLag + time.Duration(wo.src.intn(2))*time.Millisecond)
+			ga.announce(wo.now)
+			in.known = wo.view()
+		}
 	case 1:
 		in.restart()
 	case 2:
@@ -107,6 +112,10 @@
 		ga.draining = !ga.draining
 	case 8:
 		wo.table.down = wo.chance(3)
+	case 10:
+		if wo.chance(3) {
+			ga.drain()
+		}
 	}
 }
 
@@ -269,6 +278,23 @@
 			return ev
 		}), checkSlots)
 	})
+	t.Run("drain of the node ignored", func(t *testing.T) {
+		breaks(t, wrongGateEvents(func(ev host.Event) host.Event {
+			if _, ok := ev.(host.Drain); ok {
+				return host.Tick{}
+			}
+			return ev
+		}), checkDrain)
+	})
+	t.Run("drain of the upstream ignored", func(t *testing.T) {
+		breaks(t, wrongGateEvents(func(ev host.Event) host.Event {
+			if an, ok := ev.(host.Announced); ok && an.Announcement.State == host.StateDraining {
+				an.Announcement.State = host.StateReady
+				return an
+			}
+			return ev
+		}), checkDrain)
+	})
 	t.Run("no budget", func(t *testing.T) {
 		breaks(t, standIns{budget: func(call.Spender) call.Spender { return unlimited{} }}, checkBudget)
 	})
--- a/core/call/types.go
+++ b/core/call/types.go
@@ -61,6 +61,7 @@
 	NoRetryNoCandidate  RetryReason = "no_candidate"
 	NoHedgeBudget       RetryReason = "hedge_budget"
 	NoHedgeNoCandidate  RetryReason = "hedge_no_candidate"
+	NoRetryInvariant    RetryReason = "invariant"
 	NoRetryCallerIsGone RetryReason = "caller_gone"
 )
 
@@ -165,10 +166,17 @@
 	Retry RetryReason
 }
 
-func (Try) isAction()     {}
-func (Ask) isAction()     {}
-func (Abandon) isAction() {}
-func (Answer) isAction()  {}
+// Violated reports a fault of the call's own decisions: an attempt at a
+// non-idempotent call that may have run. It was not made; the call is answered.
+type Violated struct {
+	Upstream datacentre.Upstream
+}
+
+func (Try) isAction()      {}
+func (Ask) isAction()      {}
+func (Abandon) isAction()  {}
+func (Answer) isAction()   {}
+func (Violated) isAction() {}
 
 // Config sets up one call.
 type Config struct {
--- a/core/call/world_test.go
+++ b/core/call/world_test.go
@@ -28,6 +28,8 @@
 	checkDeadline check = "a call ends by its deadline"
 	checkMemory   check = "the gate's memory stays bounded"
 	checkFirst    check = "a repeat gets the first answer"
+	checkDrain    check = "a leaving upstream gets no new work after the grace"
+	checkInside   check = "the program's own invariants"
 )
 
 // violation is the first invariant that a run broke.
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -127,9 +127,31 @@
 	ID AttemptID
 }
 
+// Invariant names what a gate must never do.
+type Invariant string
+
+// Invariants of a gate.
+const (
+	// InvariantOnce: an attempt is dispatched at most once.
+	InvariantOnce Invariant = "attempt_dispatched_once"
+	// InvariantSlots: the upstream works on no more calls than it has slots and
+	// connections.
+	InvariantSlots Invariant = "slots"
+	// InvariantDrain: nothing is dispatched after the grace of a drain.
+	InvariantDrain Invariant = "drain"
+)
+
+// Violated reports a fault of the gate itself. The dispatch that would have
+// broken the invariant was not made: the attempt was refused.
+type Violated struct {
+	ID        AttemptID
+	Invariant Invariant
+}
+
 func (Dispatch) isAction()        {}
 func (Refuse) isAction()          {}
 func (RefuseDuplicate) isAction() {}
 func (Interrupt) isAction()       {}
 func (Tell) isAction()            {}
 func (DropAnswer) isAction()      {}
+func (Violated) isAction()        {}
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -254,10 +254,31 @@
 			ga.refuse(en, ReasonDeadline, now)
 			continue
 		}
+		if iv := ga.broken(en, now); iv != "" {
+			ga.do(Violated{ID: en.attempt.ID, Invariant: iv})
+			ga.refuse(en, ReasonInvariant, now)
+			continue
+		}
 		ga.dispatch(en, now)
 	}
 }
 
+// broken checks what must hold for a dispatch, apart from the decisions that led
+// to it.
+func (ga *Gate) broken(en *entry, now time.Time) Invariant {
+	ends := earlier(ga.nodeEnds, ga.upstreamEnds)
+	works := len(ga.running) + ga.occupancy.held + 1
+	switch {
+	case en.state != stateQueued || ga.running[en.attempt.ID] != nil || !en.dispatched.IsZero():
+		return InvariantOnce
+	case works > int(ga.upstream.Slots) || ga.upstream.Connections > 0 && works > ga.upstream.Connections:
+		return InvariantSlots
+	case !ends.IsZero() && !now.Before(ends):
+		return InvariantDrain
+	}
+	return ""
+}
+
 // inTime tells whether an attempt can finish before its deadline. The estimate
 // counts only while others wait, so that a wrong one is corrected.
 func (ga *Gate) inTime(at Attempt, now time.Time) bool {
@@ -381,7 +402,7 @@
 	ga.upstream = ev.Announcement
 	ga.lapse = ev.Lapse
 	ga.known = true
-	if !now.Before(ga.startAt.Add(ga.cfg.AnnounceLag)) {
+	if now.After(ga.startAt.Add(ga.cfg.AnnounceLag)) || ga.cfg.AnnounceLag <= 0 {
 		ga.occupancy.announced(ev.Announcement.InFlight, now)
 	}
 	switch ev.Announcement.State {
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -33,6 +33,7 @@
 	ReasonTombstone         Reason = "tombstone"
 	ReasonDuplicateAttempt  Reason = "duplicate_attempt"
 	ReasonForgotten         Reason = "forgotten"
+	ReasonInvariant         Reason = "invariant"
 	ReasonUpstreamConnect   Reason = "upstream_connect"
 	ReasonUpstreamBroken    Reason = "upstream_broken"
 	ReasonUpstreamTimeout   Reason = "upstream_timeout"
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -18,7 +18,9 @@
 	LapseAfter time.Duration
 	// Changed is called when the upstream's announcement changes or lapses.
 	Changed func(an host.Announcement)
-	Client  *Client
+	// Violated is called when the gate has found a fault of its own; it may be nil.
+	Violated func(vi host.Violated)
+	Client   *Client
 }
 
 // Gate runs host.Gate for many goroutines and executes what it decides.
@@ -232,6 +234,10 @@
 		}
 	case host.DropAnswer:
 		delete(ga.answers, ac.ID)
+	case host.Violated:
+		if ga.cfg.Violated != nil {
+			ga.cfg.Violated(ac)
+		}
 	}
 }
 
