perf: keep as many slots from bulk transfers as lookups lately needed

Cause: a fixed quarter of the slots was kept for lookups, and transfers that waited filled the queue that lookups need. Change: each class has a queue of its own, and the slots kept follow the lookups that run or wait at once.

--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"math"
 	"time"
 
 	"lynxfold/core/contract"
@@ -9,7 +10,7 @@
 // Config sets up a gate.
 type Config struct {
 	Incarnation Incarnation
-	// QueuePerSlot bounds the queue in attempts for each slot.
+	// QueuePerSlot bounds the queue of each class in attempts for each slot.
 	QueuePerSlot int
 	// ComeBack is added to now for those refused while no upstream is usable, or
 	// while nothing is known of its service time.
@@ -40,11 +41,13 @@
 	nodeEnds     time.Time
 	upstreamEnds time.Time
 
-	ledger    *ledger
-	queue     queue
-	running   map[AttemptID]*entry
-	bulk      int
-	started   int
+	ledger  *ledger
+	queue   queue
+	running map[AttemptID]*entry
+	bulk    int
+	started int
+	// demand is an average of the lookups that run or wait at once.
+	demand    float64
 	occupancy occupancy
 	lookups   estimate
 	uploads   estimate
@@ -156,10 +159,20 @@
 
 func (ga *Gate) free() int { return ga.limit() - len(ga.running) - ga.occupancy.held }
 
-// bulkAllowed keeps a quarter of the slots, and at least one, for lookups.
+// bulkAllowed keeps as many slots for lookups as they have lately needed at once,
+// and some more; bulk has one at least.
 func (ga *Gate) bulkAllowed() bool {
-	limit := ga.limit()
-	return ga.bulk < max(1, limit-max(1, limit/bulkShare))
+	reserve := int(math.Ceil(ga.demand + math.Sqrt(ga.demand)))
+	return ga.bulk < max(1, ga.limit()-max(1, reserve))
+}
+
+// demandWeight is the share of the latest sample, as one in this many.
+const demandWeight = 64
+
+// noteDemand learns how many lookups there are at once.
+func (ga *Gate) noteDemand() {
+	lookups := len(ga.running) - ga.bulk + len(ga.queue.lookups)
+	ga.demand += (float64(lookups) - ga.demand) / demandWeight
 }
 
 func (ga *Gate) arrive(at Attempt, now time.Time) {
@@ -186,6 +199,9 @@
 		return
 	}
 	ga.queue.push(en)
+	if at.Class != contract.ClassBulk {
+		ga.noteDemand()
+	}
 }
 
 // duplicate answers an arrival of an attempt that the ledger holds.
@@ -218,7 +234,7 @@
 	if ga.leaving() {
 		return ReasonDraining
 	}
-	if ga.queue.len() >= min(ga.cfg.QueuePerSlot*ga.limit(), ga.ledger.cfg.MaxEntries/2-1) {
+	if ga.queue.count(at.Class) >= min(ga.cfg.QueuePerSlot*ga.limit(), ga.ledger.cfg.MaxEntries/4-1) {
 		return ReasonQueueFull
 	}
 	if now.Add(ga.wait(at.Class) + ga.service(at.Class).low).After(at.Deadline) {
--- a/core/host/queue.go
+++ b/core/host/queue.go
@@ -18,6 +18,14 @@
 
 func (qu *queue) len() int { return len(qu.lookups) + len(qu.bulk) }
 
+// count is how many attempts of a class wait.
+func (qu *queue) count(cl contract.Class) int {
+	if cl == contract.ClassBulk {
+		return len(qu.bulk)
+	}
+	return len(qu.lookups)
+}
+
 func (qu *queue) push(en *entry) {
 	if en.attempt.Class == contract.ClassBulk {
 		qu.bulk = append(qu.bulk, en)
