--- a/cmd/process/counters.go
+++ b/cmd/process/counters.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
 )
 
 // controlCounters count what the control goroutine decides.
@@ -26,3 +27,7 @@
 	}
 	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_platform_reads_total{outcome=%q}`, outcome)).Inc()
 }
+
+func (co *controlCounters) gateViolated(vi host.Violated) {
+	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_invariant_violations_total{invariant=%q}`, vi.Invariant)).Inc()
+}
