fix: take an upstream out at its first failed connection

Cause: an upstream that died kept announced for up to 2 s; its gate refused in microseconds, so the choice by outstanding calls and latency preferred it, and the retry budget was gone after some 20 calls. Change: a refused or timed-out connect is fed to the gate core as Lost and spread as gone; the next announcement brings the upstream back.

--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -38,6 +38,7 @@
     {"name": "short", "timeout_ms": 100},
     {"name": "book", "timeout_ms": 10000},
     {"name": "certify", "timeout_ms": 10000, "keyed": true, "retries": 2},
+    {"name": "book-again", "timeout_ms": 10000, "retries": 1},
     {"name": "scan", "timeout_ms": 20000, "class": "bulk"}
   ],
   "routes": [
@@ -46,6 +47,7 @@
     {"name": "short", "path_prefix": "/short", "service": "lookup", "contract": "short"},
     {"name": "bookings", "path_prefix": "/bookings", "service": "lookup", "contract": "book"},
     {"name": "certificates", "path_prefix": "/certificates", "service": "lookup", "contract": "certify"},
+    {"name": "again", "path_prefix": "/certificates-of", "service": "lookup", "contract": "book-again"},
     {"name": "scans", "path_prefix": "/scans", "service": "lookup", "contract": "scan"}
   ]
 }`
@@ -539,3 +541,20 @@
 	assert.Equal(t, rs.Header.Get(HeaderOutcome), "not_run")
 	assert.Equal(t, len(si.ledger()), 1)
 }
+
+// TestDeadUpstream kills one of two upstreams: its gate takes it out at the first
+// failed connection, and callers hear of none of it.
+func TestDeadUpstream(t *testing.T) {
+	for _, dead := range []int{0, 1} {
+		t.Run(fmt.Sprintf("host-%d", dead), func(t *testing.T) {
+			si := startSite(t, Config{}, standin.Config{}, standin.Config{})
+			si.upstreams[dead].Kill()
+			for i := range 200 {
+				rs, data, err := si.do(t, "POST", "/certificates-of/"+fmt.Sprint(i), fmt.Sprint(i), nil)
+				assert.NilError(t, err)
+				assert.Equal(t, rs.Header.Get(HeaderOutcome), "ran", "call %d: %s", i, data)
+			}
+			assert.Equal(t, si.counter(`lynxfold_refusals_total{reason="upstream_connect"}`), uint64(0))
+		})
+	}
+}
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -147,11 +147,24 @@
 			ga.ended(di.ID, rq.GetIdempotent(), en)
 			ga.forget(di.ID, ad)
 			ad.cancel()
+			if en.Outcome == host.OutcomeNotRun && en.Reason == host.ReasonUpstreamConnect {
+				ga.lost()
+			}
 		},
 	}
 	return ga.load(ga.cfg.Client.Do(ctx, di.Address, rq, body, watch))
 }
 
+// lost takes the upstream out until it announces itself again.
+func (ga *Gate) lost() {
+	ga.mu.Lock()
+	ga.stepLocked(host.Lost{})
+	an := ga.last
+	ga.mu.Unlock()
+	an.State = host.StateGone
+	ga.changed(an)
+}
+
 // ended reports the end of an attempt, and holds its answer for later queries.
 func (ga *Gate) ended(id host.AttemptID, idempotent bool, en Ending) {
 	ga.mu.Lock()
