fix: let the other end of a refused link read why

Cause: two ends of different meshes both refuse; the one that closed first could take the other's unread hello with it, which then counted a broken connection in place of another mesh. Seen once in a run of all packages on a busy machine. Ruled out: the count itself, which is made before the close.

Change: after a refused hello the connection stays open until the other end closes it, 500 ms at most.

--- a/io/node/links.go
+++ b/io/node/links.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
 	"lynxfold/core/datacentre"
@@ -148,6 +149,7 @@
 	}
 	he, err := ls.greet(se)
 	if err != nil {
+		se.linger(err)
 		se.abandon()
 		return nil, nil, err
 	}
@@ -172,6 +174,7 @@
 	he, err := ls.greet(se)
 	if err != nil {
 		se.joined()
+		se.linger(err)
 		se.abandon()
 		return refuse(err)
 	}
@@ -197,6 +200,20 @@
 	_, _ = se.control.reader.ReadByte()
 }
 
+// lingerFor bounds how long the connection of a refused hello stays open.
+const lingerFor = 500 * time.Millisecond
+
+// linger lets the other end read this end's hello after a refused one: a
+// connection that is closed at once may take unread messages with it.
+func (se *Session) linger(err error) {
+	var he *HelloError
+	if !errors.As(err, &he) {
+		return
+	}
+	_ = se.raw.SetDeadline(time.Now().Add(lingerFor))
+	_, _ = se.control.reader.ReadByte()
+}
+
 // greet exchanges hellos; the connection's deadline bounds it.
 func (ls *Links) greet(se *Session) (*wire.Hello, error) {
 	own := ls.cfg.Hello()
