--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -131,7 +131,7 @@
 		func() *sockets { return so },
 		func() zerolog.Logger { return log },
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
-		newDialer, newPlatform, platform.NewVersions, platform.NewKeys, newControl,
+		newCertificates, node.NewCounters, newDialer, newPlatform, platform.NewVersions, platform.NewKeys, newControl,
 		upstream.NewClient, newGate, upstream.NewListener,
 		node.NewLanes, newIncoming, newCaller, newRecord, newMesh, newKeyPair, newOperator, newListener,
 		newProcess,
@@ -192,7 +192,25 @@
 // dialTimeout bounds the opening of a connection to another node.
 const dialTimeout = 2 * time.Second
 
-func newDialer() *node.Dialer { return &node.Dialer{Timeout: dialTimeout} }
+func newDialer(ce *node.Certificates) *node.Dialer {
+	return &node.Dialer{
+		Certificates: ce,
+		Timeout:      dialTimeout,
+	}
+}
+
+// newCertificates is nil when connections between nodes are not encrypted.
+func newCertificates(se *ini.Settings) (*node.Certificates, error) {
+	if se.TLS.CertFile == "" {
+		return nil, nil
+	}
+	return node.NewCertificates(node.CertificatesConfig{
+		Mesh:     se.Mesh.Name,
+		CertFile: se.TLS.CertFile,
+		KeyFile:  se.TLS.KeyFile,
+		CAFile:   se.TLS.CAFile,
+	})
+}
 
 func newPlatform(se *ini.Settings) *platform.Client {
 	return platform.NewClient(platform.Config{
@@ -262,15 +280,32 @@
 
 func newIncoming(ga *upstream.Gate) *node.Incoming { return node.NewIncoming(ga) }
 
-func newListener(so *sockets, ct *Control, ic *node.Incoming, ms *mesh, co *controlCounters, log zerolog.Logger) *node.Listener {
+func newListener(
+	se *ini.Settings,
+	so *sockets,
+	ct *Control,
+	ic *node.Incoming,
+	ms *mesh,
+	ce *node.Certificates,
+	lc *node.Counters,
+	log zerolog.Logger,
+) *node.Listener {
+	refused := func(er *node.RefusedError) {
+		lc.Refused(er.Reason)
+		log.Debug().Err(er).Str("reason", string(er.Reason)).Msg("connection of another node refused")
+	}
 	return node.NewListener(so.link, node.ListenerConfig{
-		Control: ct.links.Accept,
+		Certificates: ce,
+		MaxConns:     se.Link.MaxConnections,
+		Control: func(co *node.Conn) {
+			var er *node.RefusedError
+			if errors.As(ct.links.Accept(co), &er) {
+				refused(er)
+			}
+		},
 		Lane:    ic.Serve,
 		Survey:  func(nc *node.Conn) { node.ServeSurvey(nc, ms.answer()) },
-		Refused: func(err error) {
-			co.refusedConn()
-			log.Debug().Err(err).Msg("connection refused")
-		},
+		Refused: refused,
 	})
 }
 
--- a/core/contract/document.go
+++ b/core/contract/document.go
@@ -115,8 +115,11 @@
 	}
 }
 
-// normalise sorts the lists by name and fills in defaults.
+// normalise sorts the lists by name, fills in defaults and makes missing lists empty.
 func (doc *Document) normalise() {
+	doc.Services = orEmpty(doc.Services)
+	doc.Contracts = orEmpty(doc.Contracts)
+	doc.Routes = orEmpty(doc.Routes)
 	for i := range doc.Contracts {
 		if doc.Contracts[i].Class == "" {
 			doc.Contracts[i].Class = ClassLookup
@@ -132,3 +135,10 @@
 		return strings.Compare(string(a.Name), string(b.Name))
 	})
 }
+
+func orEmpty[T any](items []T) []T {
+	if items == nil {
+		return []T{}
+	}
+	return items
+}
--- a/io/node/lanes_test.go
+++ b/io/node/lanes_test.go
@@ -45,7 +45,7 @@
 	ls := NewListener(li, ListenerConfig{
 		Lane:    NewIncoming(ga).Serve,
 		Control: func(*Conn) {},
-		Refused: func(error) {},
+		Refused: func(*RefusedError) {},
 	})
 	go func() { _ = ls.Serve() }()
 	t.Cleanup(ls.Close)
