fix: no kept connection for a booking while its upstream drains

Cause: an upstream that shuts down closes its idle connections; a call that may not be repeated and had just taken one came into doubt. Change: while the upstream does not say ready, such calls take new connections. Conclusion: kept connections are for recent use and a ready upstream only.

--- /dev/null
+++ b/io/upstream/bench_test.go
@@ -0,0 +1,101 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"lynxfold/core/host"
+	"lynxfold/core/wire"
+)
+
+// BenchmarkConnections compares a kept connection with a new one for each call,
+// and counts the calls that come into doubt when the upstream closes connections
+// at random moments after its answers.
+func BenchmarkConnections(b *testing.B) {
+	for _, it := range []struct {
+		name string
+		// age makes every idle connection look that much older.
+		age   time.Duration
+		close bool
+	}{
+		{name: "kept"},
+		{name: "new", age: freshFor},
+		{name: "kept, closing upstream", close: true},
+		{name: "new, closing upstream", age: freshFor, close: true},
+	} {
+		b.Run(it.name, func(b *testing.B) {
+			address := startClosing(b, it.close)
+			cl := NewClient()
+			defer cl.Close()
+			doubts := 0
+			for b.Loop() {
+				cl.mu.Lock()
+				for _, co := range cl.idle {
+					co.usedAt = co.usedAt.Add(-it.age)
+				}
+				cl.mu.Unlock()
+				rq := &wire.Request{Method: "POST", Uri: "/bookings"}
+				re := cl.Do(context.Background(), address, rq, nil, Watch{
+					Ended: func(en Ending) {
+						if en.Outcome == host.OutcomeUnknown {
+							doubts++
+						}
+					},
+				})
+				if re.Refusal != nil && it.close {
+					continue
+				}
+			}
+			b.ReportMetric(float64(doubts)/float64(b.N)*1e6, "doubts/million")
+		})
+	}
+}
+
+// startClosing starts an upstream that closes each connection up to 200 us
+// after an answer, if asked to.
+func startClosing(b *testing.B, closes bool) string {
+	b.Helper()
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = li.Close() })
+	rnd := rand.New(rand.NewPCG(1, 2))
+	go func() {
+		for {
+			nc, err := li.Accept()
+			if err != nil {
+				return
+			}
+			go answer(nc, closes, time.Duration(rnd.IntN(200))*time.Microsecond)
+		}
+	}()
+	return li.Addr().String()
+}
+
+func answer(nc net.Conn, closes bool, after time.Duration) {
+	defer func() { _ = nc.Close() }()
+	rd := bufio.NewReader(nc)
+	for {
+		for {
+			line, err := rd.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if line == "\r\n" {
+				break
+			}
+		}
+		if _, err := io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+			return
+		}
+		if closes {
+			time.AfterFunc(after, func() { _ = nc.Close() })
+		}
+	}
+}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -43,6 +43,8 @@
 	idle  []*conn
 	open  int
 	limit int
+	// leaving says that the upstream drains.
+	leaving bool
 }
 
 // NewClient builds a client without connections.
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -177,6 +177,7 @@
 	for _, it := range []struct {
 		rq       *wire.Request
 		age      time.Duration
+		leaving  bool
 		accepted int64
 	}{
 		{rq: safe, accepted: 1},
@@ -184,7 +185,10 @@
 		{rq: get("POST"), accepted: 1},
 		{rq: get("POST"), age: 2 * freshFor, accepted: 2},
 		{rq: safe, age: 2 * idleFor, accepted: 3},
+		{rq: safe, leaving: true, accepted: 3},
+		{rq: get("POST"), leaving: true, accepted: 4},
 	} {
+		cl.SetLeaving(it.leaving)
 		cl.mu.Lock()
 		for _, co := range cl.idle {
 			co.usedAt = co.usedAt.Add(-it.age)
--- a/io/upstream/conns.go
+++ b/io/upstream/conns.go
@@ -64,15 +64,19 @@
 	cl.limit = connections
 }
 
+// SetLeaving says that the upstream drains: it may close idle connections at
+// any moment, so a call that may not be repeated takes a new one.
+func (cl *Client) SetLeaving(leaving bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.leaving = leaving
+}
+
 // take returns a connection that nobody uses. Idle ones that the upstream has
 // closed are dropped. For a call that may not be repeated only a connection
 // in recent use is good enough, else a new one is opened.
 func (cl *Client) take(ctx context.Context, address string, idempotent bool) (*conn, error) {
-	keep := freshFor
-	if idempotent {
-		keep = idleFor
-	}
-	co, err := cl.takeIdle(address, keep)
+	co, err := cl.takeIdle(address, idempotent)
 	if co != nil || err != nil {
 		return co, err
 	}
@@ -90,12 +94,24 @@
 	return co, nil
 }
 
-// takeIdle returns an idle connection that was used within keep, or counts one
-// more open connection.
-func (cl *Client) takeIdle(address string, keep time.Duration) (*conn, error) {
+// keep is how long after its last use a connection is good enough; cl.mu is held.
+func (cl *Client) keep(idempotent bool) time.Duration {
+	switch {
+	case idempotent:
+		return idleFor
+	case cl.leaving:
+		return 0
+	}
+	return freshFor
+}
+
+// takeIdle returns an idle connection that is good enough, or counts one more
+// open connection.
+func (cl *Client) takeIdle(address string, idempotent bool) (*conn, error) {
 	now := time.Now()
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
+	keep := cl.keep(idempotent)
 	for len(cl.idle) > 0 {
 		co := cl.idle[len(cl.idle)-1]
 		if co.address == address && now.Sub(co.usedAt) >= keep && now.Sub(co.usedAt) < idleFor {
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -257,6 +257,7 @@
 // Announce takes an upstream's announcement.
 func (ga *Gate) Announce(an host.Announcement) {
 	ga.cfg.Client.SetLimit(an.Connections)
+	ga.cfg.Client.SetLeaving(an.State != host.StateReady)
 	ga.mu.Lock()
 	ga.lapse = time.Now().Add(ga.cfg.LapseAfter)
 	ga.stepLocked(host.Announced{
