--- /dev/null
+++ b/core/contract/delta_test.go
@@ -0,0 +1,235 @@
+package contract
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// drawDocument draws a small document, valid or not.
+func drawDocument(rt *rapid.T) *Document {
+	doc := &Document{}
+	for i := range rapid.IntRange(0, 4).Draw(rt, "services") {
+		doc.Services = append(doc.Services, Service{
+			Name:        ServiceName(fmt.Sprintf("s%d", i)),
+			Description: rapid.SampledFrom([]string{"", "x", "y"}).Draw(rt, "description"),
+		})
+	}
+	for i := range rapid.IntRange(0, 2).Draw(rt, "contracts") {
+		doc.Contracts = append(doc.Contracts, Terms{
+			Name:       TermsName(fmt.Sprintf("c%d", i)),
+			Idempotent: rapid.Bool().Draw(rt, "idempotent"),
+			TimeoutMS:  int64(rapid.SampledFrom([]int{0, 100, 200, 200}).Draw(rt, "timeout")),
+		})
+	}
+	for i := range rapid.IntRange(0, 5).Draw(rt, "routes") {
+		doc.Routes = append(doc.Routes, Route{
+			Name:       RouteName(fmt.Sprintf("r%d", i)),
+			PathPrefix: rapid.SampledFrom([]string{"/a", "/a/b", "/c", "/d/", "/e", "bad"}).Draw(rt, "prefix"),
+			Methods:    rapid.SampledFrom([][]string{nil, {"GET"}, {"PUT", "GET"}}).Draw(rt, "methods"),
+			Service:    ServiceName(fmt.Sprintf("s%d", rapid.IntRange(0, 4).Draw(rt, "service"))),
+			Contract:   TermsName(fmt.Sprintf("c%d", rapid.IntRange(0, 2).Draw(rt, "contract"))),
+			Fallback:   rapid.SampledFrom([]RouteName{"", "", "r0", "r1", "r4"}).Draw(rt, "fallback"),
+		})
+	}
+	doc.normalise()
+	return doc
+}
+
+// repaired makes a drawn document valid by dropping what its faults name.
+func repaired(doc *Document) *Snapshot {
+	for len(doc.Routes) > 0 && doc.Validate() != nil {
+		doc.Routes = doc.Routes[:len(doc.Routes)-1]
+	}
+	for i := range doc.Contracts {
+		doc.Contracts[i].TimeoutMS = 100
+	}
+	sn, err := Compile(1, doc)
+	if err != nil {
+		return Empty()
+	}
+	return sn
+}
+
+// TestApplyEqualsCompile compares a delta's result with a full compile: the same
+// verdict, digest, document and targets.
+func TestApplyEqualsCompile(t *testing.T) {
+	valid, invalid := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		base := repaired(drawDocument(rt))
+		doc := drawDocument(rt)
+		want, wantErr := Compile(base.Version+1, doc)
+		ch := changeOf(base.Document, doc)
+		got, err := (&Delta{
+			Base:            base.Version,
+			BaseDigest:      base.Digest,
+			Result:          base.Version + 1,
+			Digest:          doc.Digest(),
+			PutServices:     ch.putServices,
+			PutContracts:    ch.putContracts,
+			PutRoutes:       ch.putRoutes,
+			RemoveServices:  convert[ServiceName](ch.removeServices),
+			RemoveContracts: convert[TermsName](ch.removeContracts),
+			RemoveRoutes:    convert[RouteName](ch.removeRoutes),
+		}).Apply(base)
+		if wantErr != nil {
+			invalid++
+			if err == nil || err.Error() != wantErr.Error() {
+				rt.Fatalf("got error %v, want %v", err, wantErr)
+			}
+			return
+		}
+		valid++
+		assert.NilError(rt, err)
+		compareSnapshots(rt, got, want)
+		assert.Equal(rt, len(base.CheckRoutes()), 0)
+	})
+	assert.Assert(t, valid > 50 && invalid > 50, "%d valid, %d invalid", valid, invalid)
+}
+
+func compareSnapshots(rt *rapid.T, got, want *Snapshot) {
+	assert.Equal(rt, got.Digest, want.Digest)
+	assert.Equal(rt, string(got.Document.Encode()), string(want.Document.Encode()))
+	assert.Equal(rt, len(got.CheckRoutes()), 0)
+	assert.Equal(rt, got.targets.count, want.targets.count)
+	for _, method := range []string{"GET", "PUT", "POST"} {
+		for _, path := range []string{"/a", "/a/b/c", "/c/", "/d/x", "/e", "/none"} {
+			a, b := got.Match(method, path), want.Match(method, path)
+			assert.Equal(rt, a == nil, b == nil)
+			for a != nil {
+				assert.Assert(rt, sameRoute(a.Route, b.Route) && a.Service == b.Service && a.Terms == b.Terms)
+				a, b = a.Fallback, b.Fallback
+				assert.Equal(rt, a == nil, b == nil)
+			}
+		}
+	}
+}
+
+// large builds a document with as many services and routes as the target has.
+func large(services, routes int) *Document {
+	doc := &Document{Contracts: []Terms{{Name: "lookup", Idempotent: true, TimeoutMS: 1000}}}
+	for i := range services {
+		doc.Services = append(doc.Services, Service{Name: ServiceName(fmt.Sprintf("service-%04d", i))})
+	}
+	for i := range routes {
+		doc.Routes = append(doc.Routes, Route{
+			Name:       RouteName(fmt.Sprintf("route-%04d", i)),
+			PathPrefix: fmt.Sprintf("/area-%d/page-%d", i%50, i),
+			Service:    ServiceName(fmt.Sprintf("service-%04d", i%services)),
+			Contract:   "lookup",
+		})
+	}
+	return doc
+}
+
+func step(t testing.TB) (*Snapshot, *Delta) {
+	base, err := Compile(1, large(700, 2000))
+	assert.NilError(t, err)
+	doc := base.Document.Clone()
+	doc.Routes[1000].PathPrefix = "/moved"
+	next, err := Compile(2, doc)
+	assert.NilError(t, err)
+	return base, Diff(base, next)
+}
+
+// TestWrongDeltas shows that each kind of wrong delta has its typed error and
+// leaves the base as it was.
+func TestWrongDeltas(t *testing.T) {
+	base, good := step(t)
+	digest := base.Digest
+	for name, spoil := range map[string]func(de *Delta){
+		"cut short":        func(de *Delta) { de.PutRoutes = nil },
+		"another item":     func(de *Delta) { de.PutRoutes = []Route{{Name: "x", PathPrefix: "/x"}} },
+		"unknown removal":  func(de *Delta) { de.RemoveServices = []ServiceName{"service-0001"} },
+		"wrong promise":    func(de *Delta) { de.Digest = base.Digest },
+		"doubled item":     func(de *Delta) { de.PutServices = []Service{{Name: "new"}, {Name: "new"}} },
+		"class left empty": func(de *Delta) { de.PutContracts = []Terms{{Name: "lookup", TimeoutMS: 1000, Idempotent: true}} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			de := *good
+			spoil(&de)
+			_, err := de.Apply(base)
+			var wrong *DigestError
+			assert.Assert(t, errors.As(err, &wrong), "%v", err)
+			assert.Equal(t, base.Document.Digest(), digest)
+		})
+	}
+	for name, spoil := range map[string]func(de *Delta){
+		"out of order": func(de *Delta) { de.Base = 7 },
+		"other base":   func(de *Delta) { de.BaseDigest = "x" },
+		"going back":   func(de *Delta) { de.Result = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			de := *good
+			spoil(&de)
+			_, err := de.Apply(base)
+			var wrong *DeltaError
+			assert.Assert(t, errors.As(err, &wrong), "%v", err)
+		})
+	}
+}
+
+// TestDigestIgnoresNil: a delta can leave an empty list where the accepting node
+// had none.
+func TestDigestIgnoresNil(t *testing.T) {
+	assert.Equal(t, (&Document{}).Digest(), (&Document{Services: []Service{}}).Digest())
+}
+
+// TestDanglingRouteIsFound shows that the invariant's check can fail.
+func TestDanglingRouteIsFound(t *testing.T) {
+	base, _ := step(t)
+	base.services = base.services.edit(nil, []string{"service-0001"})
+	assert.Assert(t, len(base.CheckRoutes()) > 0)
+}
+
+func TestConflicts(t *testing.T) {
+	base := large(3, 3)
+	mine, theirs := base.Clone(), base.Clone()
+	mine.Routes[0].Service = "service-0001"
+	mine.Routes[1].PathPrefix = "/mine"
+	theirs.Routes[0].Service = "service-0002"
+	theirs.Services = append(theirs.Services, Service{Name: "new"})
+	got := Conflicts(base, mine, theirs)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Path, "routes[route-0000].service")
+	assert.Equal(t, string(got[0].From), `"service-0001"`)
+	var paths []string
+	for _, di := range Differences(base, theirs) {
+		paths = append(paths, di.Path)
+	}
+	assert.DeepEqual(t, paths, []string{"routes[route-0000].service", "services[new].name"})
+}
+
+// BenchmarkNextVersion compares a delta of one route with a full compile.
+func BenchmarkNextVersion(b *testing.B) {
+	base, de := step(b)
+	b.Run("apply", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := de.Apply(base); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("compile", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := Compile(2, base.Document); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("check_routes", func(b *testing.B) {
+		for b.Loop() {
+			base.CheckRoutes()
+		}
+	})
+	b.Run("match", func(b *testing.B) {
+		for b.Loop() {
+			base.Match("GET", "/area-7/page-7/detail/1")
+		}
+	})
+}
