test: drains that nobody hears of, and of the callers' own node

Cause: TestUpstreamDrainsUnheard claimed that the news reached nobody and did not cut it. It is now TestOnlyUpstreamDrains with the same checks, and TestDrainUnheard in io/caller has an ingress whose view never changes. Change: callers of a node that drains: whoever has no whole answer had a call that did not run.

--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -243,6 +243,38 @@
 	assert.Equal(t, len(si.ledger()), 0)
 }
 
+// TestDrainUnheard has an upstream leave while its ingress never hears of it: the
+// gate lets nothing in after its grace, and what runs is answered.
+func TestDrainUnheard(t *testing.T) {
+	si := startSite(t, Config{}, standin.Config{})
+	ga := si.gates["host-0"]
+	running := make(chan string, 1)
+	go func() {
+		rs, data, err := si.do(t, "POST", "/bookings?work=500ms", "before", nil)
+		if err != nil {
+			running <- err.Error()
+			return
+		}
+		running <- rs.Header.Get(HeaderOutcome) + string(data)
+	}()
+	eventually(t, "the call runs", func() bool { return len(si.ledger()) == 1 })
+	ga.Announce(host.Announcement{
+		Service:     "lookup",
+		Address:     si.upstreams[0].Address(),
+		Slots:       64,
+		Connections: 120,
+		State:       host.StateDraining,
+		InFlight:    1,
+	})
+	for i := range 2 {
+		rs, _, err := si.do(t, "POST", "/bookings", fmt.Sprint(i), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, rs.Header.Get(HeaderOutcome), "not_run")
+	}
+	assert.Check(t, strings.HasPrefix(<-running, "ran"))
+	assert.Equal(t, len(si.ledger()), 1)
+}
+
 // TestBodiesBothWays streams photo sets and gives each caller its own answer.
 func TestBodiesBothWays(t *testing.T) {
 	si := startSite(t, Config{}, standin.Config{}, standin.Config{})
--- a/testkit/calls_test.go
+++ b/testkit/calls_test.go
@@ -189,9 +189,9 @@
 	}
 }
 
-// TestUpstreamDrainsUnheard has an upstream leave while no other node can hear
-// of it from its node; the gate itself refuses.
-func TestUpstreamDrainsUnheard(t *testing.T) {
+// TestOnlyUpstreamDrains has a service's only upstream leave: its callers are
+// told at once that nothing ran.
+func TestOnlyUpstreamDrains(t *testing.T) {
 	me, ca := startCalls(t)
 	me.Hosts["curing-room-2"].KillUpstream()
 	waitUpstreams(t, me, 1)
@@ -206,6 +206,31 @@
 	assert.Equal(t, len(one.Upstream.Ledger()), before)
 }
 
+// TestIngressDrainsUnderLoad stops the node that the callers use: whoever has no
+// whole answer had a call that did not run.
+func TestIngressDrainsUnderLoad(t *testing.T) {
+	me, ca := startCalls(t)
+	one := me.Hosts["curing-room-1"]
+	stop := ca.Load(8, func(worker int) {
+		te := ca.Call("curing-room-1", "POST", fmt.Sprintf("/bookings?work=%dms", 1+worker*7%40), worker*100)
+		if te.Err != nil {
+			time.Sleep(10 * time.Millisecond) // nobody listens any more
+		}
+	})
+	time.Sleep(300 * time.Millisecond)
+	one.Signal(syscall.SIGTERM)
+	assert.Check(t, one.Exited(generous), "%s", one.Log())
+	stop()
+	t.Log(ca.Check(t))
+	runs := me.Runs()
+	for _, te := range ca.Told() {
+		if te.Err != nil {
+			assert.Check(t, len(runs[te.Call]) == 0, "%+v ran, and its caller was cut off", te)
+		}
+	}
+	assert.Check(t, strings.Contains(one.Log(), `"cut":0`), "%s", one.Log())
+}
+
 // TestTruncatedAndSlowAnswers passes no part of an answer for the whole.
 func TestTruncatedAndSlowAnswers(t *testing.T) {
 	_, ca := startCalls(t)
