feat: status and explain from the member's report

Cause: the list of hosts came from the view, so that hosts without upstreams, suspected and dead ones, readers and cut-off data centres were not listed.

TestNight now waits until the cut is seen and reads it from the record: platform read failed, data centre separated and rejoined, hosts suspect, dead and alive. Small edits to cmd/process/control.go (one channel).

Seen failing once before: the scripted commands listed services before the upstreams had announced themselves; the script now waits for these.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"lynxfold/cmd"
@@ -79,9 +80,9 @@
 		},
 	})
 	for _, id := range []string{"press-hall-1", "curing-room-1"} {
-		testkit.Eventually(t, 20*time.Second, id+" knows both hosts", func() bool {
-			st := sc.mesh.Status(id)
-			return st != nil && len(st.DataCentres) == 2
+		testkit.Eventually(t, 20*time.Second, id+" knows both upstreams", func() bool {
+			_, page, err := fasthttp.Get(nil, "http://"+sc.mesh.Hosts[id].Operator+"/metrics")
+			return err == nil && strings.Contains(string(page), "lynxfold_usable_upstreams 2\n")
 		})
 	}
 }
--- a/cmd/night_test.go
+++ b/cmd/night_test.go
@@ -6,13 +6,16 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"lynxfold/cmd"
+	"lynxfold/io/operator"
 	platformstandin "lynxfold/io/platform/standin"
 	upstreamstandin "lynxfold/io/upstream/standin"
 	"lynxfold/testkit"
@@ -76,6 +79,7 @@
 		ho.Cut()
 	}
 	ni.eventually("the loss is known", func() bool { return ni.alive("press-hall-1") < 6 && ni.alive("curing-room-1") < 6 })
+	ni.eventually("the cut is known", func() bool { return ni.separated("press-hall-1") && ni.separated("curing-room-1") })
 	ni.eventually("the lost host is held for dead", func() bool {
 		_, out := ni.run("explain", "--node", ni.node("press-hall-1"), "host", "press-hall-3")
 		return strings.Contains(out, "host dead, host press-hall-3")
@@ -90,13 +94,29 @@
 		ho.Mend()
 	}
 	ni.mesh.Platform.SetFaults(platformstandin.Faults{})
-	ni.eventually("all hosts are back", func() bool { return ni.alive("press-hall-1") == 6 && ni.alive("curing-room-3") == 6 })
+	for _, id := range []string{"press-hall-1", "curing-room-3"} {
+		ni.eventually("all hosts are back", func() bool { return ni.alive(id) == 6 && !ni.separated(id) })
+		ni.eventually("all upstreams are back", func() bool {
+			_, page, err := fasthttp.Get(nil, ni.node(id)+"/metrics")
+			return err == nil && strings.Contains(string(page), "lynxfold_usable_upstreams 6\n")
+		})
+	}
 }
 
 // morning reads what happened from any node that stayed up.
 func (ni *night) morning() {
 	node := ni.node("press-hall-1")
+	_, out := ni.run("explain", "--node", node, "latest")
+	ni.t.Log(out)
+	for _, what := range []string{
+		"platform read failed",
+		"data centre separated, data centre curing-room",
+		"data centre rejoined, data centre curing-room",
+	} {
+		assert.Assert(ni.t, strings.Contains(out, what), what)
+	}
 	code, out := ni.run("status", "--node", node)
+	ni.t.Log(out)
 	assert.Equal(ni.t, code, 0, out)
 	assert.Assert(ni.t, strings.Contains(out, "has version 2 in force; the oldest in force is 2"), out)
 	assert.Equal(ni.t, strings.Count(out, "3 alive"), 2, out)
@@ -159,6 +179,12 @@
 	return count
 }
 
+// separated tells whether a node holds any data centre for separated.
+func (ni *night) separated(id string) bool {
+	st := ni.mesh.Status(id)
+	return st != nil && slices.ContainsFunc(st.DataCentres, func(ce operator.CentreStatus) bool { return ce.Separated })
+}
+
 func (ni *night) eventually(what string, holds func() bool) {
 	ni.t.Helper()
 	testkit.Eventually(ni.t, nightWithin, what, holds)
--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -43,6 +43,7 @@
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
+	reports chan chan<- *datacentre.Report
 	stop    chan struct{}
 	jobs    sync.WaitGroup
 	view    atomic.Pointer[datacentre.View]
@@ -72,6 +73,7 @@
 		record:   re,
 		inbox:    make(chan datacentre.Event, inboxSize),
 		linkBox:  make(chan node.Event, inboxSize),
+		reports:  make(chan chan<- *datacentre.Report),
 		stop:     make(chan struct{}),
 	}
 	ct.member = datacentre.New(datacentre.Config{
@@ -110,6 +112,17 @@
 // View is what traffic reads.
 func (ct *Control) View() *datacentre.View { return ct.view.Load() }
 
+// Report asks the control goroutine what it knows; it is empty after the end.
+func (ct *Control) Report() *datacentre.Report {
+	answer := make(chan *datacentre.Report, 1)
+	select {
+	case ct.reports <- answer:
+		return <-answer
+	case <-ct.stop:
+		return &datacentre.Report{}
+	}
+}
+
 // Emit passes an event to the control goroutine; after the end it is dropped.
 func (ct *Control) Emit(ev datacentre.Event) {
 	select {
@@ -138,6 +151,8 @@
 			for _, me := range ct.links.Handle(ev, now) {
 				ct.step(me, now)
 			}
+		case answer := <-ct.reports:
+			answer <- ct.member.Report()
 		case now := <-ti.C:
 			ct.health.beaten(now)
 			ct.links.Tick(now)
--- a/cmd/process/mesh.go
+++ b/cmd/process/mesh.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 
 	"lynxfold/core/contract"
-	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/core/wire"
 	"lynxfold/io/ini"
@@ -17,41 +15,43 @@
 // mesh answers the operators' questions about other hosts.
 type mesh struct {
 	settings *ini.Settings
-	address  string
 	control  *Control
 	dialer   *node.Dialer
 }
 
-func newMesh(se *ini.Settings, ad addresses, ct *Control, di *node.Dialer) *mesh {
+func newMesh(se *ini.Settings, ct *Control, di *node.Dialer) *mesh {
 	return &mesh{
 		settings: se,
-		address:  ad.advertise,
 		control:  ct,
 		dialer:   di,
 	}
 }
 
+// hostStates are the words for the states on the wire.
+var hostStates = map[wire.Status]operator.HostState{
+	wire.Status_STATUS_ALIVE:   operator.HostAlive,
+	wire.Status_STATUS_SUSPECT: operator.HostSuspect,
+	wire.Status_STATUS_DEAD:    operator.HostDead,
+	wire.Status_STATUS_LEFT:    operator.HostLeft,
+}
+
 // Centres implements operator.Mesh.
 func (ms *mesh) Centres() []operator.CentreStatus {
-	hosts := map[datacentre.Name]map[host.ID]string{
-		ms.settings.Host.DataCentre: {ms.settings.Host.ID: ms.address},
-	}
-	for _, ups := range ms.control.View().Upstreams {
-		for _, up := range ups {
-			if hosts[up.DataCentre] == nil {
-				hosts[up.DataCentre] = map[host.ID]string{}
-			}
-			hosts[up.DataCentre][up.Host] = up.Address
+	centres := []operator.CentreStatus{}
+	for _, cr := range ms.control.Report().Centres {
+		ce := operator.CentreStatus{
+			DataCentre: cr.Name,
+			Separated:  cr.Separated,
+			Readers:    slices.Sorted(slices.Values(cr.Readers)),
+			Hosts:      []operator.HostStatus{},
 		}
-	}
-	var centres []operator.CentreStatus
-	for _, name := range slices.Sorted(maps.Keys(hosts)) {
-		ce := operator.CentreStatus{DataCentre: name, Readers: []host.ID{}}
-		for _, id := range slices.Sorted(maps.Keys(hosts[name])) {
+		for _, hr := range cr.Hosts {
 			ce.Hosts = append(ce.Hosts, operator.HostStatus{
-				Host:    id,
-				Address: hosts[name][id],
-				Status:  operator.HostAlive,
+				Host:    hr.ID,
+				Address: hr.Address,
+				Status:  hostStates[hr.Status],
+				Version: hr.Version,
+				Refused: hr.Refused,
 			})
 		}
 		centres = append(centres, ce)
@@ -60,7 +60,16 @@
 }
 
 // Refused implements operator.Mesh.
-func (ms *mesh) Refused() []operator.RefusedStatus { return []operator.RefusedStatus{} }
+func (ms *mesh) Refused() []operator.RefusedStatus {
+	refused := []operator.RefusedStatus{}
+	for _, re := range ms.control.Report().Refused {
+		refused = append(refused, operator.RefusedStatus{
+			Version: re.Version,
+			Detail:  re.Err.Error(),
+		})
+	}
+	return refused
+}
 
 // Ask implements operator.Mesh.
 func (ms *mesh) Ask(ctx context.Context, address string) (operator.HostAnswer, error) {
@@ -77,8 +86,12 @@
 
 // answer is what this node says when another one asks.
 func (ms *mesh) answer() *wire.SurveyAnswer {
-	return &wire.SurveyAnswer{
+	an := &wire.SurveyAnswer{
 		Host:    string(ms.settings.Host.ID),
 		Version: uint64(ms.control.View().Config.Version),
 	}
+	for _, re := range ms.control.Report().Refused {
+		an.Refused = max(an.Refused, uint64(re.Version))
+	}
+	return an
 }
--- a/cmd/process/operators.go
+++ b/cmd/process/operators.go
@@ -74,10 +74,14 @@
 // recordNote keeps a decision of control for explanations.
 func recordNote(re *record.Record, no datacentre.Note) {
 	en := record.Entry{
-		At:      no.At,
-		Kind:    record.Kind(no.Kind),
-		Host:    no.Peer,
-		Version: no.Version,
+		At:         no.At,
+		Kind:       record.Kind(no.Kind),
+		Host:       no.Peer,
+		Version:    no.Version,
+		DataCentre: string(no.DataCentre),
+	}
+	if no.Grounds != datacentre.GroundsNone {
+		en.Detail = "on the word of " + string(no.Grounds)
 	}
 	if no.Err != nil {
 		en.Detail = no.Err.Error()
