--- a/bench/slopes/todo.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package main
-
-import "lynxfold/bench/capacity"
-
-func measureLinks() ([]capacity.Slope, error) { return nil, nil }
--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -48,7 +48,9 @@
 	jobs    sync.WaitGroup
 	view    atomic.Pointer[datacentre.View]
 	hello   atomic.Pointer[wire.Hello]
-	known   platform.ETag
+	// linked is the number of peers with a control link.
+	linked atomic.Int64
+	known  platform.ETag
 }
 
 func newControl(
@@ -168,6 +170,7 @@
 		ct.execute(ac)
 	}
 	ct.hello.Store(ct.member.Hello())
+	ct.linked.Store(int64(ct.links.Peers()))
 }
 
 func (ct *Control) execute(ac datacentre.Action) {
