--- a/core/datacentre/compare.go
+++ b/core/datacentre/compare.go
@@ -193,9 +193,9 @@
 
 // receivedMembers takes in records that were spread, or an answer to a pull.
 func (me *Member) receivedMembers(ms *wire.Members, from host.ID, now time.Time) {
-	news := me.merge(ms.GetHosts(), from, now)
-	if len(news) > 0 && (len(ms.GetBuckets()) == 0 || len(news) <= floodRecords) {
-		me.tellMembers(news, from)
+	fresh := me.merge(ms.GetHosts(), from, now)
+	if len(ms.GetBuckets()) == 0 || len(fresh) <= floodRecords {
+		me.passOn(fresh, from)
 	}
 	if len(ms.GetBuckets()) == 0 {
 		return
@@ -206,7 +206,7 @@
 	}
 	me.sync.by = now.Add(syncWithin)
 	me.sync.left -= len(ms.GetBuckets())
-	me.sync.learned += len(news)
+	me.sync.learned += len(fresh)
 	if me.sync.left > 0 {
 		return
 	}
--- a/core/datacentre/links.go
+++ b/core/datacentre/links.go
@@ -130,19 +130,7 @@
 	if now.Before(me.knockAt) || me.leaving {
 		return
 	}
-	var pool []string
-	known := map[string]bool{}
-	for _, re := range me.hosts {
-		known[me.addressOf(re.ho)] = true
-		if !re.live() && re.id != me.cfg.Host {
-			pool = append(pool, me.addressOf(re.ho))
-		}
-	}
-	for ad := range me.contacts {
-		if !known[ad] {
-			pool = append(pool, ad)
-		}
-	}
+	pool := me.knockable()
 	if len(pool) == 0 {
 		me.knockAt = now.Add(knockEvery)
 		return
@@ -154,6 +142,24 @@
 	me.dialAddress(ad, me.dialAt(ad), now)
 }
 
+// knockable lists the addresses of hosts that are gone and of contacts whose
+// host is not known.
+func (me *Member) knockable() []string {
+	var pool []string
+	for id := range me.gone {
+		pool = append(pool, me.addressOf(me.hosts[id].ho))
+	}
+	if len(me.contacts) > 0 {
+		unknown := maps.Clone(me.contacts)
+		for _, re := range me.hosts {
+			delete(unknown, re.ho.GetAddress())
+			delete(unknown, re.ho.GetRemoteAddress())
+		}
+		pool = slices.AppendSeq(pool, maps.Keys(unknown))
+	}
+	return pool
+}
+
 func (me *Member) linkOpened(ev LinkOpened, now time.Time) {
 	ho := ev.Hello.GetHost()
 	id := host.ID(ho.GetId())
@@ -177,13 +183,11 @@
 	delete(me.lost, id)
 	delete(me.avoid, id)
 	me.giveFloor(pe)
-	news := me.merge([]*wire.Host{ho}, id, now)
+	fresh := me.merge([]*wire.Host{ho}, id, now)
 	if old := me.hosts[id]; old != nil && newer(old.ho, ho) {
 		me.send(id, membersMessage([]*wire.Host{old.ho}))
 	}
-	if len(news) > 0 {
-		me.tellMembers(news, id)
-	}
+	me.passOn(fresh, id)
 	me.reachOpened(pe, now)
 	me.remember(pe)
 	me.compareHello(pe, ev.Hello, now)
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -38,9 +38,11 @@
 
 // Member is one node's knowledge of the mesh. It is driven by one goroutine.
 type Member struct {
-	cfg     Config
-	self    *wire.Host
-	hosts   map[host.ID]*record
+	cfg   Config
+	self  *wire.Host
+	hosts map[host.ID]*record
+	// gone holds the hosts that are dead or have left.
+	gone    map[host.ID]bool
 	centres map[Name]*centre
 	sum     uint64
 	alive   int
@@ -58,8 +60,11 @@
 
 	suspects map[host.ID]bool
 	lost     map[host.ID]time.Time
-	stepAt   time.Time
-	graceBy  time.Time
+	// outbox holds the hosts whose records are to be passed on, with the peers
+	// that have them.
+	outbox  map[host.ID]map[host.ID]bool
+	stepAt  time.Time
+	graceBy time.Time
 
 	reaches  map[Name]*reach
 	sync     comparison
@@ -86,6 +91,7 @@
 	me := &Member{
 		cfg:      cfg,
 		hosts:    map[host.ID]*record{},
+		gone:     map[host.ID]bool{},
 		centres:  map[Name]*centre{},
 		links:    map[host.ID]*peer{},
 		dials:    map[string]*dial{},
@@ -94,6 +100,7 @@
 		avoid:    map[host.ID]time.Time{},
 		suspects: map[host.ID]bool{},
 		lost:     map[host.ID]time.Time{},
+		outbox:   map[host.ID]map[host.ID]bool{},
 		reaches:  map[Name]*reach{},
 		spread:   newSpread(),
 		start:    newStart(cfg.StartedAt),
@@ -190,6 +197,7 @@
 func (me *Member) tick(now time.Time) {
 	me.confirmSuspects(now)
 	me.accuseLost(now)
+	me.flushOutbox()
 	me.tickReach(now)
 	me.dialDue(now)
 	me.knock(now)
--- /dev/null
+++ b/core/datacentre/member_test.go
@@ -0,0 +1,168 @@
+package datacentre
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/host"
+	"lynxfold/core/wire"
+)
+
+// newTestMember builds a member of a fleet that nobody else has joined.
+func newTestMember(id host.ID, now time.Time) *Member {
+	return New(Config{
+		Mesh:           "mesh",
+		Host:           id,
+		DataCentre:     "dc-0",
+		Address:        string(id) + ":1",
+		Incarnation:    1,
+		FleetSize:      1000,
+		ReadsPerSecond: 100,
+		DialBase:       200 * time.Millisecond,
+		DialCap:        5 * time.Second,
+		Rand:           rand.New(rand.NewPCG(9, xxhash.Sum64String(string(id)))),
+		StartedAt:      now,
+	})
+}
+
+// TestUnmetFloor: a host that is remembered at version 5 puts nothing lower in
+// force, however long it waits, and says so once.
+func TestUnmetFloor(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	me := newTestMember("host-a", now)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	next := nextVersion(contract.Empty(), rnd)
+	me.Step(LinkOpened{Peer: "host-b", Hello: &wire.Hello{
+		Host:    &wire.Host{Id: "host-b", DataCentre: "dc-0", Address: "host-b:1", Incarnation: 1},
+		Version: 1,
+		Settled: true,
+	}}, now)
+	me.Step(Received{Peer: "host-b", Message: &wire.Control{Kind: &wire.Control_Floor{
+		Floor: &wire.Floor{Version: 5, Known: true},
+	}}}, now)
+	me.Step(Accepted{Delta: contract.Diff(contract.Empty(), next)}, now)
+	unmet := 0
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		for _, ac := range me.Step(Tick{}, now) {
+			if no, ok := ac.(Note); ok && no.Kind == NoteFloorUnmet {
+				unmet++
+			}
+		}
+	}
+	rp := me.Report()
+	assert.Equal(t, rp.Held, contract.Version(1))
+	assert.Equal(t, rp.InForce, contract.Version(0))
+	assert.Equal(t, rp.Grounds, GroundsNone)
+	assert.Equal(t, unmet, 1)
+}
+
+// TestReadsOfLonelyFleet starts 1,000 members at once that see nobody, with the
+// platform up and down, and counts the reads of each second.
+func TestReadsOfLonelyFleet(t *testing.T) {
+	for name, err := range map[string]error{"up": nil, "down": errDown} {
+		t.Run(name, func(t *testing.T) {
+			began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			perSecond := map[int]int{}
+			total := 0
+			for i := range 1000 {
+				me := newTestMember(host.ID(fmt.Sprintf("host-%d", i)), began)
+				for now := began; now.Before(began.Add(2 * time.Minute)); now = now.Add(time.Second) {
+					for _, ac := range me.Step(Tick{}, now) {
+						if rd, ok := ac.(ReadPlatform); ok {
+							cost := 1
+							if rd.Introductions {
+								cost++
+							}
+							perSecond[int(now.Sub(began)/time.Second)] += cost
+							total += cost
+							me.Step(PlatformRead{Err: err}, now)
+						}
+					}
+				}
+			}
+			for second, reads := range perSecond {
+				assert.Assert(t, reads <= 100, "%d reads in second %d", reads, second)
+			}
+			assert.Assert(t, total > 100, "only %d reads: the check would pass over nothing", total)
+		})
+	}
+}
+
+// TestReadsOfSplitFleet sums the periods of all readers for several ways in
+// which a fleet of 120 may be split: the total stays under the budget.
+func TestReadsOfSplitFleet(t *testing.T) {
+	const fleet, budget = 120, 10.0
+	for _, groups := range []int{1, 2, 3, 10, 40, 120} {
+		total := 0.0
+		for i := range fleet {
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			me := newTestMember(host.ID(fmt.Sprintf("host-%d", i)), now)
+			me.cfg.FleetSize = fleet
+			me.cfg.ReadsPerSecond = budget
+			me.self.DataCentre = fmt.Sprintf("dc-%d", i/groups%3)
+			me.cfg.DataCentre = Name(me.self.DataCentre)
+			me.put(me.self, now)
+			for j := range fleet {
+				if j != i && j%groups == i%groups {
+					id := fmt.Sprintf("host-%d", j)
+					me.put(&wire.Host{Id: id, DataCentre: fmt.Sprintf("dc-%d", j/groups%3), Address: id + ":1"}, now)
+				}
+			}
+			if me.reader() {
+				total += 1 / me.readPeriod(1).Seconds()
+			}
+		}
+		t.Logf("%d groups: %.2f reads a second", groups, total)
+		assert.Assert(t, total <= budget, "%d groups: %.2f reads a second", groups, total)
+	}
+}
+
+// BenchmarkView changes one upstream's state at the target's size.
+func BenchmarkView(b *testing.B) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	me := newTestMember("host-self", now)
+	var hosts []*wire.Host
+	for i := range 12_000 {
+		id := fmt.Sprintf("host-%d", i)
+		hosts = append(hosts, &wire.Host{
+			Id:          id,
+			DataCentre:  fmt.Sprintf("dc-%d", i%29),
+			Address:     id + ":1",
+			Incarnation: 1,
+			Upstreams:   []*wire.Upstream{{Service: fmt.Sprintf("service-%d", i%700), Slots: 10}},
+		})
+		me.put(hosts[i], now)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		old := hosts[i%len(hosts)]
+		ho := withStatus(old, wire.Status_STATUS_ALIVE)
+		ho.Sequence++
+		ho.Upstreams[0].Slots++
+		hosts[i%len(hosts)] = ho
+		me.acts = nil
+		me.put(ho, now)
+		me.publish()
+	}
+}
+
+// BenchmarkTick lets time pass for a member that knows the target's hosts.
+func BenchmarkTick(b *testing.B) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	me := newTestMember("host-self", now)
+	for i := range 12_000 {
+		id := fmt.Sprintf("host-%d", i)
+		me.put(&wire.Host{Id: id, DataCentre: fmt.Sprintf("dc-%d", i%29), Address: id + ":1", Incarnation: 1}, now)
+	}
+	for b.Loop() {
+		now = now.Add(100 * time.Millisecond)
+		me.Step(Tick{}, now)
+	}
+}
--- a/core/datacentre/members.go
+++ b/core/datacentre/members.go
@@ -1,6 +1,8 @@
 package datacentre
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -33,13 +35,32 @@
 	ho.Sequence++
 	change(ho)
 	me.self = ho
+	old := me.hosts[me.cfg.Host].ho
 	me.put(ho, now)
-	me.tellMembers([]*wire.Host{ho}, "")
+	me.passOn([]news{{record: ho, urgent: urgent(old, ho)}}, "")
+}
+
+// news is a record that is newer than what was known.
+type news struct {
+	record *wire.Host
+	// urgent news take something out of views, or keep it in; they are not
+	// collected before they are passed on.
+	urgent bool
+}
+
+// urgent tells whether the step from one record to the next must not wait.
+func urgent(old, ho *wire.Host) bool {
+	if ho.GetStatus() != wire.Status_STATUS_ALIVE || old.GetStatus() == wire.Status_STATUS_SUSPECT {
+		return true
+	}
+	return slices.ContainsFunc(ho.GetUpstreams(), func(up *wire.Upstream) bool {
+		return up.GetState() != wire.UpstreamState_UPSTREAM_STATE_READY
+	})
 }
 
 // merge takes in host records and returns the newer ones.
-func (me *Member) merge(hosts []*wire.Host, from host.ID, now time.Time) []*wire.Host {
-	var news []*wire.Host
+func (me *Member) merge(hosts []*wire.Host, from host.ID, now time.Time) []news {
+	var fresh []news
 	for _, ho := range hosts {
 		id := host.ID(ho.GetId())
 		switch {
@@ -48,25 +69,31 @@
 		case id == me.cfg.Host:
 			me.refute(ho, now)
 		default:
-			if up := me.mergeHost(id, ho, now); up != nil {
-				news = append(news, up)
+			if nw, newer := me.mergeHost(id, ho, now); newer {
+				fresh = append(fresh, nw)
+			} else if seen := me.outbox[id]; seen != nil {
+				seen[from] = true
 			}
 		}
 	}
-	return news
+	return fresh
 }
 
-// mergeHost stores a newer record and returns it. A death that this node has
+// mergeHost stores a newer record. A death that this node has
 // not found itself counts as a suspicion, so that a host that lives can refute.
-func (me *Member) mergeHost(id host.ID, ho *wire.Host, now time.Time) *wire.Host {
+func (me *Member) mergeHost(id host.ID, ho *wire.Host, now time.Time) (news, bool) {
 	old := me.hosts[id]
 	if old != nil && old.live() && ho.GetStatus() == wire.Status_STATUS_DEAD {
 		ho = withStatus(ho, wire.Status_STATUS_SUSPECT)
 	}
 	if old != nil && !newer(ho, old.ho) {
-		return nil
+		return news{}, false
 	}
 	wasLive := old != nil && old.live()
+	var was *wire.Host
+	if old != nil {
+		was = old.ho
+	}
 	re := me.put(ho, now)
 	switch ho.GetStatus() {
 	case wire.Status_STATUS_SUSPECT:
@@ -80,7 +107,7 @@
 	case wire.Status_STATUS_LEFT:
 		me.note(NoteHostLeft, id, now)
 	}
-	return ho
+	return news{record: ho, urgent: urgent(was, ho)}, true
 }
 
 // refute answers a false claim about this host with a newer record. A claim with
@@ -104,7 +131,46 @@
 	me.updateSelf(now, func(self *wire.Host) { self.Sequence = ho.GetSequence() + 1 })
 }
 
-// tellMembers passes records on to every linked peer but one.
+// passOn spreads news to the linked peers but the one they came from: urgent
+// ones now, the others with the next tick and only to peers that have not sent
+// them meanwhile.
+func (me *Member) passOn(fresh []news, from host.ID) {
+	var now []*wire.Host
+	for _, nw := range fresh {
+		id := host.ID(nw.record.GetId())
+		if nw.urgent {
+			now = append(now, nw.record)
+			delete(me.outbox, id)
+			continue
+		}
+		me.outbox[id] = map[host.ID]bool{from: true}
+	}
+	if len(now) > 0 {
+		me.tellMembers(now, from)
+	}
+}
+
+// flushOutbox spreads the collected news.
+func (me *Member) flushOutbox() {
+	if len(me.outbox) == 0 {
+		return
+	}
+	ids := slices.Sorted(maps.Keys(me.outbox))
+	for _, peer := range me.peers() {
+		var hosts []*wire.Host
+		for _, id := range ids {
+			if re := me.hosts[id]; re != nil && !me.outbox[id][peer] && id != peer {
+				hosts = append(hosts, re.ho)
+			}
+		}
+		for piece := range slices.Chunk(hosts, pieceRecords) {
+			me.send(peer, membersMessage(piece))
+		}
+	}
+	clear(me.outbox)
+}
+
+// tellMembers sends records to every linked peer but one.
 func (me *Member) tellMembers(hosts []*wire.Host, except host.ID) {
 	for _, id := range me.peers() {
 		if id != except {
--- a/core/datacentre/records.go
+++ b/core/datacentre/records.go
@@ -136,7 +136,11 @@
 		re.accused = false
 		delete(me.suspects, id)
 	}
-	if was && !re.live() || re.goneAt.IsZero() && !re.live() {
+	switch {
+	case re.live() || id == me.cfg.Host:
+		delete(me.gone, id)
+	case !me.gone[id]:
+		me.gone[id] = true
 		re.goneAt = now
 	}
 	me.list(re)
@@ -175,10 +179,11 @@
 
 // forgetGone drops hosts that have been gone for long.
 func (me *Member) forgetGone(now time.Time) {
-	for id, re := range me.hosts {
-		if !re.live() && id != me.cfg.Host && now.Sub(re.goneAt) > keepGone {
+	for id := range me.gone {
+		if re := me.hosts[id]; now.Sub(re.goneAt) > keepGone {
 			me.unlist(re)
 			delete(me.hosts, id)
+			delete(me.gone, id)
 			delete(me.start.reported, id)
 		}
 	}
--- a/core/datacentre/spread.go
+++ b/core/datacentre/spread.go
@@ -42,6 +42,7 @@
 // Refusal is a version that this node can't compile.
 type Refusal struct {
 	Version contract.Version
+	Digest  contract.Digest
 	Err     error
 	At      time.Time
 }
@@ -66,6 +67,12 @@
 	}
 }
 
+// refuses tells whether a version with this content does not compile here.
+func (sp *spread) refuses(ve contract.Version, di contract.Digest) bool {
+	re, there := sp.refused[ve]
+	return there && re.Digest == di
+}
+
 // refusedAbove is the highest refused version above the held one; 0 when none is.
 func (sp *spread) refusedAbove() contract.Version {
 	var top contract.Version
@@ -105,7 +112,7 @@
 // base is missing, and refused when it is wrong.
 func (me *Member) offer(de *contract.Delta, raw []byte, from host.ID, now time.Time) {
 	sp := &me.spread
-	if _, bad := sp.refused[de.Result]; bad || de.Result <= sp.held.Version {
+	if sp.refuses(de.Result, de.Digest) || de.Result <= sp.held.Version {
 		return
 	}
 	ke := keptDelta{
@@ -140,7 +147,7 @@
 	var invalid *contract.ValidationError
 	switch {
 	case errors.As(err, &invalid):
-		me.refuse(ke.delta.Result, from, err, now)
+		me.refuse(ke.delta.Result, ke.delta.Digest, from, err, now)
 		me.tellConfig(ke, from)
 		return false
 	case err != nil:
@@ -176,10 +183,11 @@
 
 // refuse remembers a version that does not compile here, so that it is not
 // asked for again; the version in force stays.
-func (me *Member) refuse(ve contract.Version, from host.ID, err error, now time.Time) {
+func (me *Member) refuse(ve contract.Version, di contract.Digest, from host.ID, err error, now time.Time) {
 	if len(me.spread.refused) < refusedVersions {
 		me.spread.refused[ve] = Refusal{
 			Version: ve,
+			Digest:  di,
 			Err:     err,
 			At:      now,
 		}
@@ -379,14 +387,14 @@
 
 func (me *Member) whole(wh *wire.Whole, from host.ID, now time.Time) {
 	ve := contract.Version(wh.GetVersion())
-	if _, bad := me.spread.refused[ve]; bad || ve <= me.spread.held.Version {
+	if me.spread.refuses(ve, contract.Digest(wh.GetDigest())) || ve <= me.spread.held.Version {
 		return
 	}
 	sn, err := contract.Unpack(ve, contract.Digest(wh.GetDigest()), wh.GetDocument())
 	var invalid *contract.ValidationError
 	switch {
 	case errors.As(err, &invalid):
-		me.refuse(ve, from, err, now)
+		me.refuse(ve, contract.Digest(wh.GetDigest()), from, err, now)
 	case err != nil:
 		me.distrust(from, ve, err, now)
 	default:
--- a/core/datacentre/world_test.go
+++ b/core/datacentre/world_test.go
@@ -67,7 +67,7 @@
 
 	bytes    map[host.ID]int
 	messages int
-	watch    func(from, to host.ID, ms *wire.Control)
+	watch    func(from, to host.ID, size int, ms *wire.Control)
 	noted    map[NoteKind]int
 }
 
@@ -354,7 +354,7 @@
 	wo.bytes[ho.id] += proto.Size(ac.Message)
 	wo.bytes[ac.Peer] += proto.Size(ac.Message)
 	if wo.watch != nil {
-		wo.watch(ho.id, ac.Peer, ac.Message)
+		wo.watch(ho.id, ac.Peer, proto.Size(ac.Message), ac.Message)
 	}
 	times := 1
 	if wo.rnd.Float64() < wo.cfg.loss {
@@ -363,10 +363,9 @@
 		times = 2
 	}
 	for range times {
-		ms := proto.CloneOf(ac.Message)
 		wo.after(wo.latency(), func() {
 			if wo.links[ke] == serial && wo.reachable(ho.id, ac.Peer) {
-				wo.step(wo.nodes[ac.Peer], Received{Peer: ho.id, Message: ms})
+				wo.step(wo.nodes[ac.Peer], Received{Peer: ho.id, Message: ac.Message})
 			}
 		})
 	}
@@ -682,6 +681,22 @@
 	}
 }
 
+// startKnown starts every host without an upstream; each knows the others, as in
+// a mesh that has run for long.
+func (wo *world) startKnown() {
+	for _, id := range wo.order {
+		wo.startHost(id, wo.seeds()...)
+	}
+	for _, id := range wo.order {
+		me := wo.nodes[id].member
+		for _, other := range wo.order {
+			if other != id {
+				me.put(wo.nodes[other].member.self, wo.now)
+			}
+		}
+	}
+}
+
 // seeds are the contacts in the settings of all hosts.
 func (wo *world) seeds() []string {
 	return []string{string(wo.order[0]) + ":1", string(wo.order[1%len(wo.order)]) + ":1"}
--- a/testkit/rapid.go
+++ b/testkit/rapid.go
@@ -4,9 +4,11 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"strconv"
 	"testing"
+	"time"
 )
 
 const (
@@ -16,15 +18,23 @@
 	Sequences = 2000
 )
 
+// long asks for a longer run with a new seed, which is printed.
+var long = flag.Int("long", 0, "sequences of a longer randomised run with a new seed")
+
 // FixRapid gives rapid a fixed seed and its number of sequences, unless the
 // command line set them. Call it first in TestMain.
 func FixRapid() {
 	flag.Parse()
+	seed, checks := fixedSeed, Sequences
+	if *long > 0 {
+		seed, checks = int(time.Now().UnixNano()>>10), *long
+		fmt.Printf("randomised run: -rapid.seed=%d -rapid.checks=%d\n", seed, checks)
+	}
 	set := map[string]bool{}
 	flag.Visit(func(fl *flag.Flag) { set[fl.Name] = true })
 	for name, value := range map[string]string{
-		"rapid.seed":       strconv.Itoa(fixedSeed),
-		"rapid.checks":     strconv.Itoa(Sequences),
+		"rapid.seed":       strconv.Itoa(seed),
+		"rapid.checks":     strconv.Itoa(checks),
 		"rapid.nofailfile": "true",
 	} {
 		if !set[name] {
