--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -25,7 +25,7 @@
 	// inboxSize bounds the events that wait for the control goroutine.
 	inboxSize = 1024
 	// probeAfter and answerWithin find a silent link within 2 s.
-	probeAfter   = time.Second
+	probeAfter   = 800 * time.Millisecond
 	answerWithin = 800 * time.Millisecond
 	dialBase     = 200 * time.Millisecond
 	dialCap      = 5 * time.Second
@@ -43,6 +43,7 @@
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
+	reports chan chan<- *datacentre.Report
 	stop    chan struct{}
 	jobs    sync.WaitGroup
 	view    atomic.Pointer[datacentre.View]
@@ -57,6 +58,7 @@
 	di *node.Dialer,
 	vs *platform.Versions,
 	co *controlCounters,
+	lc *node.Counters,
 	re *record.Record,
 	log zerolog.Logger,
 ) *Control {
@@ -71,6 +73,7 @@
 		record:   re,
 		inbox:    make(chan datacentre.Event, inboxSize),
 		linkBox:  make(chan node.Event, inboxSize),
+		reports:  make(chan chan<- *datacentre.Report),
 		stop:     make(chan struct{}),
 	}
 	ct.member = datacentre.New(datacentre.Config{
@@ -97,8 +100,11 @@
 			ProbeAfter:   probeAfter,
 			AnswerWithin: answerWithin,
 		},
-		Hello: ct.hello.Load,
-		Emit:  ct.emitLink,
+		Joins:                se.Link.Joins,
+		ResyncBytesPerSecond: se.Link.ResyncBytesPerSecond,
+		Hello:                ct.hello.Load,
+		Emit:                 ct.emitLink,
+		Counters:             lc,
 	})
 	return ct
 }
@@ -106,6 +112,17 @@
 // View is what traffic reads.
 func (ct *Control) View() *datacentre.View { return ct.view.Load() }
 
+// Report asks the control goroutine what it knows; it is empty after the end.
+func (ct *Control) Report() *datacentre.Report {
+	answer := make(chan *datacentre.Report, 1)
+	select {
+	case ct.reports <- answer:
+		return <-answer
+	case <-ct.stop:
+		return &datacentre.Report{}
+	}
+}
+
 // Emit passes an event to the control goroutine; after the end it is dropped.
 func (ct *Control) Emit(ev datacentre.Event) {
 	select {
@@ -134,6 +151,8 @@
 			for _, me := range ct.links.Handle(ev, now) {
 				ct.step(me, now)
 			}
+		case answer := <-ct.reports:
+			answer <- ct.member.Report()
 		case now := <-ti.C:
 			ct.health.beaten(now)
 			ct.links.Tick(now)
@@ -196,6 +215,15 @@
 		Msg("control decision")
 }
 
+// gateViolated reports a fault of the gate's own decisions.
+func (ct *Control) gateViolated(vi host.Violated) {
+	ct.counters.gateViolated(vi)
+	ct.log.Error().
+		Str("reason", string(vi.Invariant)).
+		Str("attempt", string(vi.ID)).
+		Msg("gate invariant violated, attempt refused")
+}
+
 // upstreamChanged passes the state of this host's upstream to the member.
 func (ct *Control) upstreamChanged(an host.Announcement) {
 	ct.Emit(datacentre.LocalUpstream{
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -130,6 +130,11 @@
 
 // try starts an attempt at an upstream.
 func (ca *Call) try(up datacentre.Upstream, re RetryReason) {
+	if !ca.cfg.Terms.Idempotent && (ca.mayHaveRun || len(ca.open) > 0) {
+		ca.do(Violated{Upstream: up})
+		ca.answer("", Result{Outcome: OutcomeUnknown, Reason: host.ReasonInvariant}, NoRetryInvariant)
+		return
+	}
 	ca.attempts++
 	id := host.Origin{
 		Issuer:     ca.cfg.Issuer,
@@ -197,84 +202,6 @@
 	ca.plan(why, now)
 }
 
-// linkLost starts the queries about a non-idempotent attempt; an idempotent one
-// is as good as ended.
-func (ca *Call) linkLost(id host.AttemptID, now time.Time) {
-	tr := ca.find(id)
-	if tr == nil || tr.doubt {
-		return
-	}
-	if ca.cfg.Terms.Idempotent {
-		ca.do(Abandon{Attempt: id})
-		ca.ended(id, Result{Outcome: OutcomeUnknown, Reason: ReasonLinkLost}, now)
-		return
-	}
-	tr.doubt = true
-	ca.ask(tr, now)
-}
-
-func (ca *Call) ask(tr *trial, now time.Time) {
-	tr.asks++
-	tr.askAt = time.Time{}
-	ca.do(Ask{
-		Attempt:   tr.id,
-		Upstream:  tr.upstream,
-		WaitUntil: soonest(now.Add(askWait), ca.cfg.Deadline.Add(-ca.cfg.Margin)),
-	})
-}
-
-// verdict ends the doubt about an attempt, unless it still runs.
-func (ca *Call) verdict(ev Verdict, now time.Time) {
-	tr := ca.find(ev.Attempt)
-	if tr == nil || !tr.doubt {
-		return
-	}
-	if ev.Fate == host.FateRunning {
-		tr.asks = 0
-		tr.askAt = now.Add(backoffBase)
-		return
-	}
-	re := ev.Result
-	re.Outcome = ev.Fate.Outcome()
-	switch ev.Fate {
-	case host.FateNeverSeen:
-		re.Reason = ReasonNeverSeen
-	case host.FateAnswerLost:
-		re.Reason = ReasonAnswerLost
-	case host.FateUnknown, host.FateRunning, host.FateFinished, host.FateBroken, host.FateRefused:
-		if re.Reason == "" && re.Outcome != OutcomeRan {
-			re.Reason = ReasonLinkLost
-		}
-	}
-	ca.ended(ev.Attempt, re, now)
-}
-
-// askFailed asks again after a delay, and gives up after a few times.
-func (ca *Call) askFailed(id host.AttemptID, now time.Time) {
-	tr := ca.find(id)
-	if tr == nil || !tr.doubt {
-		return
-	}
-	if tr.asks >= maxAsks {
-		ca.ended(id, Result{Outcome: OutcomeUnknown, Reason: ReasonLinkLost}, now)
-		return
-	}
-	tr.askAt = now.Add(ca.backoff(tr.asks))
-}
-
-// callerGone ends the call without an answer.
-func (ca *Call) callerGone() {
-	ca.done = true
-	ca.abandonOpen()
-}
-
-func (ca *Call) abandonOpen() {
-	for _, tr := range ca.open {
-		ca.do(Abandon{Attempt: tr.id})
-	}
-	ca.open = nil
-}
-
 func (ca *Call) tick(now time.Time) {
 	if !now.Before(ca.cfg.Deadline) {
 		ca.expire()
@@ -293,57 +220,3 @@
 		ca.retry(now)
 	}
 }
-
-// expire answers a call whose deadline has come.
-func (ca *Call) expire() {
-	re := Result{
-		Outcome:  OutcomeNotRun,
-		Reason:   host.ReasonDeadline,
-		ComeBack: ca.last.ComeBack,
-	}
-	if len(ca.open) > 0 || ca.mayHaveRun {
-		re.Outcome = OutcomeUnknown
-	}
-	ca.answer("", re, NoRetryDeadline)
-}
-
-// giveUp answers with the last result; an earlier attempt that may have run
-// makes the outcome unknown.
-func (ca *Call) giveUp(why RetryReason) {
-	re := ca.last
-	if re.Outcome == OutcomeNotRun && ca.mayHaveRun {
-		re.Outcome = OutcomeUnknown
-	}
-	id := host.AttemptID("")
-	if re.Outcome == OutcomeRan {
-		id = ca.lastAttempt
-	}
-	ca.answer(id, re, why)
-}
-
-// answer ends the call; attempts still open are cancelled.
-func (ca *Call) answer(id host.AttemptID, re Result, why RetryReason) {
-	ca.done = true
-	re.GaveUp = re.GaveUp || failed(re)
-	re.ComeBack = ca.comeBack(re)
-	ca.abandonOpen()
-	ca.do(Answer{
-		Attempt: id,
-		Result:  re,
-		Retry:   why,
-	})
-}
-
-// comeBack is when the caller of a failed call may ask again. A call that may
-// not be repeated and may have run has none.
-func (ca *Call) comeBack(re Result) time.Time {
-	again := re.Outcome == OutcomeNotRun || ca.cfg.Terms.Idempotent
-	switch {
-	case re.Outcome == OutcomeRan || !again:
-		return time.Time{}
-	case re.ComeBack.After(ca.now):
-		return re.ComeBack
-	}
-	delay := float64(ca.cfg.ComeBack) * (1 + ca.cfg.Jitter())
-	return ca.now.Add(time.Duration(delay))
-}
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -38,6 +38,7 @@
     {"name": "short", "timeout_ms": 100},
     {"name": "book", "timeout_ms": 10000},
     {"name": "certify", "timeout_ms": 10000, "keyed": true, "retries": 2},
+    {"name": "book-again", "timeout_ms": 10000, "retries": 1},
     {"name": "scan", "timeout_ms": 20000, "class": "bulk"}
   ],
   "routes": [
@@ -46,6 +47,7 @@
     {"name": "short", "path_prefix": "/short", "service": "lookup", "contract": "short"},
     {"name": "bookings", "path_prefix": "/bookings", "service": "lookup", "contract": "book"},
     {"name": "certificates", "path_prefix": "/certificates", "service": "lookup", "contract": "certify"},
+    {"name": "again", "path_prefix": "/certificates-of", "service": "lookup", "contract": "book-again"},
     {"name": "scans", "path_prefix": "/scans", "service": "lookup", "contract": "scan"}
   ]
 }`
@@ -241,6 +243,38 @@
 	assert.Equal(t, len(si.ledger()), 0)
 }
 
+// TestDrainUnheard has an upstream leave while its ingress never hears of it: the
+// gate lets nothing in after its grace, and what runs is answered.
+func TestDrainUnheard(t *testing.T) {
+	si := startSite(t, Config{}, standin.Config{})
+	ga := si.gates["host-0"]
+	running := make(chan string, 1)
+	go func() {
+		rs, data, err := si.do(t, "POST", "/bookings?work=500ms", "before", nil)
+		if err != nil {
+			running <- err.Error()
+			return
+		}
+		running <- rs.Header.Get(HeaderOutcome) + string(data)
+	}()
+	eventually(t, "the call runs", func() bool { return len(si.ledger()) == 1 })
+	ga.Announce(host.Announcement{
+		Service:     "lookup",
+		Address:     si.upstreams[0].Address(),
+		Slots:       64,
+		Connections: 120,
+		State:       host.StateDraining,
+		InFlight:    1,
+	})
+	for i := range 2 {
+		rs, _, err := si.do(t, "POST", "/bookings", fmt.Sprint(i), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, rs.Header.Get(HeaderOutcome), "not_run")
+	}
+	assert.Check(t, strings.HasPrefix(<-running, "ran"))
+	assert.Equal(t, len(si.ledger()), 1)
+}
+
 // TestBodiesBothWays streams photo sets and gives each caller its own answer.
 func TestBodiesBothWays(t *testing.T) {
 	si := startSite(t, Config{}, standin.Config{}, standin.Config{})
@@ -539,3 +573,20 @@
 	assert.Equal(t, rs.Header.Get(HeaderOutcome), "not_run")
 	assert.Equal(t, len(si.ledger()), 1)
 }
+
+// TestDeadUpstream kills one of two upstreams: its gate takes it out at the first
+// failed connection, and callers hear of none of it.
+func TestDeadUpstream(t *testing.T) {
+	for _, dead := range []int{0, 1} {
+		t.Run(fmt.Sprintf("host-%d", dead), func(t *testing.T) {
+			si := startSite(t, Config{}, standin.Config{}, standin.Config{})
+			si.upstreams[dead].Kill()
+			for i := range 200 {
+				rs, data, err := si.do(t, "POST", "/certificates-of/"+fmt.Sprint(i), fmt.Sprint(i), nil)
+				assert.NilError(t, err)
+				assert.Equal(t, rs.Header.Get(HeaderOutcome), "ran", "call %d: %s", i, data)
+			}
+			assert.Equal(t, si.counter(`lynxfold_refusals_total{reason="upstream_connect"}`), uint64(0))
+		})
+	}
+}
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -18,7 +18,9 @@
 	LapseAfter time.Duration
 	// Changed is called when the upstream's announcement changes or lapses.
 	Changed func(an host.Announcement)
-	Client  *Client
+	// Violated is called when the gate has found a fault of its own; it may be nil.
+	Violated func(vi host.Violated)
+	Client   *Client
 }
 
 // Gate runs host.Gate for many goroutines and executes what it decides.
@@ -141,12 +143,28 @@
 }
 
 func (ga *Gate) dispatch(ctx context.Context, ad *admission, di host.Dispatch, rq *wire.Request, body io.ReadCloser) Reply {
-	ended := func(en Ending) {
-		ga.ended(di.ID, rq.GetIdempotent(), en)
-		ga.forget(di.ID, ad)
-		ad.cancel()
+	watch := Watch{
+		Started: func() { ga.step(host.Started{ID: di.ID}) },
+		Ended: func(en Ending) {
+			ga.ended(di.ID, rq.GetIdempotent(), en)
+			ga.forget(di.ID, ad)
+			ad.cancel()
+			if en.Outcome == host.OutcomeNotRun && en.Reason == host.ReasonUpstreamConnect {
+				ga.lost()
+			}
+		},
 	}
-	return ga.load(ga.cfg.Client.Do(ctx, di.Address, rq, body, ended))
+	return ga.load(ga.cfg.Client.Do(ctx, di.Address, rq, body, watch))
+}
+
+// lost takes the upstream out until it announces itself again.
+func (ga *Gate) lost() {
+	ga.mu.Lock()
+	ga.stepLocked(host.Lost{})
+	an := ga.last
+	ga.mu.Unlock()
+	an.State = host.StateGone
+	ga.changed(an)
 }
 
 // ended reports the end of an attempt, and holds its answer for later queries.
@@ -229,6 +247,10 @@
 		}
 	case host.DropAnswer:
 		delete(ga.answers, ac.ID)
+	case host.Violated:
+		if ga.cfg.Violated != nil {
+			ga.cfg.Violated(ac)
+		}
 	}
 }
 
@@ -241,6 +263,7 @@
 // Announce takes an upstream's announcement.
 func (ga *Gate) Announce(an host.Announcement) {
 	ga.cfg.Client.SetLimit(an.Connections)
+	ga.cfg.Client.SetLeaving(an.State != host.StateReady)
 	ga.mu.Lock()
 	ga.lapse = time.Now().Add(ga.cfg.LapseAfter)
 	ga.stepLocked(host.Announced{
