test: amplification at depth 1, 5 and 19, and the bounds on issuers

Cause: the bound on retries through deep chains was only compared behind a flag; the gate's marks of issuers were covered by random runs alone. Change: the amplification stays within the budget's share at each depth, and is shown to break without budget and markers; marks of dropped and restarted issuers.

--- a/core/call/weigh_test.go
+++ b/core/call/weigh_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"lynxfold/core/call"
 	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
@@ -138,6 +140,23 @@
 	}
 }
 
+// TestAmplification bounds what a service that fails wholly gets from retries, at
+// any depth of the chain above it, by the share that the budget allows.
+func TestAmplification(t *testing.T) {
+	const share = 0.1
+	policy := func() *layer {
+		bu := call.NewBudget(call.BudgetConfig{PerSuccess: share, PerSecond: 0.5, Ceiling: 20})
+		return &layer{retries: 2, budget: bu, succeed: bu.Succeeded, markers: true}
+	}
+	for _, depth := range []int{1, 5, 19} {
+		got := newChain(depth, policy).amplification(200, 1000)
+		assert.Assert(t, got >= 1 && got <= 1+share, "depth %d: %.3f", depth, got)
+	}
+	unbounded := func() *layer { return &layer{retries: 2, budget: unlimited{}, succeed: func() {}} }
+	got := newChain(5, unbounded).amplification(10, 100)
+	assert.Assert(t, got > 1+share, "without budget and markers: %.3f", got)
+}
+
 // picker is a way to choose among the upstreams.
 type picker interface {
 	pick(all []datacentre.Upstream, now time.Time) datacentre.Upstream
--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -255,3 +255,60 @@
 		assert.Assert(t, !ok, "%s", id)
 	}
 }
+
+// TestIssuersAreBounded drops the mark of the oldest ingress when there are too
+// many; what it sent before is then told as unknown, and new ingresses are not
+// touched.
+func TestIssuersAreBounded(t *testing.T) {
+	ga := host.NewGate(host.Config{
+		Incarnation: incarnation,
+		Ledger: host.LedgerConfig{
+			KeepFor:    time.Second,
+			MaxIssuers: 2,
+		},
+	})
+	now := time.Unix(1_000_000, 0)
+	from := func(inc host.Incarnation, call uint64) host.AttemptID {
+		return host.Origin{
+			Issuer: host.Issuer{Host: host.ID(fmt.Sprint("node-", inc)), Incarnation: inc},
+			Call:   call,
+			Try:    1,
+		}.ID()
+	}
+	ask := func(id host.AttemptID) host.Fate {
+		acts := ga.Step(host.Asked{ID: id, Incarnation: incarnation}, now)
+		return acts[0].(host.Tell).Fate
+	}
+	for inc := range host.Incarnation(3) {
+		assert.Equal(t, ask(from(inc+1, 5)), host.FateNeverSeen)
+	}
+	now = now.Add(time.Second)
+	ga.Step(host.Tick{}, now)
+	assert.Equal(t, ga.Remembered(), 0)
+	for inc := range host.Incarnation(3) {
+		assert.Equal(t, ask(from(inc+1, 5)), host.FateUnknown, "ingress %d", inc+1)
+	}
+	assert.Equal(t, ask(from(1, 6)), host.FateUnknown, "its mark was dropped")
+	assert.Equal(t, ask(from(2, 6)), host.FateNeverSeen)
+	assert.Equal(t, ask(from(4, 1)), host.FateNeverSeen)
+}
+
+// TestRestartedIngress forgets nothing of a former incarnation.
+func TestRestartedIngress(t *testing.T) {
+	ga := host.NewGate(host.Config{
+		Incarnation: incarnation,
+		Ledger:      host.LedgerConfig{KeepFor: time.Second},
+	})
+	now := time.Unix(1_000_000, 0)
+	ask := func(inc host.Incarnation, call uint64) host.Fate {
+		id := host.Origin{Issuer: host.Issuer{Host: "a", Incarnation: inc}, Call: call, Try: 1}.ID()
+		return ga.Step(host.Asked{ID: id, Incarnation: incarnation}, now)[0].(host.Tell).Fate
+	}
+	assert.Equal(t, ask(2, 9), host.FateNeverSeen)
+	now = now.Add(time.Second)
+	ga.Step(host.Tick{}, now)
+	assert.Equal(t, ask(2, 9), host.FateUnknown)
+	assert.Equal(t, ask(2, 10), host.FateNeverSeen)
+	assert.Equal(t, ask(1, 11), host.FateUnknown, "an older incarnation")
+	assert.Equal(t, ask(3, 1), host.FateNeverSeen, "a newer one counts from the beginning")
+}
