fix: spill over to other data centres without flapping

Cause: the load that decides on the data centres in use was an average over answers. Once a quick remote data centre answered most calls, the average fell below the limit and it was taken away, each second anew. Change: the utilisation is added up over the upstreams in use, and the last data centre goes only when the rest could carry its load.

--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -145,7 +145,7 @@
 	if po == nil {
 		return
 	}
-	po.observe(pe, ob, now)
+	po.observe(ob, now)
 	ch.judge(po, pe, now)
 }
 
--- a/core/call/chooser_test.go
+++ b/core/call/chooser_test.go
@@ -121,6 +121,10 @@
 	sums := fi.centres(fi.picks(3000, loaded))
 	assert.Assert(t, sums["server-room"] > 1000, "%v", sums)
 	assert.Equal(t, sums["curing-room"], 0, "the nearer one is enough")
+	for range 6 {
+		sums = fi.centres(fi.picks(1000, loaded))
+		assert.Assert(t, sums["server-room"] > 300, "it flaps: %v", sums)
+	}
 	fi.picks(3000, always(ok(2*time.Millisecond, 100)))
 	sums = fi.centres(fi.picks(1000, always(ok(2*time.Millisecond, 100))))
 	assert.Equal(t, sums[local], 1000)
--- a/core/call/peer.go
+++ b/core/call/peer.go
@@ -103,11 +103,17 @@
 	return usual + time.Duration(float64(pe.latency-usual)*max(0, fresh))
 }
 
+// utilisation is the share of the slots in use: by the own calls, or by all as
+// the gate said, if that is more.
+func (pe *peer) utilisation(now time.Time) float64 {
+	own := float64(pe.outstanding) / float64(max(1, pe.upstream.Slots))
+	return max(own, pe.agedLoad(now))
+}
+
 // score is lower for the better upstream.
 func (pe *peer) score(po *pool, now time.Time) float64 {
 	slots := float64(max(1, pe.upstream.Slots))
-	busy := max(float64(pe.outstanding), pe.agedLoad(now)*slots)
-	return (busy + 1) / slots * pe.agedLatency(po, now).Seconds() * float64(1+pe.failures)
+	return (pe.utilisation(now) + 1/slots) * pe.agedLatency(po, now).Seconds() * float64(1+pe.failures)
 }
 
 // avoidFor is how long an upstream is avoided after a refusal.
--- a/core/call/pool.go
+++ b/core/call/pool.go
@@ -11,12 +11,15 @@
 )
 
 const (
-	// spillAbove and spillBelow are the utilisation of the data centres in use
-	// at which the next one is added and the last one is taken away.
+	// spillAbove is the utilisation of the data centres in use at which the next
+	// one is added, and spillBelow what it would be without the last one when
+	// that one is taken away.
 	spillAbove = 0.8
-	spillBelow = 0.5
-	// utilisationWeight is the share of the latest load, as one in this many.
-	utilisationWeight = 16
+	spillBelow = 0.6
+	// sampleEvery is the time between two samples of the load, and sampleWeight
+	// the share of the latest one, as one in this many.
+	sampleEvery  = 100 * time.Millisecond
+	sampleWeight = 4
 	// spillEvery is the time between two changes of the data centres in use.
 	spillEvery = time.Second
 	// unknownDistance stands for the round trip to a data centre not yet measured.
@@ -35,10 +38,12 @@
 	// ends are the places in peers where each data centre ends.
 	ends []int
 	// centres is how many data centres are in use; it is at least 1.
-	centres     int
-	utilisation float64
-	changeAt    time.Time
-	latency     time.Duration
+	centres int
+	// load is an average of the load of the upstreams in use, added up.
+	load     float64
+	sampleAt time.Time
+	changeAt time.Time
+	latency  time.Duration
 }
 
 // pool returns a service's pool; it is built anew when the view has changed.
@@ -131,25 +136,35 @@
 	po.centres = min(po.centres, len(po.ends))
 }
 
-// observe learns the utilisation of the data centres in use and the service's latency.
-func (po *pool) observe(pe *peer, ob Observation, now time.Time) {
+// observe learns the service's latency and the load of the data centres in use.
+func (po *pool) observe(ob Observation, now time.Time) {
 	if ob.Result.Outcome == OutcomeRan && !ob.Bulk && ob.Latency > 0 {
 		if po.latency == 0 {
 			po.latency = ob.Latency
 		}
 		po.latency += (ob.Latency - po.latency) / (latencyWeight * 4)
 	}
-	if !ob.HasLoad {
-		return
+	if ob.HasLoad && !now.Before(po.sampleAt) {
+		po.sampleAt = now.Add(sampleEvery)
+		po.sample(now)
 	}
-	po.utilisation += (pe.load - po.utilisation) / utilisationWeight
+}
+
+// sample learns the load of the data centres in use, and adds or takes away one.
+func (po *pool) sample(now time.Time) {
+	all := po.ends[po.centres-1]
+	total := 0.0
+	for _, pe := range po.peers[:all] {
+		total += pe.utilisation(now)
+	}
+	po.load += (total - po.load) / sampleWeight
 	if now.Before(po.changeAt) {
 		return
 	}
 	switch {
-	case po.utilisation > spillAbove && po.centres < len(po.ends):
+	case po.load > spillAbove*float64(all) && po.centres < len(po.ends):
 		po.centres++
-	case po.utilisation < spillBelow && po.centres > 1:
+	case po.centres > 1 && po.load < spillBelow*float64(po.ends[po.centres-2]):
 		po.centres--
 	default:
 		return
