fix: divide the floor of the retry budget among the nodes of the mesh

Cause: each node had half a retry a second and twenty saved for every service, whatever its calls. At the target a node makes 0.4 calls a second to an average service, so that the budget held nothing back. Change: what all nodes may save and always have is divided by the settings' fleet size; beside that a node saves its share of the last second's successes. Wiring in io/caller and cmd/process.

--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -269,6 +269,7 @@
 		MaxBodyBytes:         se.Caller.MaxBodyBytes,
 		MaxConnections:       se.Caller.MaxConnections,
 		RetryPerSuccess:      se.Caller.RetryPerSuccess,
+		FleetSize:            se.Mesh.FleetSize,
 		Keys:                 ks,
 		KeyedWritesPerSecond: se.Platform.KeyedWritesPerSecond / float64(se.Mesh.FleetSize),
 		Rand:                 id.rand(),
--- a/core/call/budget.go
+++ b/core/call/budget.go
@@ -1,6 +1,9 @@
 package call
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // BudgetConfig sets up a budget.
 type BudgetConfig struct {
@@ -9,15 +12,37 @@
 	// PerSecond is what each second adds, in retries, so that a service with few
 	// calls has some.
 	PerSecond float64
-	// Ceiling bounds what can be saved, in retries.
+	// Ceiling bounds what can be saved, in retries, beside the share of the
+	// successes of about the last second.
 	Ceiling float64
 }
 
+// What all nodes of a mesh may do together for one service.
+const (
+	// fleetBurst is the number of retries that they can save up.
+	fleetBurst = 240
+	// fleetPerSecond is the number of retries that they always have, each second.
+	fleetPerSecond = 6
+)
+
+// FleetBudget divides among the nodes of a mesh what a service can bear, however
+// few calls each of them makes. The size counts hosts.
+func FleetBudget(perSuccess float64, size int) BudgetConfig {
+	nodes := float64(max(1, size))
+	return BudgetConfig{
+		PerSuccess: perSuccess,
+		PerSecond:  fleetPerSecond / nodes,
+		Ceiling:    max(1, fleetBurst/nodes),
+	}
+}
+
 // Budget grants retries or hedges of a service as a share of its successes.
 type Budget struct {
 	cfg     BudgetConfig
 	balance float64
-	at      time.Time
+	// recent is a fading count of successes; it is their rate in each second.
+	recent float64
+	at     time.Time
 }
 
 // NewBudget builds a budget that starts full.
@@ -29,17 +54,15 @@
 }
 
 // Succeeded counts a success at a first attempt or a later one.
-func (bu *Budget) Succeeded() { bu.add(bu.cfg.PerSuccess) }
+func (bu *Budget) Succeeded(now time.Time) {
+	bu.advance(now)
+	bu.recent++
+	bu.add(bu.cfg.PerSuccess)
+}
 
 // Spend takes one retry, or reports that none is left.
 func (bu *Budget) Spend(now time.Time) bool {
-	if bu.at.IsZero() {
-		bu.at = now
-	}
-	if now.After(bu.at) {
-		bu.add(now.Sub(bu.at).Seconds() * bu.cfg.PerSecond)
-		bu.at = now
-	}
+	bu.advance(now)
 	if bu.balance < 1 {
 		return false
 	}
@@ -47,4 +70,20 @@
 	return true
 }
 
-func (bu *Budget) add(retries float64) { bu.balance = min(bu.balance+retries, bu.cfg.Ceiling) }
+func (bu *Budget) advance(now time.Time) {
+	if bu.at.IsZero() {
+		bu.at = now
+	}
+	if !now.After(bu.at) {
+		return
+	}
+	seconds := now.Sub(bu.at).Seconds()
+	bu.at = now
+	bu.recent *= math.Exp(-seconds)
+	bu.add(seconds * bu.cfg.PerSecond)
+}
+
+func (bu *Budget) add(retries float64) {
+	ceiling := bu.cfg.Ceiling + bu.cfg.PerSuccess*bu.recent
+	bu.balance = min(bu.balance+retries, ceiling)
+}
--- a/core/call/chooser_test.go
+++ b/core/call/chooser_test.go
@@ -299,7 +299,7 @@
 	}
 	assert.Equal(t, spend(), 2)
 	for range 4 {
-		bu.Succeeded()
+		bu.Succeeded(now)
 	}
 	assert.Equal(t, spend(), 1)
 	now = now.Add(time.Second)
@@ -308,6 +308,16 @@
 	assert.Equal(t, spend(), 2)
 	now = now.Add(-time.Hour)
 	assert.Equal(t, spend(), 0)
+	now = now.Add(2 * time.Hour)
+	for range 400 {
+		bu.Succeeded(now)
+	}
+	assert.Equal(t, spend(), 102, "a share of the last second's successes is saved too")
+	for range 400 {
+		bu.Succeeded(now)
+	}
+	now = now.Add(time.Minute)
+	assert.Equal(t, spend(), 2, "but not for long")
 }
 
 // TestMarkers follows the headers through layers.
--- a/core/call/ingress_test.go
+++ b/core/call/ingress_test.go
@@ -432,8 +432,8 @@
 	switch an.Result.Outcome {
 	case call.OutcomeRan:
 		in.successes++
-		in.budget.Succeeded()
-		in.hedges.Succeeded()
+		in.budget.Succeeded(in.world.now)
+		in.hedges.Succeeded(in.world.now)
 		in.checkBody(ca, an.Attempt, ca.bodies[an.Attempt])
 	case call.OutcomeNotRun:
 		if in.world.inLedger(ca.id()) {
--- a/core/call/weigh_test.go
+++ b/core/call/weigh_test.go
@@ -33,7 +33,7 @@
 type layer struct {
 	retries int
 	budget  call.Spender
-	succeed func()
+	succeed func(now time.Time)
 	markers bool
 	number  uint64
 }
@@ -86,7 +86,7 @@
 			}, ch.now)
 		case call.Answer:
 			if ac.Result.Status == 200 {
-				la.succeed()
+				la.succeed(ch.now)
 			}
 			return ac.Result.Status, call.GaveUpMark(ac.Result) != ""
 		}
@@ -118,7 +118,7 @@
 		t.Skip("runs with -weigh")
 	}
 	fixed := func() *layer {
-		return &layer{retries: 2, budget: unlimited{}, succeed: func() {}}
+		return &layer{retries: 2, budget: unlimited{}, succeed: func(time.Time) {}}
 	}
 	budget := func(markers bool) func() *layer {
 		return func() *layer {
@@ -152,7 +152,7 @@
 		got := newChain(depth, policy).amplification(200, 1000)
 		assert.Assert(t, got >= 1 && got <= 1+share, "depth %d: %.3f", depth, got)
 	}
-	unbounded := func() *layer { return &layer{retries: 2, budget: unlimited{}, succeed: func() {}} }
+	unbounded := func() *layer { return &layer{retries: 2, budget: unlimited{}, succeed: func(time.Time) {}} }
 	got := newChain(5, unbounded).amplification(10, 100)
 	assert.Assert(t, got > 1+share, "without budget and markers: %.3f", got)
 }
--- a/io/caller/budgets.go
+++ b/io/caller/budgets.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// budgetCeiling is the number of retries that a service can save up.
-	budgetCeiling = 20
-	// budgetPerSecond is the number of retries that a service always has, each second.
-	budgetPerSecond = 0.5
 	// hedgesPerSuccess is the number of hedges that one success pays for.
 	hedgesPerSuccess = 0.05
 )
@@ -48,8 +44,8 @@
 	return bs.of(name).Spend(now)
 }
 
-func (bs *budgets) succeeded(name contract.ServiceName) {
+func (bs *budgets) succeeded(name contract.ServiceName, now time.Time) {
 	bs.mu.Lock()
 	defer bs.mu.Unlock()
-	bs.of(name).Succeeded()
+	bs.of(name).Succeeded(now)
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -37,6 +37,8 @@
 	MaxBodyBytes    int
 	MaxConnections  int
 	RetryPerSuccess float64
+	// FleetSize is how many hosts share what a service can bear in retries.
+	FleetSize int
 	// Keys stores the rows of keyed calls, KeyedWritesPerSecond is this node's
 	// share of the writes for them.
 	Keys                 Keys
@@ -92,16 +94,8 @@
 			DataCentre: cfg.DataCentre,
 			Rand:       cfg.Rand,
 		}),
-		retries: newBudgets(call.BudgetConfig{
-			PerSuccess: cfg.RetryPerSuccess,
-			PerSecond:  budgetPerSecond,
-			Ceiling:    budgetCeiling,
-		}),
-		hedges: newBudgets(call.BudgetConfig{
-			PerSuccess: hedgesPerSuccess,
-			PerSecond:  budgetPerSecond,
-			Ceiling:    budgetCeiling,
-		}),
+		retries: newBudgets(call.FleetBudget(cfg.RetryPerSuccess, cfg.FleetSize)),
+		hedges:  newBudgets(call.FleetBudget(hedgesPerSuccess, cfg.FleetSize)),
 	}
 	sv.http = &fasthttp.Server{
 		Handler:                      sv.handle,
@@ -338,6 +332,7 @@
 	if re.Status >= fasthttp.StatusInternalServerError {
 		return
 	}
-	sv.retries.succeeded(name)
-	sv.hedges.succeeded(name)
+	now := time.Now()
+	sv.retries.succeeded(name, now)
+	sv.hedges.succeeded(name, now)
 }
