feat: control executes introductions, fresh and whole reads and reincarnation

Cause: the actions were dropped. Change: jobs beside the control goroutine with a deadline, interrupted at the end; the gate takes a higher incarnation; a violated invariant is counted (lynxfold_invariant_violations_total) and fatal with LYNXFOLD_FATAL_INVARIANTS=1, a panic of the control goroutine always; SIGHUP reads the links' keys again. core/host: one event, Reincarnated.

--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -35,16 +35,22 @@
 type Control struct {
 	member   *datacentre.Member
 	links    *node.Links
-	versions *platform.Versions
-	log      zerolog.Logger
-	counters *controlCounters
-	health   health
-	record   *record.Record
+	platform platformParts
+	// reincarnate tells the gate; it is set before the control goroutine starts.
+	reincarnate func(in host.Incarnation)
+	invariants  *invariants
+	log         zerolog.Logger
+	counters    *controlCounters
+	health      health
+	record      *record.Record
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
 	stop    chan struct{}
+	// jobs run beside the control goroutine, which starts them.
 	jobs    sync.WaitGroup
+	jobCtx  context.Context
+	endJobs context.CancelFunc
 	view    atomic.Pointer[datacentre.View]
 	hello   atomic.Pointer[wire.Hello]
 	known   platform.ETag
@@ -55,7 +61,8 @@
 	ad addresses,
 	id identity,
 	di *node.Dialer,
-	vs *platform.Versions,
+	pp platformParts,
+	iv *invariants,
 	co *controlCounters,
 	lc *node.Counters,
 	re *record.Record,
@@ -66,14 +73,16 @@
 		contacts = append(contacts, ap.String())
 	}
 	ct := &Control{
-		versions: vs,
-		log:      log,
-		counters: co,
-		record:   re,
-		inbox:    make(chan datacentre.Event, inboxSize),
-		linkBox:  make(chan node.Event, inboxSize),
-		stop:     make(chan struct{}),
+		platform:   pp,
+		invariants: iv,
+		log:        log,
+		counters:   co,
+		record:     re,
+		inbox:      make(chan datacentre.Event, inboxSize),
+		linkBox:    make(chan node.Event, inboxSize),
+		stop:       make(chan struct{}),
 	}
+	ct.jobCtx, ct.endJobs = context.WithCancel(context.Background())
 	ct.member = datacentre.New(datacentre.Config{
 		Mesh:           se.Mesh.Name,
 		Host:           se.Host.ID,
@@ -127,6 +136,7 @@
 
 // run is the control goroutine.
 func (ct *Control) run() {
+	defer ct.invariants.recovered()
 	ti := time.NewTicker(tickEvery)
 	defer ti.Stop()
 	for {
@@ -168,34 +178,27 @@
 	case datacentre.ReadPlatform:
 		ct.jobs.Go(func() { ct.read(ac) })
 	case datacentre.Introduce:
+		ct.jobs.Go(func() { ct.introduce(ac) })
+	case datacentre.Reincarnate:
+		ct.reincarnate(ac.Incarnation)
 	case datacentre.Note:
 		ct.note(ac)
 	}
 }
 
-// read reads the platform beside the control goroutine; one read runs at a time.
-func (ct *Control) read(ac datacentre.ReadPlatform) {
-	deltas, whole, known, err := ct.versions.Since(context.Background(), ac.After, ct.known)
-	if err == nil {
-		ct.known = known
-	}
-	ct.counters.read(err)
-	ct.Emit(datacentre.PlatformRead{
-		Deltas: deltas,
-		Whole:  whole,
-		Err:    err,
-	})
-}
-
 func (ct *Control) note(no datacentre.Note) {
 	ct.counters.note(no)
 	recordNote(ct.record, no)
+	if no.Kind == datacentre.NoteInvariant {
+		ct.invariants.violated(no)
+	}
 	ev := ct.log.Info()
 	if no.Err != nil || no.Kind == datacentre.NoteInvariant {
 		ev = ct.log.Error().Err(no.Err)
 	}
 	ev.Str("reason", string(no.Kind)).
 		Str("peer", string(no.Peer)).
+		Str("grounds", string(no.Grounds)).
 		Uint64("config_version", uint64(no.Version)).
 		Msg("control decision")
 }
@@ -209,10 +212,3 @@
 		State:       an.State,
 	})
 }
-
-// end stops the control goroutine and its jobs.
-func (ct *Control) end() {
-	ct.links.Close()
-	close(ct.stop)
-	ct.jobs.Wait()
-}
--- a/cmd/process/counters.go
+++ b/cmd/process/counters.go
@@ -26,3 +26,14 @@
 	}
 	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_platform_reads_total{outcome=%q}`, outcome)).Inc()
 }
+
+func (co *controlCounters) introduced(wrote bool, err error) {
+	outcome := "kept"
+	switch {
+	case err != nil:
+		outcome = "failed"
+	case wrote:
+		outcome = "written"
+	}
+	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_platform_introductions_total{outcome=%q}`, outcome)).Inc()
+}
--- /dev/null
+++ b/cmd/process/invariants.go
@@ -0,0 +1,86 @@
+package process
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
+)
+
+// fatalInvariants is the environment variable that makes a violated invariant
+// end the process when it is 1.
+const fatalInvariants = "LYNXFOLD_FATAL_INVARIANTS"
+
+// exitInvariant is the exit code of a process that an invariant or a panic ended.
+const exitInvariant = 70
+
+// invariants records what must never happen.
+type invariants struct {
+	counter *metrics.Counter
+	fatal   bool
+	log     zerolog.Logger
+	exit    func(code int)
+}
+
+func newInvariants(set *metrics.Set, log zerolog.Logger) *invariants {
+	return &invariants{
+		counter: set.GetOrCreateCounter("lynxfold_invariant_violations_total"),
+		fatal:   os.Getenv(fatalInvariants) == "1",
+		log:     log,
+		exit:    os.Exit,
+	}
+}
+
+// InvariantError reports that something happened that never may.
+type InvariantError struct {
+	Version contract.Version
+	Err     error
+}
+
+func (er *InvariantError) Error() string {
+	if er.Err == nil {
+		return fmt.Sprintf("invariant violated at version %d", er.Version)
+	}
+	return fmt.Sprintf("invariant violated at version %d: %v", er.Version, er.Err)
+}
+
+// Unwrap returns the cause.
+func (er *InvariantError) Unwrap() error { return er.Err }
+
+// PanicError reports a panic of the control goroutine.
+type PanicError struct {
+	Value any
+}
+
+func (er *PanicError) Error() string { return fmt.Sprintf("control goroutine panicked: %v", er.Value) }
+
+func (iv *invariants) violated(no datacentre.Note) {
+	iv.counter.Inc()
+	iv.log.Error().
+		Err(&InvariantError{Version: no.Version, Err: no.Err}).
+		Str("reason", string(no.Kind)).
+		Msg("invariant violated")
+	if iv.fatal {
+		iv.exit(exitInvariant)
+	}
+}
+
+// recovered ends the process after a panic: control state that is half changed
+// can't be trusted, and the neighbours remember what this host needs.
+func (iv *invariants) recovered() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	iv.log.Error().
+		Err(&PanicError{Value: value}).
+		Str("reason", "panic").
+		Str("stack", string(debug.Stack())).
+		Msg("control goroutine ended, and the process with it")
+	iv.exit(exitInvariant)
+}
--- /dev/null
+++ b/cmd/process/jobs.go
@@ -0,0 +1,89 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/dig"
+
+	"lynxfold/core/datacentre"
+	"lynxfold/io/platform"
+)
+
+// jobWithin bounds one job on the platform, however many requests it makes.
+const jobWithin = 30 * time.Second
+
+// platformParts are what the control goroutine's jobs use of the platform.
+type platformParts struct {
+	dig.In
+
+	Client        *platform.Client
+	Versions      *platform.Versions
+	Introductions *platform.Introductions
+}
+
+// read reads the platform beside the control goroutine; the member asks for one
+// reading at a time.
+func (ct *Control) read(ac datacentre.ReadPlatform) {
+	ctx, cancel := context.WithTimeout(ct.jobCtx, jobWithin)
+	defer cancel()
+	ev, err := ct.readVersions(ctx, ac)
+	if err == nil && ac.Introductions {
+		ev.Contacts, err = ct.platform.Introductions.Read(ctx)
+	}
+	ct.counters.read(err)
+	ev.Err = err
+	ct.Emit(ev)
+}
+
+func (ct *Control) readVersions(ctx context.Context, ac datacentre.ReadPlatform) (datacentre.PlatformRead, error) {
+	if ac.Whole {
+		return ct.readWhole(ctx)
+	}
+	known := ct.known
+	if ac.Fresh {
+		known = ""
+	}
+	deltas, whole, state, err := ct.platform.Versions.Since(ctx, ac.After, known)
+	if err != nil {
+		return datacentre.PlatformRead{}, err
+	}
+	ct.known = state
+	return datacentre.PlatformRead{
+		Deltas: deltas,
+		Whole:  whole,
+	}, nil
+}
+
+func (ct *Control) readWhole(ctx context.Context) (datacentre.PlatformRead, error) {
+	whole, err := ct.platform.Versions.Whole(ctx)
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return datacentre.PlatformRead{}, nil
+	}
+	return datacentre.PlatformRead{Whole: whole}, err
+}
+
+// introduce writes this data centre's introduction row beside the control goroutine.
+func (ct *Control) introduce(ac datacentre.Introduce) {
+	ctx, cancel := context.WithTimeout(ct.jobCtx, jobWithin)
+	defer cancel()
+	wrote, err := ct.platform.Introductions.Write(ctx, platform.IntroductionRow{
+		DataCentre: ac.DataCentre,
+		Addresses:  ac.Addresses,
+		WrittenAt:  time.Now().UTC(),
+	})
+	ct.counters.introduced(wrote, err)
+	ct.Emit(datacentre.Introduced{Err: err})
+}
+
+// end stops the control goroutine and its jobs; a job that waits for the
+// platform is interrupted.
+func (ct *Control) end() {
+	ct.links.Close()
+	close(ct.stop)
+	ct.endJobs()
+	ct.platform.Client.Close()
+	ct.jobs.Wait()
+}
--- a/cmd/process/operators.go
+++ b/cmd/process/operators.go
@@ -121,14 +121,21 @@
 	})
 }
 
-// Reload reads the console's keys again; connections stay open.
+// Reload reads the keys of the console and of the links again; connections stay
+// open, and keys that can't be used leave the former ones.
 func (pr *Process) Reload() {
-	if pr.keyPair == nil {
-		return
+	if pr.keyPair != nil {
+		pr.reloaded("console", pr.keyPair.Reload())
+	}
+	if pr.certificates != nil {
+		pr.reloaded("link", pr.certificates.Reload())
 	}
-	if err := pr.keyPair.Reload(); err != nil {
-		pr.log.Error().Err(err).Msg("console keys not read again, the old ones stay")
+}
+
+func (pr *Process) reloaded(step string, err error) {
+	if err != nil {
+		pr.log.Error().Err(err).Str("step", step).Msg("keys not read again, the old ones stay")
 		return
 	}
-	pr.log.Info().Msg("console keys read again")
+	pr.log.Info().Str("step", step).Msg("keys read again")
 }
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -96,20 +96,21 @@
 
 // Process is one node.
 type Process struct {
-	settings *ini.Settings
-	sockets  *sockets
-	control  *Control
-	gate     *upstream.Gate
-	client   *upstream.Client
-	lanes    *node.Lanes
-	incoming *node.Incoming
-	caller   *caller.Server
-	operator *operator.Server
-	keyPair  *operator.KeyPair
-	announce *upstream.Listener
-	listener *node.Listener
-	log      zerolog.Logger
-	done     sync.WaitGroup
+	settings     *ini.Settings
+	sockets      *sockets
+	control      *Control
+	gate         *upstream.Gate
+	client       *upstream.Client
+	lanes        *node.Lanes
+	incoming     *node.Incoming
+	caller       *caller.Server
+	operator     *operator.Server
+	keyPair      *operator.KeyPair
+	announce     *upstream.Listener
+	listener     *node.Listener
+	certificates *node.Certificates
+	log          zerolog.Logger
+	done         sync.WaitGroup
 	// aborted ends the wait for calls in flight.
 	aborted context.Context
 	abort   context.CancelFunc
@@ -131,7 +132,8 @@
 		func() *sockets { return so },
 		func() zerolog.Logger { return log },
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
-		newCertificates, node.NewCounters, newDialer, newPlatform, platform.NewVersions, platform.NewKeys, newControl,
+		newCertificates, node.NewCounters, newDialer, newPlatform, platform.NewVersions, platform.NewKeys,
+		platform.NewIntroductions, newInvariants, newControl,
 		upstream.NewClient, newGate, upstream.NewListener,
 		node.NewLanes, newIncoming, newCaller, newRecord, newMesh, newKeyPair, newOperator, newListener,
 		newProcess,
@@ -165,27 +167,31 @@
 	KeyPair  *operator.KeyPair
 	Announce *upstream.Listener
 	Listener *node.Listener
-	Log      zerolog.Logger
+	// Certificates is nil when connections between nodes are not encrypted.
+	Certificates *node.Certificates
+	Log          zerolog.Logger
 }
 
 func newProcess(pa parts) *Process {
+	pa.Control.reincarnate = pa.Gate.Reincarnate
 	aborted, abort := context.WithCancel(context.Background())
 	return &Process{
-		aborted:  aborted,
-		abort:    abort,
-		settings: pa.Settings,
-		sockets:  pa.Sockets,
-		control:  pa.Control,
-		gate:     pa.Gate,
-		client:   pa.Client,
-		lanes:    pa.Lanes,
-		incoming: pa.Incoming,
-		caller:   pa.Caller,
-		operator: pa.Operator,
-		keyPair:  pa.KeyPair,
-		announce: pa.Announce,
-		listener: pa.Listener,
-		log:      pa.Log,
+		aborted:      aborted,
+		abort:        abort,
+		settings:     pa.Settings,
+		sockets:      pa.Sockets,
+		control:      pa.Control,
+		gate:         pa.Gate,
+		client:       pa.Client,
+		lanes:        pa.Lanes,
+		incoming:     pa.Incoming,
+		caller:       pa.Caller,
+		operator:     pa.Operator,
+		keyPair:      pa.KeyPair,
+		announce:     pa.Announce,
+		listener:     pa.Listener,
+		certificates: pa.Certificates,
+		log:          pa.Log,
 	}
 }
 
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -58,6 +58,12 @@
 	RefuseFrom time.Time
 }
 
+// Reincarnated gives the gate a higher incarnation: attempts at an earlier one
+// are refused from now on.
+type Reincarnated struct {
+	Incarnation Incarnation
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -74,15 +80,16 @@
 	WaitUntil time.Time
 }
 
-func (Arrived) isEvent()   {}
-func (Started) isEvent()   {}
-func (Ended) isEvent()     {}
-func (Cancelled) isEvent() {}
-func (Announced) isEvent() {}
-func (Lost) isEvent()      {}
-func (Drain) isEvent()     {}
-func (Tick) isEvent()      {}
-func (Asked) isEvent()     {}
+func (Arrived) isEvent()      {}
+func (Started) isEvent()      {}
+func (Ended) isEvent()        {}
+func (Cancelled) isEvent()    {}
+func (Reincarnated) isEvent() {}
+func (Announced) isEvent()    {}
+func (Lost) isEvent()         {}
+func (Drain) isEvent()        {}
+func (Tick) isEvent()         {}
+func (Asked) isEvent()        {}
 
 // Dispatch sends an attempt to the upstream. From here on only the adapter
 // knows whether a byte went out: it says so with Ended.
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -85,6 +85,8 @@
 		ga.flush(ReasonNoUpstream, now)
 	case Drain:
 		ga.drain(ev, now)
+	case Reincarnated:
+		ga.cfg.Incarnation = max(ga.cfg.Incarnation, ev.Incarnation)
 	case Asked:
 		ga.asked(ev, now)
 	case Tick:
--- a/io/platform/versions.go
+++ b/io/platform/versions.go
@@ -166,6 +166,20 @@
 	return deltas, nil, ro.ETag, err
 }
 
+// Whole reads the whole document of the current version; it fails with a
+// NotFoundError while there is none.
+func (vs *Versions) Whole(ctx context.Context) (*contract.Snapshot, error) {
+	ro, err := vs.client.Read(ctx, keyCurrent)
+	if err != nil {
+		return nil, err
+	}
+	var cur currentRow
+	if err := json.Unmarshal(ro.Value, &cur); err != nil {
+		return nil, &UnavailableError{Doing: "read current version", Err: err}
+	}
+	return vs.whole(ctx, cur)
+}
+
 func (vs *Versions) whole(ctx context.Context, cur currentRow) (*contract.Snapshot, error) {
 	data, err := vs.client.GetObject(ctx, objectOf(cur.Digest))
 	if err != nil {
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -284,6 +284,11 @@
 // Drain lets the last attempts in until refuseFrom, when they find a free slot.
 func (ga *Gate) Drain(refuseFrom time.Time) { ga.step(host.Drain{RefuseFrom: refuseFrom}) }
 
+// Reincarnate refuses attempts at an earlier incarnation from now on.
+func (ga *Gate) Reincarnate(in host.Incarnation) {
+	ga.step(host.Reincarnated{Incarnation: in})
+}
+
 // Running counts the attempts that the upstream works on.
 func (ga *Gate) Running() int {
 	ga.mu.Lock()
