feat: submissions resolved by their id, conflicts name fields; meshes of real processes under faults

Cause: a submission repeated after a doubt met its own row and was told of a conflict; a late object store made a refusal look like a doubt (504 in place of 503, found by TestAcceptingUnderFaults/slow_platform).

--- a/io/platform/types.go
+++ b/io/platform/types.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"lynxfold/core/contract"
 )
 
 // Key names a row of the table, as a path such as config/current.
@@ -43,6 +45,11 @@
 // ConflictError reports a write whose condition did not hold; nothing was written.
 type ConflictError struct {
 	Key Key
+	// Version, Operator and Fields are set when another submission was accepted:
+	// its number, whose it was, and the fields in which it differs.
+	Version  contract.Version
+	Operator string
+	Fields   []contract.Difference
 }
 
 func (er *ConflictError) Error() string { return fmt.Sprintf("row %s is in another state", er.Key) }
--- a/io/platform/versions.go
+++ b/io/platform/versions.go
@@ -78,14 +78,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := vs.client.PutObject(ctx, objectOf(next.Digest), contract.Pack(next.Document)); err != nil {
-		return nil, &UnavailableError{Doing: "store document", Err: err}
+	if err := vs.putDocument(ctx, next); err != nil {
+		return nil, err
 	}
 	de := contract.Diff(su.Base, next)
 	_, err = vs.client.Transact(ctx, vs.writes(su, de))
-	var doubt *InDoubtError
-	if errors.As(err, &doubt) {
-		return vs.resolve(ctx, su, de, doubt)
+	var (
+		doubt    *InDoubtError
+		conflict *ConflictError
+	)
+	if errors.As(err, &doubt) || errors.As(err, &conflict) {
+		return vs.resolve(ctx, su, de, err)
 	}
 	if err != nil {
 		return nil, err
@@ -93,6 +96,20 @@
 	return de, nil
 }
 
+// putDocument stores the whole document. An object that may have arrived is no
+// doubt about the version: without its row it has no effect.
+func (vs *Versions) putDocument(ctx context.Context, sn *contract.Snapshot) error {
+	err := vs.client.PutObject(ctx, objectOf(sn.Digest), contract.Pack(sn.Document))
+	if err == nil {
+		return nil
+	}
+	var doubt *InDoubtError
+	if errors.As(err, &doubt) {
+		err = doubt.Err
+	}
+	return &UnavailableError{Doing: "store document", Err: err}
+}
+
 // writes creates the version's row and moves the current one. The create
 // decides a race; the current row only saves reads.
 func (vs *Versions) writes(su Submission, de *contract.Delta) []Write {
@@ -120,24 +137,32 @@
 	}
 }
 
-// resolve reads the row of a version whose write had no reply.
-func (vs *Versions) resolve(ctx context.Context, su Submission, de *contract.Delta, doubt *InDoubtError) (*contract.Delta, error) {
-	ro, err := vs.client.Read(ctx, versionKey(de.Result))
-	var missing *NotFoundError
+// resolve reads the row of a version whose write had no reply, or found the row
+// there already: it may be this submission's own.
+func (vs *Versions) resolve(ctx context.Context, su Submission, de *contract.Delta, cause error) (*contract.Delta, error) {
+	row, err := vs.Row(ctx, de.Result)
 	switch {
-	case errors.As(err, &missing):
-		return nil, doubt // the write may still arrive
 	case err != nil:
-		return nil, doubt
-	}
-	var row VersionRow
-	if err := json.Unmarshal(ro.Value, &row); err != nil {
-		return nil, doubt
+		return nil, cause // a write without a reply may still arrive
+	case row.Submission != su.ID:
+		return nil, &ConflictError{
+			Key:      versionKey(de.Result),
+			Version:  row.Version,
+			Operator: row.Operator,
+			Fields:   vs.differences(su, row),
+		}
 	}
-	if row.Submission != su.ID {
-		return nil, &ConflictError{Key: ro.Key}
+	return row.Delta, nil
+}
+
+// differences lists the fields in which the accepted version differs from a
+// submission on the same base.
+func (vs *Versions) differences(su Submission, row VersionRow) []contract.Difference {
+	accepted, err := row.Delta.Apply(su.Base)
+	if err != nil {
+		return nil // the other was based on another version: nothing to compare
 	}
-	return de, nil
+	return contract.Differences(accepted.Document, su.Document)
 }
 
 // Since reads what leads on from a version: the deltas in order, or the whole
--- a/io/platform/versions_test.go
+++ b/io/platform/versions_test.go
@@ -65,6 +65,13 @@
 	_, err = vs.Accept(submission("b"))
 	var conflict *platform.ConflictError
 	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Equal(t, conflict.Version, contract.Version(1))
+	assert.Equal(t, conflict.Operator, "eszter")
+	var paths []string
+	for _, di := range conflict.Fields {
+		paths = append(paths, di.Path)
+	}
+	assert.DeepEqual(t, paths, []string{"services[svc-a].name", "services[svc-b].name"})
 }
 
 func TestAcceptLostReplyIsResolved(t *testing.T) {
@@ -83,3 +90,46 @@
 	assert.Assert(t, errors.As(err, &unavailable), "%v", err)
 	assert.Equal(t, len(sv.Rows("config/")), 0)
 }
+
+// TestAcceptIsRefusedWhenTheDocumentCannotBeStored has the object store answer
+// too late: no version can come of that, so there is no doubt.
+func TestAcceptIsRefusedWhenTheDocumentCannotBeStored(t *testing.T) {
+	vs, sv := newVersions(t)
+	sv.SetFaults(standin.Faults{DelayMS: 1500})
+	_, err := vs.Accept(submission("a"))
+	var doubt *platform.InDoubtError
+	assert.Assert(t, !errors.As(err, &doubt), "%v", err)
+	assert.Assert(t, errors.HasType(err, &platform.UnavailableError{}), "%v", err)
+	assert.Equal(t, len(sv.Rows("config/")), 0)
+}
+
+// TestAcceptThatArrivesLateIsInDoubtUntilItArrives repeats a submission whose
+// write took effect after its deadline.
+func TestAcceptThatArrivesLateIsInDoubtUntilItArrives(t *testing.T) {
+	vs, sv := newVersions(t)
+	sv.SetFaults(standin.Faults{LateWrites: 1, LateByMS: 200})
+	_, err := vs.Accept(submission("a"))
+	assert.Assert(t, errors.HasType(err, &platform.InDoubtError{}), "%v", err)
+	sv.WaitLate()
+	de, err := vs.Accept(submission("a"))
+	assert.NilError(t, err)
+	assert.Equal(t, de.Result, contract.Version(1))
+	assert.Equal(t, len(sv.Rows("config/versions/")), 1)
+}
+
+// TestLateWriteLosesAgainstAnother has another version take the place of a
+// write that is still on its way.
+func TestLateWriteLosesAgainstAnother(t *testing.T) {
+	vs, sv := newVersions(t)
+	sv.SetFaults(standin.Faults{LateWrites: 1, LateByMS: 200})
+	_, err := vs.Accept(submission("a"))
+	assert.Assert(t, errors.HasType(err, &platform.InDoubtError{}), "%v", err)
+	_, err = vs.Accept(submission("b"))
+	assert.NilError(t, err)
+	sv.WaitLate()
+	_, err = vs.Accept(submission("a"))
+	assert.Assert(t, errors.HasType(err, &platform.ConflictError{}), "%v", err)
+	row, err := vs.Row(context.Background(), 1)
+	assert.NilError(t, err)
+	assert.Equal(t, row.Submission, "b")
+}
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -38,6 +39,8 @@
 	Proxied bool
 	// ProxiedRemote puts a proxy only before those from other data centres.
 	ProxiedRemote bool
+	// ProxiedPlatform puts a proxy for each data centre before the platform.
+	ProxiedPlatform bool
 	// Settings are further lines of every node's settings file.
 	Settings string
 }
@@ -49,8 +52,10 @@
 	Platform    *platformstandin.Server
 	PlatformURL string
 	Hosts       map[string]*Host
-	order       []string
-	proxies     *toxiproxy.ApiServer
+	// PlatformProxies stand before the platform, by data centre.
+	PlatformProxies map[string]*toxiproxy.Proxy
+	order           []string
+	proxies         *toxiproxy.ApiServer
 }
 
 // Host is one host of a mesh.
@@ -126,7 +131,10 @@
 		T:        t,
 		Platform: platformstandin.New(),
 		Hosts:    map[string]*Host{},
-		proxies:  toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), nopLog()),
+
+		PlatformProxies: map[string]*toxiproxy.Proxy{},
+
+		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), nopLog()),
 	}
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -191,7 +199,23 @@
 	return ho.Proxy.Listen
 }
 
+// platformFor is where a host reaches the platform.
+func (me *Mesh) platformFor(ho *Host, cfg MeshConfig) string {
+	if !cfg.ProxiedPlatform {
+		return me.PlatformURL
+	}
+	dc := ho.Spec.DataCentre
+	if me.PlatformProxies[dc] == nil {
+		px := toxiproxy.NewProxy(me.proxies, "platform-"+dc, "127.0.0.1:0", strings.TrimPrefix(me.PlatformURL, "http://"))
+		assert.NilError(me.T, px.Start())
+		me.T.Cleanup(px.Stop)
+		me.PlatformProxies[dc] = px
+	}
+	return "http://" + me.PlatformProxies[dc].Listen
+}
+
 func (me *Mesh) writeSettings(ho *Host, cfg MeshConfig) {
+	platformURL := me.platformFor(ho, cfg)
 	advertise := ""
 	if ho.Proxy != nil {
 		key := "advertise"
@@ -224,7 +248,7 @@
 level = info
 %s
 `, len(me.order), ho.Spec.ID, ho.Spec.DataCentre, ho.Link, advertise, me.contactsOf(ho),
-		ho.Caller, ho.Announce, ho.Operator, me.PlatformURL, me.PlatformURL, cfg.Settings)
+		ho.Caller, ho.Announce, ho.Operator, platformURL, platformURL, cfg.Settings)
 	assert.NilError(me.T, os.WriteFile(ho.settings, []byte(text), 0o600))
 }
 
