--- a/cmd/process/operators.go
+++ b/cmd/process/operators.go
@@ -13,8 +13,10 @@
 	"lynxfold/core/datacentre"
 	"lynxfold/io/ini"
 	"lynxfold/io/operator"
+	"lynxfold/io/operator/access"
 	"lynxfold/io/operator/record"
 	"lynxfold/io/platform"
+	"lynxfold/io/upstream"
 )
 
 // stalledAfter is how long the control goroutine may take over one step before
@@ -93,12 +95,14 @@
 	Metrics  *metrics.Set
 	Record   *record.Record
 	Mesh     *mesh
+	Gate     *upstream.Gate
 	KeyPair  *operator.KeyPair
 	Log      zerolog.Logger
 }
 
 func newOperator(pa operatorParts) *operator.Server {
 	ct := pa.Control
+	registerGauges(pa.Metrics, ct, pa.Gate)
 	return operator.New(operator.Config{
 		Host:       pa.Settings.Host.ID,
 		DataCentre: pa.Settings.Host.DataCentre,
@@ -107,7 +111,13 @@
 		History:    pa.Versions,
 		Explainer:  pa.Record,
 		Mesh:       pa.Mesh,
-		Accepted: func(de *contract.Delta) {
+		Accepted: func(de *contract.Delta, by access.OperatorName) {
+			pa.Record.Control(record.Entry{
+				At:      time.Now(),
+				Kind:    record.KindAccepted,
+				Version: de.Result,
+				Detail:  "submitted here by " + string(by),
+			})
 			ct.Emit(datacentre.Accepted{Delta: de})
 		},
 		Live:    ct.health.live,
