--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -113,6 +113,7 @@
 		Emit:                 ct.emitLink,
 		Counters:             lc,
 	})
+	co.set.NewGauge("lynxfold_links", func() float64 { return float64(ct.links.Peers()) })
 	return ct
 }
 
--- /dev/null
+++ b/cmd/process/invariants_test.go
@@ -0,0 +1,53 @@
+package process
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/datacentre"
+)
+
+func newTestInvariants() (*invariants, *bytes.Buffer, *int) {
+	out := &bytes.Buffer{}
+	code := 0
+	iv := newInvariants(metrics.NewSet(), zerolog.New(out))
+	iv.exit = func(co int) { code = co }
+	return iv, out, &code
+}
+
+func TestViolatedInvariantIsCountedAndLogged(t *testing.T) {
+	t.Setenv(fatalInvariants, "")
+	iv, out, code := newTestInvariants()
+	iv.violated(datacentre.Note{
+		Kind:    datacentre.NoteInvariant,
+		Version: 7,
+		Err:     errors.New("dangling route"),
+	})
+	assert.Equal(t, iv.counter.Get(), uint64(1))
+	assert.Equal(t, *code, 0)
+	assert.Assert(t, strings.Contains(out.String(), "invariant violated at version 7: dangling route"), out.String())
+}
+
+func TestViolatedInvariantIsFatalWhenAsked(t *testing.T) {
+	t.Setenv(fatalInvariants, "1")
+	iv, _, code := newTestInvariants()
+	iv.violated(datacentre.Note{Kind: datacentre.NoteInvariant})
+	assert.Equal(t, *code, exitInvariant)
+}
+
+func TestPanicOfControlEndsTheProcess(t *testing.T) {
+	iv, out, code := newTestInvariants()
+	func() {
+		defer iv.recovered()
+		panic("out of range")
+	}()
+	assert.Equal(t, *code, exitInvariant)
+	assert.Assert(t, strings.Contains(out.String(), "control goroutine panicked: out of range"), out.String())
+	assert.Assert(t, strings.Contains(out.String(), "TestPanicOfControlEndsTheProcess"), "the stack is missing: %s", out)
+}
--- a/io/node/links.go
+++ b/io/node/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -94,6 +95,9 @@
 	// peers holds the sessions of each peer, the newest last.
 	peers map[host.ID][]*Session
 
+	// linked counts the linked peers.
+	linked atomic.Int64
+
 	mu sync.Mutex
 	// told are the addresses of linked peers, for those that are refused.
 	told []string
@@ -385,6 +389,7 @@
 			told = append(told, sessions[0].address)
 		}
 	}
+	ls.linked.Store(int64(len(ls.peers)))
 	ls.mu.Lock()
 	ls.told = told
 	ls.mu.Unlock()
@@ -478,8 +483,8 @@
 	}
 }
 
-// Peers counts the linked peers.
-func (ls *Links) Peers() int { return len(ls.peers) }
+// Peers counts the linked peers; it may be called on any goroutine.
+func (ls *Links) Peers() int { return int(ls.linked.Load()) }
 
 // Close ends all links and waits for their goroutines; events are still
 // emitted meanwhile. It may be called on any goroutine.
--- a/io/platform/standin/server.go
+++ b/io/platform/standin/server.go
@@ -50,8 +50,43 @@
 	Reads   int64 `json:"reads"`
 	Writes  int64 `json:"writes"`
 	Objects int64 `json:"objects"`
+	// The most within one second of the clock.
+	PeakReads   int64 `json:"peak_reads"`
+	PeakWrites  int64 `json:"peak_writes"`
+	PeakObjects int64 `json:"peak_objects"`
 }
 
+// kind is what a request is counted as.
+type kind int
+
+const (
+	kindRead kind = iota
+	kindWrite
+	kindObject
+	kinds
+)
+
+// tally counts the requests of one kind, also those that are refused.
+type tally struct {
+	total  int64
+	peak   int64
+	second int64
+	within int64
+}
+
+func (ta *tally) add(now time.Time) {
+	if second := now.Unix(); second != ta.second {
+		ta.second = second
+		ta.within = 0
+	}
+	ta.total++
+	ta.within++
+	ta.peak = max(ta.peak, ta.within)
+}
+
+// maxStored bounds what the stand-in keeps, in bytes; more is refused.
+const maxStored = 512 << 20
+
 // Server is the stand-in.
 type Server struct {
 	mu      sync.Mutex
@@ -59,7 +94,8 @@
 	objects map[string][]byte
 	state   uint64
 	faults  Faults
-	counts  Counts
+	tallies [kinds]tally
+	stored  int
 	late    sync.WaitGroup
 	http    *fasthttp.Server
 }
@@ -71,11 +107,11 @@
 		objects: map[string][]byte{},
 	}
 	ro := router.New()
-	ro.GET("/table/rows/{key:*}", sv.failing(sv.read))
-	ro.GET("/table/list", sv.failing(sv.list))
-	ro.POST("/table/transactions", sv.failing(sv.transact))
-	ro.PUT("/objects/{name}", sv.failing(sv.putObject))
-	ro.GET("/objects/{name}", sv.failing(sv.getObject))
+	ro.GET("/table/rows/{key:*}", sv.failing(kindRead, sv.read))
+	ro.GET("/table/list", sv.failing(kindRead, sv.list))
+	ro.POST("/table/transactions", sv.failing(kindWrite, sv.transact))
+	ro.PUT("/objects/{name}", sv.failing(kindObject, sv.putObject))
+	ro.GET("/objects/{name}", sv.failing(kindObject, sv.getObject))
 	ro.PUT("/faults", sv.setFaults)
 	ro.GET("/counts", sv.getCounts)
 	sv.http = &fasthttp.Server{
@@ -103,7 +139,21 @@
 func (sv *Server) Counts() Counts {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return sv.counts
+	return Counts{
+		Reads:       sv.tallies[kindRead].total,
+		Writes:      sv.tallies[kindWrite].total,
+		Objects:     sv.tallies[kindObject].total,
+		PeakReads:   sv.tallies[kindRead].peak,
+		PeakWrites:  sv.tallies[kindWrite].peak,
+		PeakObjects: sv.tallies[kindObject].peak,
+	}
+}
+
+// ResetCounts starts the counts again.
+func (sv *Server) ResetCounts() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.tallies = [kinds]tally{}
 }
 
 // Rows returns the rows whose key starts with a prefix, by key.
@@ -113,16 +163,22 @@
 	return sv.listLocked(prefix, "", len(sv.rows))
 }
 
-func (sv *Server) failing(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+func (sv *Server) failing(ki kind, next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		sv.mu.Lock()
 		fa := sv.faults
+		sv.tallies[ki].add(time.Now())
+		full := sv.stored > maxStored
 		sv.mu.Unlock()
 		time.Sleep(fa.delay())
 		if fa.Down {
 			ctx.Error("down", fasthttp.StatusServiceUnavailable)
 			return
 		}
+		if full && !ctx.IsGet() {
+			ctx.Error("full", fasthttp.StatusServiceUnavailable)
+			return
+		}
 		next(ctx)
 	}
 }
@@ -130,7 +186,6 @@
 func (sv *Server) read(ctx *fasthttp.RequestCtx) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.counts.Reads++
 	row, ok := sv.rows[platform.Key(pathValue(ctx, "key"))]
 	if !ok {
 		ctx.Error("no such row", fasthttp.StatusNotFound)
@@ -154,7 +209,6 @@
 	}
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.counts.Reads++
 	rows := sv.listLocked(platform.Key(args.Peek("prefix")), platform.Key(args.Peek("after")), limit)
 	writeJSON(ctx, fasthttp.StatusOK, struct {
 		Rows []platform.Row `json:"rows"`
@@ -183,7 +237,6 @@
 	}
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.counts.Writes++
 	if sv.faults.LateWrites > 0 {
 		sv.faults.LateWrites--
 		late := time.Duration(sv.faults.LateByMS) * time.Millisecond
@@ -245,6 +298,7 @@
 			ETag:  platform.ETag(strconv.Quote(strconv.FormatUint(sv.state, 10))),
 			Value: wr.Value,
 		}
+		sv.stored += len(wr.Value) - len(sv.rows[wr.Key].Value)
 		sv.rows[wr.Key] = row
 		etags = append(etags, row.ETag)
 	}
@@ -254,12 +308,12 @@
 func (sv *Server) putObject(ctx *fasthttp.RequestCtx) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.counts.Objects++
 	name := pathValue(ctx, "name")
 	if _, ok := sv.objects[name]; ok {
 		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
 		return
 	}
+	sv.stored += len(ctx.PostBody())
 	sv.objects[name] = slices.Clone(ctx.PostBody())
 	ctx.SetStatusCode(fasthttp.StatusCreated)
 }
@@ -267,7 +321,6 @@
 func (sv *Server) getObject(ctx *fasthttp.RequestCtx) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.counts.Objects++
 	data, ok := sv.objects[pathValue(ctx, "name")]
 	if !ok {
 		ctx.Error("no such object", fasthttp.StatusNotFound)
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -30,6 +30,8 @@
 	DataCentre string
 	// Upstream is started beside the node when its service is not empty.
 	Upstream upstreamstandin.Config
+	// Settings are further lines of this host's settings file.
+	Settings string
 }
 
 // MeshConfig describes a mesh of real processes.
@@ -248,7 +250,7 @@
 level = info
 %s
 `, len(me.order), ho.Spec.ID, ho.Spec.DataCentre, ho.Link, advertise, me.contactsOf(ho),
-		ho.Caller, ho.Announce, ho.Operator, platformURL, platformURL, cfg.Settings)
+		ho.Caller, ho.Announce, ho.Operator, platformURL, platformURL, cfg.Settings+ho.Spec.Settings)
 	assert.NilError(me.T, os.WriteFile(ho.settings, []byte(text), 0o600))
 }
 
