--- a/cmd/process/operators.go
+++ b/cmd/process/operators.go
@@ -144,8 +144,8 @@
 
 func (pr *Process) reloaded(step string, err error) {
 	if err != nil {
-		pr.log.Error().Err(err).Str("step", step).Msg("keys not read again, the old ones stay")
+		pr.log.Error().Err(err).Msg(step + " keys not read again, the old ones stay")
 		return
 	}
-	pr.log.Info().Str("step", step).Msg("keys read again")
+	pr.log.Info().Msg(step + " keys read again")
 }
--- a/testkit/layouts.go
+++ b/testkit/layouts.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 
@@ -145,12 +147,47 @@
 	return sum
 }
 
+// Sum adds up all metrics that start with a prefix over all hosts that answer.
+func (me *Mesh) Sum(prefix string) float64 {
+	sum := 0.0
+	for _, id := range me.order {
+		sum += me.HostSum(id, prefix)
+	}
+	return sum
+}
+
+// HostSum adds up all metrics of a host that start with a prefix.
+func (me *Mesh) HostSum(id, prefix string) float64 {
+	sum := 0.0
+	for line := range strings.SplitSeq(me.metrics(id), "\n") {
+		if strings.HasPrefix(line, prefix) {
+			sum += valueOf(line)
+		}
+	}
+	return sum
+}
+
 // HostMetric reads one metric of a host, by its name with labels; it is 0 when
 // the host does not have it.
 func (me *Mesh) HostMetric(id, name string) float64 {
+	for line := range strings.SplitSeq(me.metrics(id), "\n") {
+		if strings.HasPrefix(line, name+" ") {
+			return valueOf(line)
+		}
+	}
+	return 0
+}
+
+func (me *Mesh) metrics(id string) string {
 	code, body, err := fasthttp.Get(nil, "http://"+me.Hosts[id].Operator+"/metrics")
 	if err != nil || code != fasthttp.StatusOK {
-		return 0
+		return ""
 	}
-	return metricIn(string(body), name)
+	return string(body)
+}
+
+// valueOf reads the value at the end of a metric's line.
+func valueOf(line string) float64 {
+	number, _ := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64)
+	return number
 }
--- a/testkit/watch.go
+++ b/testkit/watch.go
@@ -90,14 +90,3 @@
 	}
 	assert.NilError(me.T, me.PlatformProxies[dataCentre].Start())
 }
-
-// metricIn finds the value of a metric in the text form; 0 when it is not there.
-func metricIn(text, name string) float64 {
-	for line := range strings.SplitSeq(text, "\n") {
-		if value, ok := strings.CutPrefix(line, name+" "); ok {
-			number, _ := strconv.ParseFloat(value, 64)
-			return number
-		}
-	}
-	return 0
-}
