--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -113,7 +113,7 @@
 		Emit:                 ct.emitLink,
 		Counters:             lc,
 	})
-	co.set.NewGauge("lynxfold_links", func() float64 { return float64(ct.links.Peers()) })
+	co.set.NewGauge("lynxfold_control_links", func() float64 { return float64(ct.links.Peers()) })
 	return ct
 }
 
@@ -191,7 +191,11 @@
 	ct.counters.note(no)
 	recordNote(ct.record, no)
 	if no.Kind == datacentre.NoteInvariant {
-		ct.invariants.violated(no)
+		ct.invariants.violated(&InvariantError{
+			Invariant: invariantConfig,
+			Version:   no.Version,
+			Err:       no.Err,
+		})
 	}
 	ev := ct.log.Info()
 	if no.Err != nil || no.Kind == datacentre.NoteInvariant {
@@ -204,6 +208,14 @@
 		Msg("control decision")
 }
 
+// gateViolated reports a fault of the gate's own decisions.
+func (ct *Control) gateViolated(vi host.Violated) {
+	ct.invariants.violated(&InvariantError{
+		Invariant: Invariant(vi.Invariant),
+		Attempt:   vi.ID,
+	})
+}
+
 // upstreamChanged passes the state of this host's upstream to the member.
 func (ct *Control) upstreamChanged(an host.Announcement) {
 	ct.Emit(datacentre.LocalUpstream{
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"math"
 	"time"
 
 	"lynxfold/core/contract"
@@ -9,7 +10,7 @@
 // Config sets up a gate.
 type Config struct {
 	Incarnation Incarnation
-	// QueuePerSlot bounds the queue in attempts for each slot.
+	// QueuePerSlot bounds the queue of each class in attempts for each slot.
 	QueuePerSlot int
 	// ComeBack is added to now for those refused while no upstream is usable, or
 	// while nothing is known of its service time.
@@ -40,11 +41,13 @@
 	nodeEnds     time.Time
 	upstreamEnds time.Time
 
-	ledger    *ledger
-	queue     queue
-	running   map[AttemptID]*entry
-	bulk      int
-	started   int
+	ledger  *ledger
+	queue   queue
+	running map[AttemptID]*entry
+	bulk    int
+	started int
+	// demand is an average of the lookups that run or wait at once.
+	demand    float64
 	occupancy occupancy
 	lookups   estimate
 	uploads   estimate
@@ -158,10 +161,20 @@
 
 func (ga *Gate) free() int { return ga.limit() - len(ga.running) - ga.occupancy.held }
 
-// bulkAllowed keeps a quarter of the slots, and at least one, for lookups.
+// bulkAllowed keeps as many slots for lookups as they have lately needed at once,
+// and some more; bulk has one at least.
 func (ga *Gate) bulkAllowed() bool {
-	limit := ga.limit()
-	return ga.bulk < max(1, limit-max(1, limit/bulkShare))
+	reserve := int(math.Ceil(ga.demand + math.Sqrt(ga.demand)))
+	return ga.bulk < max(1, ga.limit()-max(1, reserve))
+}
+
+// demandWeight is the share of the latest sample, as one in this many.
+const demandWeight = 64
+
+// noteDemand learns how many lookups there are at once.
+func (ga *Gate) noteDemand() {
+	lookups := len(ga.running) - ga.bulk + len(ga.queue.lookups)
+	ga.demand += (float64(lookups) - ga.demand) / demandWeight
 }
 
 func (ga *Gate) arrive(at Attempt, now time.Time) {
@@ -188,6 +201,9 @@
 		return
 	}
 	ga.queue.push(en)
+	if at.Class != contract.ClassBulk {
+		ga.noteDemand()
+	}
 }
 
 // duplicate answers an arrival of an attempt that the ledger holds.
@@ -220,7 +236,7 @@
 	if ga.leaving() {
 		return ReasonDraining
 	}
-	if ga.queue.len() >= min(ga.cfg.QueuePerSlot*ga.limit(), ga.ledger.cfg.MaxEntries/2-1) {
+	if ga.queue.count(at.Class) >= min(ga.cfg.QueuePerSlot*ga.limit(), ga.ledger.cfg.MaxEntries/4-1) {
 		return ReasonQueueFull
 	}
 	if now.Add(ga.wait(at.Class) + ga.service(at.Class).low).After(at.Deadline) {
@@ -256,10 +272,31 @@
 			ga.refuse(en, ReasonDeadline, now)
 			continue
 		}
+		if iv := ga.broken(en, now); iv != "" {
+			ga.do(Violated{ID: en.attempt.ID, Invariant: iv})
+			ga.refuse(en, ReasonInvariant, now)
+			continue
+		}
 		ga.dispatch(en, now)
 	}
 }
 
+// broken checks what must hold for a dispatch, apart from the decisions that led
+// to it.
+func (ga *Gate) broken(en *entry, now time.Time) Invariant {
+	ends := earlier(ga.nodeEnds, ga.upstreamEnds)
+	works := len(ga.running) + ga.occupancy.held + 1
+	switch {
+	case en.state != stateQueued || ga.running[en.attempt.ID] != nil || !en.dispatched.IsZero():
+		return InvariantOnce
+	case works > int(ga.upstream.Slots) || ga.upstream.Connections > 0 && works > ga.upstream.Connections:
+		return InvariantSlots
+	case !ends.IsZero() && !now.Before(ends):
+		return InvariantDrain
+	}
+	return ""
+}
+
 // inTime tells whether an attempt can finish before its deadline. The estimate
 // counts only while others wait, so that a wrong one is corrected.
 func (ga *Gate) inTime(at Attempt, now time.Time) bool {
@@ -383,7 +420,7 @@
 	ga.upstream = ev.Announcement
 	ga.lapse = ev.Lapse
 	ga.known = true
-	if !now.Before(ga.startAt.Add(ga.cfg.AnnounceLag)) {
+	if now.After(ga.startAt.Add(ga.cfg.AnnounceLag)) || ga.cfg.AnnounceLag <= 0 {
 		ga.occupancy.announced(ev.Announcement.InFlight, now)
 	}
 	switch ev.Announcement.State {
