--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -160,9 +160,13 @@
 }
 
 func (ct *Control) step(ev datacentre.Event, now time.Time) {
-	for _, ac := range ct.member.Step(ev, now) {
+	acts := ct.member.Step(ev, now)
+	for _, ac := range acts {
 		ct.execute(ac)
 	}
+	if _, ok := ev.(datacentre.Tick); ok && len(acts) == 0 {
+		return // nothing has changed
+	}
 	ct.hello.Store(ct.member.Hello())
 }
 
--- a/io/node/links.go
+++ b/io/node/links.go
@@ -152,7 +152,7 @@
 	}
 	he, err := ls.greet(se)
 	if err != nil {
-		se.abandon()
+		se.disown(err)
 		return nil, nil, err
 	}
 	return se, he, nil
@@ -176,7 +176,7 @@
 	he, err := ls.greet(se)
 	if err != nil {
 		se.joined()
-		se.abandon()
+		se.disown(err)
 		return refuse(err)
 	}
 	ls.run(se, he, "")
--- a/io/node/links_test.go
+++ b/io/node/links_test.go
@@ -54,7 +54,7 @@
 	testBudget       = 16 << 20
 )
 
-func startEnd(t *testing.T, cfg endConfig) *end {
+func startEnd(t testing.TB, cfg endConfig) *end {
 	t.Helper()
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -216,13 +216,13 @@
 
 func (en *end) metric(name string) uint64 { return en.set.GetOrCreateCounter(name).Get() }
 
-func (en *end) waitFor(t *testing.T, what string, matches func(ev datacentre.Event) bool) {
+func (en *end) waitFor(t testing.TB, what string, matches func(ev datacentre.Event) bool) {
 	t.Helper()
 	testkit.Eventually(t, 10*time.Second, en.id+": "+what, func() bool { return en.count(matches) > 0 })
 }
 
 // pair links two ends, the first of which dials.
-func pair(t *testing.T, a, b *end, address string) {
+func pair(t testing.TB, a, b *end, address string) {
 	t.Helper()
 	a.dial(address)
 	a.waitFor(t, "link opened", isOpened)
--- a/io/node/session.go
+++ b/io/node/session.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
@@ -33,6 +34,8 @@
 	acceptBacklog = 4
 	// joinFor is how long a peer that joins may hold its place.
 	joinFor = time.Second
+	// disownFor bounds the wait for a refused peer to read why.
+	disownFor = 500 * time.Millisecond
 	// finishFor bounds the wait for the peer to end a link that is closed on purpose.
 	finishFor = time.Second
 )
@@ -164,6 +167,17 @@
 	_ = se.mux.Close()
 }
 
+// disown ends a session whose peer was refused. After a hello that was refused
+// the peer gets a moment to read this node's own, so that both know why.
+func (se *Session) disown(err error) {
+	var hello *HelloError
+	if errors.As(err, &hello) {
+		_ = se.raw.SetDeadline(time.Now().Add(disownFor))
+		_, _ = se.control.reader.ReadByte()
+	}
+	se.abandon()
+}
+
 // close ends the session at once; it does not block.
 func (se *Session) close(reason ClosedReason) {
 	se.once.Do(func() {
