--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -46,6 +46,7 @@
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
+	reports chan chan<- *datacentre.Report
 	stop    chan struct{}
 	// jobs run beside the control goroutine, which starts them.
 	jobs    sync.WaitGroup
@@ -80,6 +81,7 @@
 		record:     re,
 		inbox:      make(chan datacentre.Event, inboxSize),
 		linkBox:    make(chan node.Event, inboxSize),
+		reports:    make(chan chan<- *datacentre.Report),
 		stop:       make(chan struct{}),
 	}
 	ct.jobCtx, ct.endJobs = context.WithCancel(context.Background())
@@ -120,6 +122,17 @@
 // View is what traffic reads.
 func (ct *Control) View() *datacentre.View { return ct.view.Load() }
 
+// Report asks the control goroutine what it knows; it is empty after the end.
+func (ct *Control) Report() *datacentre.Report {
+	answer := make(chan *datacentre.Report, 1)
+	select {
+	case ct.reports <- answer:
+		return <-answer
+	case <-ct.stop:
+		return &datacentre.Report{}
+	}
+}
+
 // Emit passes an event to the control goroutine; after the end it is dropped.
 func (ct *Control) Emit(ev datacentre.Event) {
 	select {
@@ -149,6 +162,8 @@
 			for _, me := range ct.links.Handle(ev, now) {
 				ct.step(me, now)
 			}
+		case answer := <-ct.reports:
+			answer <- ct.member.Report()
 		case now := <-ti.C:
 			ct.health.beaten(now)
 			ct.links.Tick(now)
--- a/io/node/links.go
+++ b/io/node/links.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
 	"lynxfold/core/datacentre"
@@ -152,7 +153,8 @@
 	}
 	he, err := ls.greet(se)
 	if err != nil {
-		se.disown(err)
+		se.linger(err)
+		se.abandon()
 		return nil, nil, err
 	}
 	return se, he, nil
@@ -176,7 +178,8 @@
 	he, err := ls.greet(se)
 	if err != nil {
 		se.joined()
-		se.disown(err)
+		se.linger(err)
+		se.abandon()
 		return refuse(err)
 	}
 	ls.run(se, he, "")
@@ -201,6 +204,20 @@
 	_, _ = se.control.reader.ReadByte()
 }
 
+// lingerFor bounds how long the connection of a refused hello stays open.
+const lingerFor = 500 * time.Millisecond
+
+// linger lets the other end read this end's hello after a refused one: a
+// connection that is closed at once may take unread messages with it.
+func (se *Session) linger(err error) {
+	var he *HelloError
+	if !errors.As(err, &he) {
+		return
+	}
+	_ = se.raw.SetDeadline(time.Now().Add(lingerFor))
+	_, _ = se.control.reader.ReadByte()
+}
+
 // greet exchanges hellos; the connection's deadline bounds it.
 func (ls *Links) greet(se *Session) (*wire.Hello, error) {
 	own := ls.cfg.Hello()
