--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -36,17 +36,23 @@
 type Control struct {
 	member   *datacentre.Member
 	links    *node.Links
-	versions *platform.Versions
-	log      zerolog.Logger
-	counters *controlCounters
-	health   health
-	record   *record.Record
+	platform platformParts
+	// reincarnate tells the gate; it is set before the control goroutine starts.
+	reincarnate func(in host.Incarnation)
+	invariants  *invariants
+	log         zerolog.Logger
+	counters    *controlCounters
+	health      health
+	record      *record.Record
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
 	reports chan chan<- *datacentre.Report
 	stop    chan struct{}
+	// jobs run beside the control goroutine, which starts them.
 	jobs    sync.WaitGroup
+	jobCtx  context.Context
+	endJobs context.CancelFunc
 	view    atomic.Pointer[datacentre.View]
 	hello   atomic.Pointer[wire.Hello]
 	// linked is the number of peers with a control link.
@@ -59,7 +65,8 @@
 	ad addresses,
 	id identity,
 	di *node.Dialer,
-	vs *platform.Versions,
+	pp platformParts,
+	iv *invariants,
 	co *controlCounters,
 	lc *node.Counters,
 	re *record.Record,
@@ -70,15 +77,17 @@
 		contacts = append(contacts, ap.String())
 	}
 	ct := &Control{
-		versions: vs,
-		log:      log,
-		counters: co,
-		record:   re,
-		inbox:    make(chan datacentre.Event, inboxSize),
-		linkBox:  make(chan node.Event, inboxSize),
-		reports:  make(chan chan<- *datacentre.Report),
-		stop:     make(chan struct{}),
+		platform:   pp,
+		invariants: iv,
+		log:        log,
+		counters:   co,
+		record:     re,
+		inbox:      make(chan datacentre.Event, inboxSize),
+		linkBox:    make(chan node.Event, inboxSize),
+		reports:    make(chan chan<- *datacentre.Report),
+		stop:       make(chan struct{}),
 	}
+	ct.jobCtx, ct.endJobs = context.WithCancel(context.Background())
 	ct.member = datacentre.New(datacentre.Config{
 		Mesh:           se.Mesh.Name,
 		Host:           se.Host.ID,
@@ -109,6 +118,7 @@
 		Emit:                 ct.emitLink,
 		Counters:             lc,
 	})
+	co.set.NewGauge("lynxfold_control_links", func() float64 { return float64(ct.links.Peers()) })
 	return ct
 }
 
@@ -143,6 +153,7 @@
 
 // run is the control goroutine.
 func (ct *Control) run() {
+	defer ct.invariants.recovered()
 	ti := time.NewTicker(tickEvery)
 	defer ti.Stop()
 	for {
@@ -167,9 +178,13 @@
 }
 
 func (ct *Control) step(ev datacentre.Event, now time.Time) {
-	for _, ac := range ct.member.Step(ev, now) {
+	acts := ct.member.Step(ev, now)
+	for _, ac := range acts {
 		ct.execute(ac)
 	}
+	if _, ok := ev.(datacentre.Tick); ok && len(acts) == 0 {
+		return // nothing has changed
+	}
 	ct.hello.Store(ct.member.Hello())
 	ct.linked.Store(int64(ct.links.Peers()))
 }
@@ -187,45 +202,41 @@
 	case datacentre.ReadPlatform:
 		ct.jobs.Go(func() { ct.read(ac) })
 	case datacentre.Introduce:
+		ct.jobs.Go(func() { ct.introduce(ac) })
+	case datacentre.Reincarnate:
+		ct.reincarnate(ac.Incarnation)
 	case datacentre.Note:
 		ct.note(ac)
 	}
 }
 
-// read reads the platform beside the control goroutine; one read runs at a time.
-func (ct *Control) read(ac datacentre.ReadPlatform) {
-	deltas, whole, known, err := ct.versions.Since(context.Background(), ac.After, ct.known)
-	if err == nil {
-		ct.known = known
-	}
-	ct.counters.read(err)
-	ct.Emit(datacentre.PlatformRead{
-		Deltas: deltas,
-		Whole:  whole,
-		Err:    err,
-	})
-}
-
 func (ct *Control) note(no datacentre.Note) {
 	ct.counters.note(no)
 	recordNote(ct.record, no)
+	if no.Kind == datacentre.NoteInvariant {
+		ct.invariants.violated(&InvariantError{
+			Invariant: invariantConfig,
+			Version:   no.Version,
+			Err:       no.Err,
+		})
+	}
 	ev := ct.log.Info()
 	if no.Err != nil || no.Kind == datacentre.NoteInvariant {
 		ev = ct.log.Error().Err(no.Err)
 	}
 	ev.Str("reason", string(no.Kind)).
 		Str("peer", string(no.Peer)).
+		Str("grounds", string(no.Grounds)).
 		Uint64("config_version", uint64(no.Version)).
 		Msg("control decision")
 }
 
 // gateViolated reports a fault of the gate's own decisions.
 func (ct *Control) gateViolated(vi host.Violated) {
-	ct.counters.gateViolated(vi)
-	ct.log.Error().
-		Str("reason", string(vi.Invariant)).
-		Str("attempt", string(vi.ID)).
-		Msg("gate invariant violated, attempt refused")
+	ct.invariants.violated(&InvariantError{
+		Invariant: Invariant(vi.Invariant),
+		Attempt:   vi.ID,
+	})
 }
 
 // upstreamChanged passes the state of this host's upstream to the member.
@@ -237,10 +248,3 @@
 		State:       an.State,
 	})
 }
-
-// end stops the control goroutine and its jobs.
-func (ct *Control) end() {
-	ct.links.Close()
-	close(ct.stop)
-	ct.jobs.Wait()
-}
