feat: count hedges that were due and not made

Cause: the reasons were declared and never told; two others were used nowhere. Change: the call says why a hedge was skipped, io/caller counts it with the other reasons against a further attempt; the two unused reasons are gone. Conclusion: each reason for or against an attempt has a counter.

--- a/core/call/retry.go
+++ b/core/call/retry.go
@@ -149,7 +149,12 @@
 		return
 	}
 	up, ok := ca.cfg.Chooser.Pick(ca.tried, now)
-	if !ok || !ca.cfg.Hedges.Spend(now) {
+	if !ok {
+		ca.do(Skip{Reason: NoHedgeNoCandidate})
+		return
+	}
+	if !ca.cfg.Hedges.Spend(now) {
+		ca.do(Skip{Reason: NoHedgeBudget})
 		return
 	}
 	ca.try(up, RetryHedge)
--- a/core/call/script_test.go
+++ b/core/call/script_test.go
@@ -172,6 +172,8 @@
 		return fmt.Sprintf("try %s at %s %s\n", sc.short(ac.Attempt), ac.Upstream.Host, ac.Reason)
 	case call.Ask:
 		return fmt.Sprintf("ask %s of %s until %s\n", sc.short(ac.Attempt), ac.Upstream.Host, ac.WaitUntil.Sub(sc.start))
+	case call.Skip:
+		return fmt.Sprintf("skip: %s\n", ac.Reason)
 	case call.Abandon:
 		return fmt.Sprintf("abandon %s\n", sc.short(ac.Attempt))
 	case call.Answer:
--- a/core/call/types.go
+++ b/core/call/types.go
@@ -24,11 +24,9 @@
 	ReasonNoCandidate  host.Reason = "no_candidate"
 	ReasonLinkDial     host.Reason = "link_dial"
 	ReasonLinkLost     host.Reason = "link_lost"
-	ReasonRetryBudget  host.Reason = "retry_budget"
 	ReasonCallerGone   host.Reason = "caller_gone"
 	ReasonBodyTooLarge host.Reason = "body_too_large"
 	ReasonBadRequest   host.Reason = "bad_request"
-	ReasonStopping     host.Reason = "stopping"
 	ReasonAnswerLost   host.Reason = "answer_lost"
 	ReasonNeverSeen    host.Reason = "never_seen"
 )
@@ -157,6 +155,11 @@
 	Attempt host.AttemptID
 }
 
+// Skip says that a hedge was due and why it was not made.
+type Skip struct {
+	Reason RetryReason
+}
+
 // Answer ends the call. Attempt is the attempt whose answer the caller gets;
 // it is empty when there is none.
 type Answer struct {
@@ -175,6 +178,7 @@
 func (Try) isAction()      {}
 func (Ask) isAction()      {}
 func (Abandon) isAction()  {}
+func (Skip) isAction()     {}
 func (Answer) isAction()   {}
 func (Violated) isAction() {}
 
--- a/io/caller/counters.go
+++ b/io/caller/counters.go
@@ -48,10 +48,15 @@
 	}
 	co.duration.Update(took.Seconds())
 	if an.Retry != "" && an.Retry != call.NoRetryFinal {
-		co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_no_retry_total{reason=%q}`, an.Retry)).Inc()
+		co.skipped(an.Retry)
 	}
 }
 
+// skipped counts a further attempt that was not made.
+func (co *Counters) skipped(why call.RetryReason) {
+	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_no_retry_total{reason=%q}`, why)).Inc()
+}
+
 func (co *Counters) tried(why call.RetryReason) {
 	co.attempts.Inc()
 	if why != "" {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -178,6 +178,8 @@
 				at.abandoned.Store(true)
 				at.cancel()
 			}
+		case call.Skip:
+			ex.server.cfg.Counters.skipped(ac.Reason)
 		case call.Answer:
 			return &ac, nil
 		}
