test: lanes over mutual TLS

Cause: the look at kept lanes had only been tried on plain connections. Change: a test over TLS; a lane is closed at the socket, without a goodbye that could block.

--- a/io/node/lane.go
+++ b/io/node/lane.go
@@ -144,7 +144,8 @@
 	}
 }
 
-func (la *lane) close() { _ = la.co.Close() }
+// close ends the lane at once; it waits for no goodbye.
+func (la *lane) close() { _ = la.co.raw.Close() }
 
 // TruncatedError reports a body that its sender could not complete.
 type TruncatedError struct{}
--- a/io/node/lanes_test.go
+++ b/io/node/lanes_test.go
@@ -18,6 +18,7 @@
 	"lynxfold/core/host"
 	"lynxfold/core/wire"
 	"lynxfold/io/upstream"
+	"lynxfold/testkit"
 )
 
 // generous bounds waits whose length is no verdict.
@@ -39,13 +40,19 @@
 
 // listen serves a gate and returns its address.
 func listen(t *testing.T, ga Gate) (string, *Listener) {
+	t.Helper()
+	return listenTLS(t, ga, nil)
+}
+
+func listenTLS(t *testing.T, ga Gate, ce *Certificates) (string, *Listener) {
 	t.Helper()
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ls := NewListener(li, ListenerConfig{
-		Lane:    NewIncoming(ga).Serve,
-		Control: func(*Conn) {},
-		Refused: func(*RefusedError) {},
+		Certificates: ce,
+		Lane:         NewIncoming(ga).Serve,
+		Control:      func(*Conn) {},
+		Refused:      func(*RefusedError) {},
 	})
 	go func() { _ = ls.Serve() }()
 	t.Cleanup(ls.Close)
@@ -376,6 +383,49 @@
 	t.Fatal("connections stay open")
 }
 
+// TestLanesOverTLS keeps encrypted lanes, and finds those that were closed.
+func TestLanesOverTLS(t *testing.T) {
+	au := testkit.NewAuthority(t, "own")
+	ce := certificates(t, "szeged", au.Sign("szeged", time.Now().Add(time.Hour)), au.File)
+	address, ln := listenTLS(t, &scriptedGate{
+		serve: func(_ context.Context, rq *wire.Request, body io.ReadCloser) upstream.Reply {
+			if body != nil {
+				n, err := io.Copy(io.Discard, body)
+				return whole(fmt.Sprint(n, err))
+			}
+			return whole(rq.GetAttempt())
+		},
+	}, ce)
+	ls := NewLanes(&Dialer{
+		Certificates: ce,
+		Timeout:      generous,
+	})
+	t.Cleanup(ls.Close)
+	for i := range 10 {
+		id := fmt.Sprintf("a.1.%d.1", i)
+		re := ls.Serve(bound(t), address, requestOf(id, 0), nil)
+		assert.Equal(t, string(re.Response.GetBody()), id)
+		body := io.NopCloser(io.LimitReader(zeroReader{}, 3_000_000))
+		re = ls.Serve(bound(t), address, requestOf(id, 3_000_000), body)
+		assert.Equal(t, string(re.Response.GetBody()), "3000000 <nil>")
+		ln.mu.Lock()
+		assert.Check(t, len(ln.conns) == 1, "%d connections", len(ln.conns))
+		if i%3 == 2 {
+			for nc := range ln.conns {
+				_ = nc.Close()
+			}
+		}
+		ln.mu.Unlock()
+		if i%3 == 2 {
+			waitEmpty(t, ln)
+		}
+	}
+}
+
+type zeroReader struct{}
+
+func (zeroReader) Read(buf []byte) (int, error) { return len(buf), nil }
+
 // TestLaneLimit refuses the call after the last lane, as one that did not run.
 func TestLaneLimit(t *testing.T) {
 	end := make(chan struct{})
