fix: carry header bytes that are not UTF-8 between nodes

Cause: header fields, methods and URIs travelled as protobuf strings, which must be UTF-8; HTTP does not ask for that. A request with a Latin-1 file name could not be written to a lane ("string field contains invalid UTF-8", trial on a scratch copy) and was told link_lost; an answer with one was lost after its call had run. Change: these fields are bytes; the encoding on the wire is the same. A query ends with its lane. Measured: TestBytesThatAreNoText.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -74,8 +74,8 @@
 		Attempt:     string(at.try.Attempt),
 		Incarnation: uint64(up.Incarnation),
 		Service:     string(up.Service),
-		Method:      ex.method,
-		Uri:         ex.uri,
+		Method:      []byte(ex.method),
+		Uri:         []byte(ex.uri),
 		Headers:     at.headers(),
 		RemainingUs: time.Until(at.try.Deadline).Microseconds(),
 		Class:       string(ex.target.Terms.Class),
@@ -98,8 +98,8 @@
 func (at *attempt) headers() []*wire.Header {
 	common := at.exchange.headers
 	return append(common[:len(common):len(common)], &wire.Header{
-		Name:  call.HeaderAttempt,
-		Value: call.AttemptMark(at.exchange.mark, at.try.Number),
+		Name:  []byte(call.HeaderAttempt),
+		Value: []byte(call.AttemptMark(at.exchange.mark, at.try.Number)),
 	})
 }
 
--- a/io/caller/headers.go
+++ b/io/caller/headers.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"net/textproto"
 	"strings"
 
@@ -76,18 +77,18 @@
 			continue
 		}
 		headers = append(headers, &wire.Header{
-			Name:  name,
-			Value: string(va),
+			Name:  []byte(name),
+			Value: bytes.Clone(va),
 		})
 	}
 	return append(headers,
 		&wire.Header{
-			Name:  headerForwardedFor,
-			Value: forwardedFor(ctx),
+			Name:  []byte(headerForwardedFor),
+			Value: []byte(forwardedFor(ctx)),
 		},
 		&wire.Header{
-			Name:  headerForwardedHost,
-			Value: string(ctx.Host()),
+			Name:  []byte(headerForwardedHost),
+			Value: bytes.Clone(ctx.Host()),
 		})
 }
 
@@ -103,14 +104,14 @@
 func copyHeaders(ctx *fasthttp.RequestCtx, rs *wire.Response) {
 	var skip map[string]bool
 	for _, he := range rs.GetHeaders() {
-		if he.GetName() == fasthttp.HeaderConnection {
-			skip = listed(he.GetValue())
+		if string(he.GetName()) == fasthttp.HeaderConnection {
+			skip = listed(string(he.GetValue()))
 		}
 	}
 	for _, he := range rs.GetHeaders() {
-		name := he.GetName()
+		name := string(he.GetName())
 		if !hopByHop[name] && !ownResponse[name] && !skip[name] {
-			ctx.Response.Header.Add(name, he.GetValue())
+			ctx.Response.Header.AddBytesV(name, he.GetValue())
 		}
 	}
 }
@@ -118,8 +119,8 @@
 // headerValue finds a header of an upstream's response.
 func headerValue(rs *wire.Response, name string) string {
 	for _, he := range rs.GetHeaders() {
-		if he.GetName() == name {
-			return he.GetValue()
+		if string(he.GetName()) == name {
+			return string(he.GetValue())
 		}
 	}
 	return ""
--- a/io/node/lanes_listen.go
+++ b/io/node/lanes_listen.go
@@ -76,8 +76,9 @@
 
 // serving is the call that a lane carries now.
 type serving struct {
-	ctx        context.Context
-	cancel     context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelFunc
+	// idempotent calls, and queries, end with their lane.
 	idempotent bool
 	// followed says that another goroutine reads the lane on.
 	followed bool
@@ -154,7 +155,7 @@
 	in.current = &serving{
 		ctx:        ctx,
 		cancel:     cancel,
-		idempotent: rq.GetIdempotent(),
+		idempotent: rq == nil || rq.GetIdempotent(),
 	}
 	if rq.GetLength() == int64(len(rq.GetBody())) {
 		return in.current, nil, true
--- a/io/node/lanes_test.go
+++ b/io/node/lanes_test.go
@@ -74,8 +74,8 @@
 func requestOf(attempt string, length int64) *wire.Request {
 	return &wire.Request{
 		Attempt:     attempt,
-		Method:      "POST",
-		Uri:         "/bookings",
+		Method:      []byte("POST"),
+		Uri:         []byte("/bookings"),
 		RemainingUs: generous.Microseconds(),
 		Length:      length,
 	}
@@ -186,6 +186,27 @@
 	}
 }
 
+// TestBytesThatAreNoText carries what HTTP allows and UTF-8 does not.
+func TestBytesThatAreNoText(t *testing.T) {
+	name := []byte("attachment; filename=\"petici\xf3n.pdf\"")
+	address, _ := listen(t, &scriptedGate{
+		serve: func(_ context.Context, rq *wire.Request, _ io.ReadCloser) upstream.Reply {
+			re := whole(string(rq.GetUri()))
+			re.Response.Headers = rq.GetHeaders()
+			return re
+		},
+	})
+	rq := requestOf("a.1.1.1", 0)
+	rq.Uri = []byte("/scans/petici\xf3n")
+	rq.Headers = []*wire.Header{{
+		Name:  []byte("Content-Disposition"),
+		Value: name,
+	}}
+	re := newLanes(t).Serve(bound(t), address, rq, nil)
+	assert.Equal(t, string(re.Response.GetBody()), "/scans/petici\xf3n")
+	assert.DeepEqual(t, re.Response.GetHeaders()[0].GetValue(), name)
+}
+
 // TestRefusedBodyIsUntouched refuses an upload before its body was asked for, so
 // that it can go to another gate.
 func TestRefusedBodyIsUntouched(t *testing.T) {
--- a/io/upstream/bench_test.go
+++ b/io/upstream/bench_test.go
@@ -39,7 +39,7 @@
 					co.usedAt = co.usedAt.Add(-it.age)
 				}
 				cl.mu.Unlock()
-				rq := &wire.Request{Method: "POST", Uri: "/bookings"}
+				rq := &wire.Request{Method: []byte("POST"), Uri: []byte("/bookings")}
 				re := cl.Do(context.Background(), address, rq, nil, Watch{
 					Ended: func(en Ending) {
 						if en.Outcome == host.OutcomeUnknown {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -129,7 +130,7 @@
 	if ex.body != nil {
 		ex.watch.started()
 	}
-	if rq.GetMethod() == fasthttp.MethodHead || withoutBody(resp.StatusCode()) {
+	if string(rq.GetMethod()) == fasthttp.MethodHead || withoutBody(resp.StatusCode()) {
 		return ex.complete(resp, nil)
 	}
 	length := resp.Header.ContentLength()
@@ -268,8 +269,8 @@
 	}
 	for na, va := range resp.Header.All() {
 		re.Headers = append(re.Headers, &wire.Header{
-			Name:  string(na),
-			Value: string(va),
+			Name:  bytes.Clone(na),
+			Value: bytes.Clone(va),
 		})
 	}
 	return re
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -95,8 +95,8 @@
 
 func get(method string) *wire.Request {
 	return &wire.Request{
-		Method: method,
-		Uri:    "/results/17",
+		Method: []byte(method),
+		Uri:    []byte("/results/17"),
 	}
 }
 
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -70,12 +70,12 @@
 
 // fill sets the head of a request.
 func (co *conn) fill(ctx context.Context, req *fasthttp.Request, rq *wire.Request) {
-	req.Header.SetMethod(rq.GetMethod())
-	req.SetRequestURI(rq.GetUri())
+	req.Header.SetMethodBytes(rq.GetMethod())
+	req.SetRequestURIBytes(rq.GetUri())
 	req.Header.SetHost(co.address)
 	req.Header.SetNoDefaultContentType(true)
 	for _, he := range rq.GetHeaders() {
-		req.Header.Add(he.GetName(), he.GetValue())
+		req.Header.AddBytesKV(he.GetName(), he.GetValue())
 	}
 	if at, ok := ctx.Deadline(); ok {
 		req.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(at).Milliseconds(), 10))
