test: keyed calls repeated at every node and after the death of the first

Cause: keyed calls had been tried in one process only. Change: three nodes get one key at once; the node that took a call is killed in mid-call and another one gets the repeat.

--- a/testkit/calls_test.go
+++ b/testkit/calls_test.go
@@ -26,11 +26,13 @@
   "contracts": [
     {"name": "book", "timeout_ms": 8000, "retries": 2},
     {"name": "scan", "timeout_ms": 30000, "class": "bulk"},
+    {"name": "certify", "timeout_ms": 8000, "retries": 2, "keyed": true},
     {"name": "read", "idempotent": true, "timeout_ms": 8000, "retries": 2}
   ],
   "routes": [
     {"name": "bookings", "path_prefix": "/bookings", "service": "booking", "contract": "book"},
     {"name": "scans", "path_prefix": "/scans", "service": "booking", "contract": "scan"},
+    {"name": "certificates", "path_prefix": "/certificates", "service": "booking", "contract": "certify"},
     {"name": "results", "path_prefix": "/results", "service": "booking", "contract": "read"}
   ]
 }`
@@ -231,6 +233,57 @@
 	assert.Check(t, strings.Contains(one.Log(), `"cut":0`), "%s", one.Log())
 }
 
+// certify makes a keyed call at a host, and returns its outcome and answer.
+func certify(me *testkit.Mesh, id, key string) (outcome, answer string, err error) {
+	rq, err := http.NewRequest("POST", "http://"+me.Hosts[id].Caller+"/certificates?work=300ms", strings.NewReader("cube 17"))
+	if err != nil {
+		return "", "", err
+	}
+	rq.Header.Set("Idempotency-Key", key)
+	rq.Header.Set(upstreamstandin.HeaderCall, key)
+	cl := &http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true},
+		Timeout:   generous,
+	}
+	rs, err := cl.Do(rq)
+	if err != nil {
+		return "", "", err
+	}
+	defer func() { _ = rs.Body.Close() }()
+	data, err := io.ReadAll(rs.Body)
+	return rs.Header.Get("Lynxfold-Outcome"), string(data), err
+}
+
+// TestKeyedAcrossNodes repeats keyed calls at every node at once, and after the
+// node that took the first one was killed in mid-call: each runs once, and all
+// repeats get the first answer.
+func TestKeyedAcrossNodes(t *testing.T) {
+	me, _ := startCalls(t)
+	answers := make(chan string)
+	hosts := []string{ingress, "curing-room-1", "curing-room-2"}
+	for _, id := range hosts {
+		go func() {
+			outcome, answer, err := certify(me, id, "at-once")
+			answers <- fmt.Sprint(outcome, answer, err)
+		}()
+	}
+	first := <-answers
+	assert.Check(t, strings.HasPrefix(first, "ran"), "%s", first)
+	for range hosts[1:] {
+		assert.Equal(t, <-answers, first)
+	}
+	assert.Equal(t, len(me.Runs()["at-once"]), 1)
+
+	go func() { _, _, _ = certify(me, ingress, "killed") }()
+	testkit.Eventually(t, generous, "the call runs", func() bool { return len(me.Runs()["killed"]) == 1 })
+	me.Hosts[ingress].Kill()
+	testkit.Eventually(t, generous, "the repeat has the answer", func() bool {
+		outcome, answer, err := certify(me, "curing-room-1", "killed")
+		return err == nil && outcome == "ran" && strings.Contains(answer, `"call":"killed"`)
+	})
+	assert.Equal(t, len(me.Runs()["killed"]), 1)
+}
+
 // TestTruncatedAndSlowAnswers passes no part of an answer for the whole.
 func TestTruncatedAndSlowAnswers(t *testing.T) {
 	_, ca := startCalls(t)
