--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -118,7 +118,7 @@
 		Emit:                 ct.emitLink,
 		Counters:             lc,
 	})
-	co.set.NewGauge("lynxfold_control_links", func() float64 { return float64(ct.links.Peers()) })
+	co.set.NewGauge("lynxfold_control_links", func() float64 { return float64(ct.linked.Load()) })
 	return ct
 }
 
