--- a/core/datacentre/reach.go
+++ b/core/datacentre/reach.go
@@ -106,7 +106,7 @@
 }
 
 func (me *Member) stateLoss(name Name, rc *reach, now time.Time) {
-	if !slices.Contains(rc.holders, me.cfg.Host) || me.linkedCentre(name) {
+	if !slices.Contains(me.holders(rc), me.cfg.Host) || me.linkedCentre(name) {
 		rc.lostAt = time.Time{}
 		return
 	}
@@ -119,6 +119,14 @@
 	}
 }
 
+// holders are the hosts whose word counts; a node without any link has only its own.
+func (me *Member) holders(rc *reach) []host.ID {
+	if len(me.links) == 0 {
+		return []host.ID{me.cfg.Host}
+	}
+	return rc.holders
+}
+
 func (me *Member) stateReach(name Name, reached bool, now time.Time) {
 	st := statement{
 		reached:  reached,
@@ -158,8 +166,9 @@
 // judgeReach decides whether a data centre is separated from the own one: all
 // holders say that they do not reach it.
 func (me *Member) judgeReach(name Name, rc *reach, now time.Time) {
-	separated := len(rc.holders) > 0
-	for _, id := range rc.holders {
+	holders := me.holders(rc)
+	separated := len(holders) > 0
+	for _, id := range holders {
 		st, said := rc.statements[id]
 		if !said || st.reached || !now.Before(st.lapse) {
 			separated = false
