--- a/testkit/distribution/distribution_test.go
+++ b/testkit/distribution/distribution_test.go
@@ -139,6 +139,28 @@
 	t.Run("slow platform", func(t *testing.T) { slowPlatform(t, me, la) })
 }
 
+// TestNodeWithoutContactsIsIntroducedByThePlatform starts a node that knows
+// nobody beside others that have each other's addresses.
+func TestNodeWithoutContactsIsIntroducedByThePlatform(t *testing.T) {
+	la := testkit.Szeged()
+	hosts := la.Hosts()
+	hosts[len(hosts)-1].NoContacts = true
+	me := testkit.StartMesh(t, testkit.MeshConfig{Hosts: hosts})
+	id := hosts[len(hosts)-1].ID
+	testkit.Eventually(t, within, "a version is accepted", func() bool {
+		if me.Status(first(me, la, 0)) == nil {
+			return false
+		}
+		status, _ := me.Apply(first(me, la, 0), 0, la.Document(1000))
+		return status == fasthttp.StatusOK
+	})
+	testkit.Eventually(t, 2*within, "the node has links", func() bool {
+		return me.HostMetric(id, "lynxfold_control_links") > 0
+	})
+	testkit.Eventually(t, within, "all upstreams are known everywhere", func() bool { return me.AllServed(la) })
+	assert.Assert(t, len(me.Platform.Rows("introductions/")) > 0)
+}
+
 func platformDown(t *testing.T, me *testkit.Mesh, la testkit.Layout) {
 	me.Platform.SetFaults(standin.Faults{Down: true})
 	status, _ := me.Apply(first(me, la, 0), 1, la.Document(1))
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -30,6 +30,8 @@
 	DataCentre string
 	// Upstream is started beside the node when its service is not empty.
 	Upstream upstreamstandin.Config
+	// NoContacts leaves the host without addresses to try first.
+	NoContacts bool
 	// Settings are further lines of this host's settings file.
 	Settings string
 }
@@ -177,6 +179,9 @@
 // contactsOf are the first two other hosts.
 func (me *Mesh) contactsOf(ho *Host) string {
 	contacts := ""
+	if ho.Spec.NoContacts {
+		return contacts
+	}
 	for _, id := range me.order[:min(3, len(me.order))] {
 		other := me.Hosts[id]
 		if other == ho {
