--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -55,9 +55,7 @@
 	endJobs context.CancelFunc
 	view    atomic.Pointer[datacentre.View]
 	hello   atomic.Pointer[wire.Hello]
-	// linked is the number of peers with a control link.
-	linked atomic.Int64
-	known  platform.ETag
+	known   platform.ETag
 }
 
 func newControl(
@@ -118,7 +116,6 @@
 		Emit:                 ct.emitLink,
 		Counters:             lc,
 	})
-	co.set.NewGauge("lynxfold_control_links", func() float64 { return float64(ct.links.Peers()) })
 	return ct
 }
 
@@ -186,7 +183,6 @@
 		return // nothing has changed
 	}
 	ct.hello.Store(ct.member.Hello())
-	ct.linked.Store(int64(ct.links.Peers()))
 }
 
 func (ct *Control) execute(ac datacentre.Action) {
