--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -136,6 +136,10 @@
 		return sc.ask(t, td, name)
 	case "lost":
 		return host.Lost{}
+	case "reincarnate":
+		in := uint64(0)
+		td.ScanArgs(t, "incarnation", &in)
+		return host.Reincarnated{Incarnation: host.Incarnation(in)}
 	case "drain":
 		after := 0
 		td.MaybeScanArgs(t, "after", &after)
