--- a/core/call/chooser_test.go
+++ b/core/call/chooser_test.go
@@ -121,6 +121,10 @@
 	sums := fi.centres(fi.picks(3000, loaded))
 	assert.Assert(t, sums["server-room"] > 1000, "%v", sums)
 	assert.Equal(t, sums["curing-room"], 0, "the nearer one is enough")
+	for range 6 {
+		sums = fi.centres(fi.picks(1000, loaded))
+		assert.Assert(t, sums["server-room"] > 300, "it flaps: %v", sums)
+	}
 	fi.picks(3000, always(ok(2*time.Millisecond, 100)))
 	sums = fi.centres(fi.picks(1000, always(ok(2*time.Millisecond, 100))))
 	assert.Equal(t, sums[local], 1000)
@@ -295,7 +299,7 @@
 	}
 	assert.Equal(t, spend(), 2)
 	for range 4 {
-		bu.Succeeded()
+		bu.Succeeded(now)
 	}
 	assert.Equal(t, spend(), 1)
 	now = now.Add(time.Second)
@@ -304,6 +308,16 @@
 	assert.Equal(t, spend(), 2)
 	now = now.Add(-time.Hour)
 	assert.Equal(t, spend(), 0)
+	now = now.Add(2 * time.Hour)
+	for range 400 {
+		bu.Succeeded(now)
+	}
+	assert.Equal(t, spend(), 102, "a share of the last second's successes is saved too")
+	for range 400 {
+		bu.Succeeded(now)
+	}
+	now = now.Add(time.Minute)
+	assert.Equal(t, spend(), 2, "but not for long")
 }
 
 // TestMarkers follows the headers through layers.
