--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -73,15 +73,21 @@
 		return nil
 	}
 	tc, ok := co.Conn.(*net.TCPConn)
-	if !ok || !co.unread.Load() || co.listener.lingering.Add(1) > maxLingering {
-		if ok && co.unread.Load() {
-			co.listener.lingering.Add(-1)
-		}
-		co.listener.open.Add(-1)
-		return co.Conn.Close()
+	if ok && co.unread.Load() && co.listener.mayLinger() {
+		go co.linger(tc)
+		return nil
+	}
+	co.listener.open.Add(-1)
+	return co.Conn.Close()
+}
+
+// mayLinger counts one more connection that lingers, within the bound.
+func (ls *listener) mayLinger() bool {
+	if ls.lingering.Add(1) <= maxLingering {
+		return true
 	}
-	go co.linger(tc)
-	return nil
+	ls.lingering.Add(-1)
+	return false
 }
 
 // linger reads on until the caller has seen the end of the answer.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -116,27 +116,6 @@
 	}
 }
 
-// Pick implements call.Picker.
-func (ex *exchange) Pick(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
-	name := ex.target.Route.Service
-	return ex.server.pick(name, ex.view.Upstreams[name], tried, now)
-}
-
-// Spend implements call.Spender for retries.
-func (ex *exchange) Spend(now time.Time) bool {
-	return ex.server.retries.spend(ex.target.Route.Service, now)
-}
-
-// hedges implements call.Spender for hedges.
-type hedges struct {
-	exchange *exchange
-}
-
-// Spend takes one hedge, or reports that none is left.
-func (he hedges) Spend(now time.Time) bool {
-	return he.exchange.server.hedges.spend(he.exchange.target.Route.Service, now)
-}
-
 // loop drives the call to its answer; it is false when the caller has gone.
 func (ex *exchange) loop() (call.Answer, bool) {
 	var ev call.Event = call.Begin{}
