fix: write no call to a new lane before its far end has spoken

Cause: behind something that takes connections for a dead node (a proxy, a balancer) the dial succeeded, the call was written, and its outcome was unknown though nothing can have run. TestKeyedAcrossNodes failed once in three runs, as it called nodes that had not heard of the configuration: it waits for each now. Change: the gate's end opens with a sign of life; without it the dial has failed. Conclusion: one round trip for each new lane; kept lanes pay nothing.

--- a/io/node/lanes.go
+++ b/io/node/lanes.go
@@ -17,6 +17,8 @@
 	maxLanes = 256
 	// laneIdleFor is how long an unused lane is kept.
 	laneIdleFor = 30 * time.Second
+	// greetWithin bounds the wait for the far end of a new lane.
+	greetWithin = time.Second
 	// sweepEvery is the time between two searches for lanes unused for too long.
 	sweepEvery = 5 * time.Second
 )
@@ -80,7 +82,21 @@
 		ls.give(address, nil, false)
 		return nil, err
 	}
-	return &lane{co: co}, nil
+	la := &lane{co: co}
+	if err := la.greeted(ctx); err != nil {
+		ls.give(address, la, false)
+		return nil, err
+	}
+	return la, nil
+}
+
+// greeted waits for the first sign of life: before it, the far end may be a
+// listener that refuses this node, or nobody at all behind something between.
+func (la *lane) greeted(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, la.close)
+	defer stop()
+	_, err := la.readWithin(greetWithin)
+	return err
 }
 
 // reserve counts one more used lane and returns a kept one, or nil when none is usable.
--- a/io/node/lanes_listen.go
+++ b/io/node/lanes_listen.go
@@ -51,6 +51,9 @@
 		Incoming: ic,
 		lane:     &lane{co: co},
 	}
+	if !in.write(&wire.Frame{}) {
+		return
+	}
 	in.done.Go(in.lead)
 	in.done.Wait()
 }
--- a/io/node/lanes_test.go
+++ b/io/node/lanes_test.go
@@ -483,6 +483,34 @@
 	assert.Check(t, re.Refusal.GetNotRun())
 }
 
+// TestNobodyBehindProxy connects to something that takes connections for a node
+// that is gone, or says nothing: it is certain that nothing ran.
+func TestNobodyBehindProxy(t *testing.T) {
+	for name, serve := range map[string]func(nc net.Conn){
+		"closes": func(nc net.Conn) { _ = nc.Close() },
+		"silent": func(nc net.Conn) { _, _ = io.Copy(io.Discard, nc) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			li, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = li.Close() })
+			go func() {
+				for {
+					nc, err := li.Accept()
+					if err != nil {
+						return
+					}
+					go serve(nc)
+				}
+			}()
+			re := newLanes(t).Serve(bound(t), li.Addr().String(), requestOf("a.1.1.1", 0), nil)
+			assert.Check(t, !re.Lost)
+			assert.Equal(t, re.Refusal.GetReason(), string(call.ReasonLinkDial))
+			assert.Check(t, re.Refusal.GetNotRun())
+		})
+	}
+}
+
 // TestGarbage sends bytes that are no frame; the lane ends and nothing else.
 func TestGarbage(t *testing.T) {
 	address, ln := listen(t, &scriptedGate{})
--- a/testkit/calls_test.go
+++ b/testkit/calls_test.go
@@ -261,6 +261,12 @@
 	me, _ := startCalls(t)
 	answers := make(chan string)
 	hosts := []string{ingress, "curing-room-1", "curing-room-2"}
+	for _, id := range hosts {
+		testkit.Eventually(t, generous, id+" knows the upstreams", func() bool {
+			st := me.Status(id)
+			return st != nil && len(st.Services) == 1 && st.Services[0].Upstreams == 2
+		})
+	}
 	for _, id := range hosts {
 		go func() {
 			outcome, answer, err := certify(me, id, "at-once")
