--- a/cmd/process/counters.go
+++ b/cmd/process/counters.go
@@ -31,3 +31,14 @@
 func (co *controlCounters) gateViolated(vi host.Violated) {
 	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_invariant_violations_total{invariant=%q}`, vi.Invariant)).Inc()
 }
+
+func (co *controlCounters) introduced(wrote bool, err error) {
+	outcome := "kept"
+	switch {
+	case err != nil:
+		outcome = "failed"
+	case wrote:
+		outcome = "written"
+	}
+	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_platform_introductions_total{outcome=%q}`, outcome)).Inc()
+}
