--- a/cmd/night_test.go
+++ b/cmd/night_test.go
@@ -79,7 +79,9 @@
 		ho.Cut()
 	}
 	ni.eventually("the loss is known", func() bool { return ni.alive("press-hall-1") < 6 && ni.alive("curing-room-1") < 6 })
-	ni.eventually("the cut is known", func() bool { return ni.separated("press-hall-1") && ni.separated("curing-room-1") })
+	for _, id := range []string{"press-hall-1", "curing-room-1"} {
+		ni.eventually(id+" knows the cut", func() bool { return ni.separated(id) })
+	}
 	ni.eventually("the lost host is held for dead", func() bool {
 		_, out := ni.run("explain", "--node", ni.node("press-hall-1"), "host", "press-hall-3")
 		return strings.Contains(out, "host dead, host press-hall-3")
@@ -185,7 +187,18 @@
 	return st != nil && slices.ContainsFunc(st.DataCentres, func(ce operator.CentreStatus) bool { return ce.Separated })
 }
 
+// eventually waits; when that fails the test shows what each node saw.
 func (ni *night) eventually(what string, holds func() bool) {
 	ni.t.Helper()
+	defer func() {
+		if !ni.t.Failed() {
+			return
+		}
+		for id := range ni.mesh.Hosts {
+			_, status := ni.run("status", "--local", "--hosts", "--node", ni.node(id))
+			_, latest := ni.run("explain", "--node", ni.node(id), "latest")
+			ni.t.Log(status, latest)
+		}
+	}()
 	testkit.Eventually(ni.t, nightWithin, what, holds)
 }
--- a/cmd/pages_test.go
+++ b/cmd/pages_test.go
@@ -75,6 +75,8 @@
 	page, err := os.ReadFile("../docs/operations/counters.md")
 	assert.NilError(t, err)
 	for _, ma := range rowPattern.FindAllStringSubmatch(string(page), -1) {
+		_, twice := onPage[ma[1]]
+		assert.Check(t, !twice, "docs/operations/counters.md lists %s twice", ma[1])
 		onPage[ma[1]] = strings.FieldsFunc(ma[2], func(ru rune) bool { return strings.ContainsRune(" ,`", ru) })
 		assert.Equal(t, strings.HasSuffix(ma[1], "_total"), ma[3] == "counter", "%s: a counter ends in _total", ma[1])
 	}
--- a/cmd/process/invariants.go
+++ b/cmd/process/invariants.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"lynxfold/core/contract"
-	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
 )
 
 // fatalInvariants is the environment variable that makes a violated invariant
@@ -19,34 +19,43 @@
 // exitInvariant is the exit code of a process that an invariant or a panic ended.
 const exitInvariant = 70
 
+// Invariant names what must always hold.
+type Invariant string
+
+// invariantConfig: versions only rise, and no route lacks its service.
+const invariantConfig Invariant = "configuration"
+
 // invariants records what must never happen.
 type invariants struct {
-	counter *metrics.Counter
-	fatal   bool
-	log     zerolog.Logger
-	exit    func(code int)
+	set   *metrics.Set
+	fatal bool
+	log   zerolog.Logger
+	exit  func(code int)
 }
 
 func newInvariants(set *metrics.Set, log zerolog.Logger) *invariants {
 	return &invariants{
-		counter: set.GetOrCreateCounter("lynxfold_invariant_violations_total"),
-		fatal:   os.Getenv(fatalInvariants) == "1",
-		log:     log,
-		exit:    os.Exit,
+		set:   set,
+		fatal: os.Getenv(fatalInvariants) == "1",
+		log:   log,
+		exit:  os.Exit,
 	}
 }
 
 // InvariantError reports that something happened that never may.
 type InvariantError struct {
-	Version contract.Version
-	Err     error
+	Invariant Invariant
+	Version   contract.Version
+	Attempt   host.AttemptID
+	Err       error
 }
 
 func (er *InvariantError) Error() string {
-	if er.Err == nil {
-		return fmt.Sprintf("invariant violated at version %d", er.Version)
+	text := fmt.Sprintf("invariant %s violated: version %d, attempt %q", er.Invariant, er.Version, er.Attempt)
+	if er.Err != nil {
+		text += ": " + er.Err.Error()
 	}
-	return fmt.Sprintf("invariant violated at version %d: %v", er.Version, er.Err)
+	return text
 }
 
 // Unwrap returns the cause.
@@ -59,11 +68,11 @@
 
 func (er *PanicError) Error() string { return fmt.Sprintf("control goroutine panicked: %v", er.Value) }
 
-func (iv *invariants) violated(no datacentre.Note) {
-	iv.counter.Inc()
+func (iv *invariants) violated(er *InvariantError) {
+	iv.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_invariant_violations_total{invariant=%q}`, er.Invariant)).Inc()
 	iv.log.Error().
-		Err(&InvariantError{Version: no.Version, Err: no.Err}).
-		Str("reason", string(no.Kind)).
+		Err(er).
+		Str("reason", "invariant_violation").
 		Msg("invariant violated")
 	if iv.fatal {
 		iv.exit(exitInvariant)
