--- a/cmd/tls_test.go
+++ b/cmd/tls_test.go
@@ -86,7 +86,7 @@
 	writeKeys(t, dir, 2)
 	ho.Signal(syscall.SIGHUP)
 	testkit.Eventually(t, 20*time.Second, "the keys are read again", func() bool {
-		return strings.Contains(ho.Log(), `"step":"console"`) && strings.Contains(ho.Log(), "keys read again")
+		return strings.Contains(ho.Log(), "console keys read again")
 	})
 	assert.Equal(t, get(t, open, "/live"), http.StatusOK)
 	assert.Equal(t, dial(t, ho.Operator).ConnectionState().PeerCertificates[0].SerialNumber.Int64(), int64(2))
@@ -94,7 +94,7 @@
 	assert.NilError(t, os.WriteFile(filepath.Join(dir, "cert.pem"), []byte("not PEM"), 0o600))
 	ho.Signal(syscall.SIGHUP)
 	testkit.Eventually(t, 20*time.Second, "the bad keys are reported", func() bool {
-		return strings.Contains(ho.Log(), "keys not read again")
+		return strings.Contains(ho.Log(), "console keys not read again")
 	})
 	assert.Equal(t, dial(t, ho.Operator).ConnectionState().PeerCertificates[0].SerialNumber.Int64(), int64(2))
 }
