feat: changes of a host's own record are spread at most once a second, those that end work at once

Cause: an upstream that announces other slots each time would send its record over every link of the mesh each time. Change: the newest state waits for its turn; draining and gone do not wait. TestOwnChangesArePaced: 1,000 changes in 10 s become 10 records.

--- a/core/datacentre/limits.go
+++ b/core/datacentre/limits.go
@@ -53,6 +53,8 @@
 	suspectFor = 800 * time.Millisecond
 	// keepGone is how long dead hosts and hosts that left are remembered.
 	keepGone = time.Hour
+	// ownEvery is the shortest time between two changes of the own record that can wait.
+	ownEvery = time.Second
 	// dialWithin bounds one dial.
 	dialWithin = 6 * time.Second
 	// avoidFor is how long a remote host that did not answer is passed over.
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -47,6 +47,10 @@
 	sum     uint64
 	alive   int
 	leaving bool
+	// upstream is the newest state of the own upstream; ownAt is when it may be
+	// spread next.
+	upstream *wire.Upstream
+	ownAt    time.Time
 
 	links    map[host.ID]*peer
 	dials    map[string]*dial
@@ -197,6 +201,7 @@
 func (me *Member) tick(now time.Time) {
 	me.confirmSuspects(now)
 	me.accuseLost(now)
+	me.announceOwn(now)
 	me.flushOutbox()
 	me.tickReach(now)
 	me.dialDue(now)
--- a/core/datacentre/member_test.go
+++ b/core/datacentre/member_test.go
@@ -63,6 +63,27 @@
 	assert.Equal(t, unmet, 1)
 }
 
+// TestOwnChangesArePaced: an upstream that changes its slots with every
+// announcement is spread about once a second, and its drain at once.
+func TestOwnChangesArePaced(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	me := newTestMember("host-a", now)
+	for i := range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		me.Step(LocalUpstream{Service: "lookup", Slots: host.Slots(i + 1)}, now)
+		if i%10 == 0 {
+			me.Step(Tick{}, now)
+		}
+	}
+	assert.Equal(t, me.self.GetSequence(), uint64(10))
+	me.Step(LocalUpstream{Service: "lookup", Slots: 1, State: host.StateDraining}, now)
+	assert.Equal(t, me.self.GetSequence(), uint64(11))
+	assert.Equal(t, me.self.GetUpstreams()[0].GetState(), wire.UpstreamState_UPSTREAM_STATE_DRAINING)
+	now = now.Add(2 * ownEvery)
+	me.Step(Tick{}, now)
+	assert.Equal(t, me.self.GetSequence(), uint64(11))
+}
+
 // TestReadsOfLonelyFleet starts 1,000 members at once that see nobody, with the
 // platform up and down, and counts the reads of each second.
 func TestReadsOfLonelyFleet(t *testing.T) {
--- a/core/datacentre/members.go
+++ b/core/datacentre/members.go
@@ -11,16 +11,30 @@
 	"lynxfold/core/wire"
 )
 
+// localUpstream takes in the state of this host's own upstream. What takes it out
+// of views is spread at once; all else at most once in ownEvery, so that an
+// upstream that changes all the time does not flood the mesh.
 func (me *Member) localUpstream(ev LocalUpstream, now time.Time) {
-	up := &wire.Upstream{
+	me.upstream = &wire.Upstream{
 		Service:     string(ev.Service),
 		Slots:       uint32(ev.Slots),
 		Connections: uint32(ev.Connections),
 		State:       wire.UpstreamState(ev.State),
 	}
-	if len(me.self.GetUpstreams()) == 1 && proto.Equal(me.self.GetUpstreams()[0], up) {
+	if ev.State != host.StateReady {
+		me.ownAt = now
+	}
+	me.announceOwn(now)
+}
+
+// announceOwn spreads the state of the own upstream when it has changed and is due.
+func (me *Member) announceOwn(now time.Time) {
+	up := me.upstream
+	known := me.self.GetUpstreams()
+	if up == nil || now.Before(me.ownAt) || len(known) == 1 && proto.Equal(known[0], up) {
 		return
 	}
+	me.ownAt = now.Add(ownEvery)
 	me.updateSelf(now, func(ho *wire.Host) { ho.Upstreams = []*wire.Upstream{up} })
 }
 
