--- a/cmd/process/counters.go
+++ b/cmd/process/counters.go
@@ -6,7 +6,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"lynxfold/core/datacentre"
-	"lynxfold/core/host"
 )
 
 // controlCounters count what the control goroutine decides.
@@ -28,6 +27,13 @@
 	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_platform_reads_total{outcome=%q}`, outcome)).Inc()
 }
 
-func (co *controlCounters) gateViolated(vi host.Violated) {
-	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_invariant_violations_total{invariant=%q}`, vi.Invariant)).Inc()
+func (co *controlCounters) introduced(wrote bool, err error) {
+	outcome := "kept"
+	switch {
+	case err != nil:
+		outcome = "failed"
+	case wrote:
+		outcome = "written"
+	}
+	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_platform_introductions_total{outcome=%q}`, outcome)).Inc()
 }
