fix: tell other data centres only the addresses meant for them

Cause: an introduction row mixed the addresses for its own data centre with those for others, so that a node of another data centre could link to the inner ones.

Change: rows hold both lists; a node takes the one for its data centre.

Conclusion: the cause was the mixed row.

--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -37,6 +37,8 @@
 	member   *datacentre.Member
 	links    *node.Links
 	platform platformParts
+	// dataCentre is this host's own.
+	dataCentre datacentre.Name
 	// reincarnate tells the gate; it is set before the control goroutine starts.
 	reincarnate func(in host.Incarnation)
 	invariants  *invariants
@@ -76,6 +78,7 @@
 	}
 	ct := &Control{
 		platform:   pp,
+		dataCentre: se.Host.DataCentre,
 		invariants: iv,
 		log:        log,
 		counters:   co,
--- a/cmd/process/jobs.go
+++ b/cmd/process/jobs.go
@@ -30,7 +30,7 @@
 	defer cancel()
 	ev, err := ct.readVersions(ctx, ac)
 	if err == nil && ac.Introductions {
-		ev.Contacts, err = ct.platform.Introductions.Read(ctx)
+		ev.Contacts, err = ct.platform.Introductions.Read(ctx, ct.dataCentre)
 	}
 	ct.counters.read(err)
 	ev.Err = err
@@ -70,9 +70,10 @@
 	ctx, cancel := context.WithTimeout(ct.jobCtx, jobWithin)
 	defer cancel()
 	wrote, err := ct.platform.Introductions.Write(ctx, platform.IntroductionRow{
-		DataCentre: ac.DataCentre,
-		Addresses:  ac.Addresses,
-		WrittenAt:  time.Now().UTC(),
+		DataCentre:      ac.DataCentre,
+		Addresses:       ac.Addresses,
+		RemoteAddresses: ac.RemoteAddresses,
+		WrittenAt:       time.Now().UTC(),
 	})
 	ct.counters.introduced(wrote, err)
 	ct.Emit(datacentre.Introduced{Err: err})
--- a/core/datacentre/events.go
+++ b/core/datacentre/events.go
@@ -123,7 +123,9 @@
 // Introduce writes the introduction row of this data centre by a conditional write.
 type Introduce struct {
 	DataCentre Name
-	Addresses  []string
+	// Addresses are for nodes of this data centre, RemoteAddresses for all others.
+	Addresses       []string
+	RemoteAddresses []string
 }
 
 // Reincarnate tells the gate the host's new incarnation: attempts at an earlier
--- a/core/datacentre/readers.go
+++ b/core/datacentre/readers.go
@@ -1,6 +1,7 @@
 package datacentre
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -153,23 +154,24 @@
 	if len(readers) == 0 || readers[0] != me.cfg.Host || now.Before(me.reads.introduceAt) {
 		return
 	}
-	var addresses []string
+	var near, remote []string
 	for _, id := range me.rank(me.cfg.DataCentre, "introduction", introduced) {
 		ho := me.hosts[id].ho
-		addresses = append(addresses, ho.GetAddress())
-		if ho.GetRemoteAddress() != "" {
-			addresses = append(addresses, ho.GetRemoteAddress())
-		}
+		near = append(near, ho.GetAddress())
+		remote = append(remote, cmp.Or(ho.GetRemoteAddress(), ho.GetAddress()))
 	}
-	slices.Sort(addresses)
+	slices.Sort(near)
+	slices.Sort(remote)
+	addresses := slices.Concat(near, remote)
 	me.reads.introduceAt = now.Add(introduceSoon)
 	if slices.Equal(addresses, me.reads.introduced) {
 		me.reads.introduceAt = now.Add(introduceEvery)
 	}
 	me.reads.introduced = addresses
 	me.do(Introduce{
-		DataCentre: me.cfg.DataCentre,
-		Addresses:  addresses,
+		DataCentre:      me.cfg.DataCentre,
+		Addresses:       near,
+		RemoteAddresses: remote,
 	})
 }
 
--- a/io/platform/introductions.go
+++ b/io/platform/introductions.go
@@ -25,8 +25,11 @@
 // IntroductionRow tells a node that knows nobody whom to link to.
 type IntroductionRow struct {
 	DataCentre datacentre.Name `json:"data_centre"`
-	Addresses  []string        `json:"addresses"`
-	WrittenAt  time.Time       `json:"written_at"`
+	// Addresses are for nodes of the same data centre.
+	Addresses []string `json:"addresses"`
+	// RemoteAddresses are for nodes of other data centres.
+	RemoteAddresses []string  `json:"remote_addresses"`
+	WrittenAt       time.Time `json:"written_at"`
 }
 
 // Introductions stores the introduction rows of the data centres.
@@ -37,8 +40,8 @@
 // NewIntroductions builds the store over a client.
 func NewIntroductions(cl *Client) *Introductions { return &Introductions{client: cl} }
 
-// Read reads the addresses in the rows of all data centres.
-func (is *Introductions) Read(ctx context.Context) ([]string, error) {
+// Read reads the addresses in the rows of all data centres that nodes of one use.
+func (is *Introductions) Read(ctx context.Context, from datacentre.Name) ([]string, error) {
 	rows, err := is.client.List(ctx, prefixIntroduction, "", maxDataCentres)
 	if err != nil {
 		return nil, err
@@ -49,11 +52,18 @@
 		if err != nil {
 			return nil, err
 		}
-		addresses = append(addresses, row.Addresses...)
+		addresses = append(addresses, row.addressesFor(from)...)
 	}
 	return addresses, nil
 }
 
+func (row IntroductionRow) addressesFor(from datacentre.Name) []string {
+	if from == row.DataCentre {
+		return row.Addresses
+	}
+	return row.RemoteAddresses
+}
+
 func parseIntroduction(ro Row) (IntroductionRow, error) {
 	row := IntroductionRow{}
 	if err := json.Unmarshal(ro.Value, &row); err != nil {
@@ -94,7 +104,7 @@
 
 // outdated tells whether a row is worth another write.
 func (row IntroductionRow) outdated(by IntroductionRow) bool {
-	if by.WrittenAt.Sub(row.WrittenAt) >= refreshAfter || len(row.Addresses) == 0 {
+	if by.WrittenAt.Sub(row.WrittenAt) >= refreshAfter || len(row.Addresses) == 0 || len(row.RemoteAddresses) == 0 {
 		return true
 	}
 	good := map[string]bool{}
--- a/io/platform/introductions_test.go
+++ b/io/platform/introductions_test.go
@@ -18,6 +18,7 @@
 	}
 	for i := from; i < to; i++ {
 		row.Addresses = append(row.Addresses, fmt.Sprintf("10.0.0.%d:7400", i))
+		row.RemoteAddresses = append(row.RemoteAddresses, fmt.Sprintf("192.0.2.%d:7400", i))
 	}
 	return row
 }
@@ -43,7 +44,10 @@
 		assert.Equal(t, wrote, tc.wrote, tc.name)
 	}
 	assert.Equal(t, sv.Counts().Writes, int64(3))
-	addresses, err := is.Read(ctx)
+	addresses, err := is.Read(ctx, "press-hall")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, addresses, introduction(15, 45, at).Addresses)
+	addresses, err = is.Read(ctx, "curing-room")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, addresses, introduction(15, 45, at).RemoteAddresses)
 }
