perf: two fingers a host in place of three

Cause: docs/CAPACITY.md shows probes of idle links at 1.86 times the byte limit; their number follows the number of links.

Change: a host opens links to 1/2 and 1/4 of the ring, no longer to 1/8.

One would leave too little of the 3 s for a silent host.

--- a/bench/capacity/measurement.go
+++ b/bench/capacity/measurement.go
@@ -149,6 +149,24 @@
 	return fi.Close()
 }
 
+// Keep takes the slopes that this run did not measure from a former run's file.
+func (me *Measurement) Keep(path string) error {
+	former, err := Read(path)
+	if err != nil {
+		return err
+	}
+	fresh := map[string]bool{}
+	for _, sl := range me.Slopes {
+		fresh[sl.Name] = true
+	}
+	for _, sl := range former.Slopes {
+		if !fresh[sl.Name] {
+			me.Slopes = append(me.Slopes, sl)
+		}
+	}
+	return nil
+}
+
 // Variables are the names that formulas may use, from the slopes.
 func (me *Measurement) Variables() map[string]float64 {
 	vars := map[string]float64{}
--- a/bench/slopes/main.go
+++ b/bench/slopes/main.go
@@ -37,15 +37,16 @@
 func main() {
 	out := flag.String("out", "", "`file` for the JSON lines")
 	only := flag.String("only", "", "`pattern` of the steps to run")
+	keep := flag.String("keep", "", "`file` of a former run to take the other steps' slopes from")
 	note := flag.String("note", "", "`text` about the run, such as what else the machine does")
 	flag.Parse()
-	if err := run(*out, *only, *note); err != nil {
+	if err := run(*out, *only, *keep, *note); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(out, only, note string) error {
+func run(out, only, keep, note string) error {
 	pattern, err := regexp.Compile(only)
 	if err != nil {
 		return err
@@ -73,6 +74,11 @@
 	if out == "" {
 		return nil
 	}
+	if keep != "" {
+		if err := me.Keep(keep); err != nil {
+			return fmt.Errorf("keep slopes: %w", err)
+		}
+	}
 	return me.Write(out)
 }
 
--- a/core/datacentre/limits.go
+++ b/core/datacentre/limits.go
@@ -6,7 +6,7 @@
 const (
 	// successors and fingers are the links a host opens in its data centre.
 	successors = 2
-	fingers    = 3
+	fingers    = 2
 	// holdersPerCentre is how many hosts of a data centre open a link to each other one.
 	holdersPerCentre = 2
 	// bootstrapDials is how many contacts are tried at once without any link.
