perf: probe a quiet link after 750 ms, and wait 450 ms for its answer

Cause: probes of idle links are the largest part of a node's control bytes.

What is left is the cost of a probe on a TCP link with its headers; datagrams for probes, or probing only the links that watch a host, would be the next step.

--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -26,8 +26,8 @@
 	inboxSize = 1024
 	// probeAfter and answerWithin find a silent link early enough for its host to be
 	// out of every view within 3 s; see docs/design/0002-membership.md.
-	probeAfter   = 600 * time.Millisecond
-	answerWithin = 600 * time.Millisecond
+	probeAfter   = 750 * time.Millisecond
+	answerWithin = 450 * time.Millisecond
 	dialBase     = 200 * time.Millisecond
 	dialCap      = 5 * time.Second
 )
