fix: answer at once when a service's only upstream leaves

Cause: after a refusal by a gate that leaves, the free move waited for the time that the gate gave and went to the same gate again, twice, even with no retries: callers were held for up to 2 s.

Change: without another upstream the call is answered at once with when to come back.

Figures: testdata/call/leaving: waited 500 ms before, answers at once after.

Conclusion: a call that is given up gets its answer at once.

--- a/core/call/retry.go
+++ b/core/call/retry.go
@@ -128,6 +128,11 @@
 		ca.try(up, ca.retryReason)
 		return
 	}
+	if ca.retryReason == RetryMoved {
+		// The move was free since it goes elsewhere; there is nowhere else.
+		ca.giveUp(NoRetryNoCandidate)
+		return
+	}
 	at := ca.last.ComeBack
 	if now.Before(at) && ca.inTime(at) {
 		ca.retryAt = at
