fix: let early answers reach callers whose body was not read

Cause: an answer that came before the first read of a long body closed the connection with unread bytes, and the reset could overtake the answer.

Change: every answer that leaves a body unread marks its connection, which then lingers.

Conclusion: the mark was missing where nothing of the body had been read.

--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -249,15 +249,14 @@
 		ex.cancel()
 		sv.active.Add(-1)
 		respond(ex.http, winner.reply, an.Result)
-		if ex.body != nil && !ex.body.whole() {
-			ex.http.SetConnectionClose()
-		}
+		ex.leaveUnread()
 		return
 	}
 	winner.reply.Body = &finalBody{
 		ReadCloser: winner.reply.Body,
 		exchange:   ex,
 	}
+	ex.leaveUnread()
 	respond(ex.http, winner.reply, an.Result)
 }
 
@@ -300,6 +299,12 @@
 		Str("retry", string(an.Retry)).
 		Msg("call refused")
 	ex.server.refuse(ex.http, statusOf(re), re)
+	ex.leaveUnread()
+}
+
+// leaveUnread ends the connection after the answer when the body was not read
+// to its end; it lingers, so that the answer still arrives.
+func (ex *exchange) leaveUnread() {
 	if ex.body != nil && !ex.body.whole() {
 		ex.http.SetConnectionClose()
 		ex.conn.unread.Store(true)
--- /dev/null
+++ b/io/operator/main_test.go
@@ -0,0 +1,9 @@
+package operator_test
+
+import (
+	"testing"
+
+	"lynxfold/testkit/leak"
+)
+
+func TestMain(m *testing.M) { leak.Main(m) }
