--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -295,6 +295,7 @@
 	ex.server.cfg.Log.Debug().
 		Str("service", string(ex.target.Route.Service)).
 		Uint64("call", ex.number).
+		Str("attempt", string(ex.lastAttempt())).
 		Str("reason", string(re.Reason)).
 		Str("retry", string(an.Retry)).
 		Msg("call refused")
@@ -302,6 +303,14 @@
 	ex.leaveUnread()
 }
 
+// lastAttempt names the newest attempt; it is empty when there was none.
+func (ex *exchange) lastAttempt() host.AttemptID {
+	if len(ex.attempts) == 0 {
+		return ""
+	}
+	return ex.attempts[len(ex.attempts)-1].try.Attempt
+}
+
 // leaveUnread ends the connection after the answer when the body was not read
 // to its end; it lingers, so that the answer still arrives.
 func (ex *exchange) leaveUnread() {
