--- a/cmd/node.go
+++ b/cmd/node.go
@@ -52,9 +52,13 @@
 		_, _ = fmt.Fprintln(co.out, "settings are valid")
 		return exitOK
 	}
+	if err := process.Prepare(se); err != nil {
+		_, _ = fmt.Fprintln(co.err, err)
+		return exitRefused
+	}
 	ctx, cancel := untilSignal(ctx)
 	defer cancel()
-	pr, err := process.New(se, newLog(co.err, se.Log.Level))
+	pr, err := process.New(se, newLog(co.out, se.Log.Level))
 	if err != nil {
 		_, _ = fmt.Fprintln(co.err, err)
 		return exitFailure
--- a/cmd/process/drain.go
+++ b/cmd/process/drain.go
@@ -19,9 +19,9 @@
 	ctx, cancel := context.WithTimeout(pr.aborted, pr.settings.Caller.DrainWithin)
 	defer cancel()
 	pr.control.Emit(datacentre.Leave{})
-	pr.gate.Drain(begun.Add(drainGrace))
+	pr.gate.Drain(begun.Add(pr.settings.Upstream.DrainGrace))
 	pr.caller.Drain()
-	wait(ctx, drainGrace)
+	wait(ctx, pr.settings.Caller.LingerFor)
 	if err := pr.caller.Shutdown(ctx); err != nil {
 		pr.log.Warn().Err(err).Str("step", "caller").Msg("calls are left in flight")
 	}
@@ -30,6 +30,7 @@
 	stopTicking()
 	pr.stop("upstream", pr.announce.Shutdown)
 	pr.stop("operator", pr.operator.Shutdown)
+	pr.stop("health", pr.health.Shutdown)
 	pr.lanes.Close()
 	pr.control.links.Close()
 	pr.incoming.Close()
--- a/cmd/process/jobs.go
+++ b/cmd/process/jobs.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/dig"
 
+	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/io/platform"
 )
@@ -14,12 +15,21 @@
 // jobWithin bounds one job on the platform, however many requests it makes.
 const jobWithin = 30 * time.Second
 
+// source is where accepted configurations are read from.
+type source interface {
+	// Since reads what leads on from a version: the deltas in order, or the
+	// whole document. With a known state it may wait for another one.
+	Since(ctx context.Context, ve contract.Version, known platform.ETag) (deltas []*contract.Delta, whole *contract.Snapshot, et platform.ETag, err error)
+	// Whole reads the whole document of the current version.
+	Whole(ctx context.Context) (*contract.Snapshot, error)
+}
+
 // platformParts are what the control goroutine's jobs use of the platform.
 type platformParts struct {
 	dig.In
 
-	Client        *platform.Client
-	Versions      *platform.Versions
+	Store         platform.Store
+	Source        source
 	Introductions *platform.Introductions
 }
 
@@ -45,7 +55,7 @@
 	if ac.Fresh {
 		known = ""
 	}
-	deltas, whole, state, err := ct.platform.Versions.Since(ctx, ac.After, known)
+	deltas, whole, state, err := ct.platform.Source.Since(ctx, ac.After, known)
 	if err != nil {
 		return datacentre.PlatformRead{}, err
 	}
@@ -57,7 +67,7 @@
 }
 
 func (ct *Control) readWhole(ctx context.Context) (datacentre.PlatformRead, error) {
-	whole, err := ct.platform.Versions.Whole(ctx)
+	whole, err := ct.platform.Source.Whole(ctx)
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
 		return datacentre.PlatformRead{}, nil
@@ -85,6 +95,6 @@
 	ct.links.Close()
 	close(ct.stop)
 	ct.endJobs()
-	ct.platform.Client.Close()
+	ct.platform.Store.Close()
 	ct.jobs.Wait()
 }
--- a/cmd/process/operators.go
+++ b/cmd/process/operators.go
@@ -15,7 +15,6 @@
 	"lynxfold/io/operator"
 	"lynxfold/io/operator/access"
 	"lynxfold/io/operator/record"
-	"lynxfold/io/platform"
 	"lynxfold/io/upstream"
 )
 
@@ -95,7 +94,8 @@
 
 	Settings *ini.Settings
 	Control  *Control
-	Versions *platform.Versions
+	Acceptor operator.Acceptor
+	History  operator.History
 	Metrics  *metrics.Set
 	Record   *record.Record
 	Mesh     *mesh
@@ -111,8 +111,8 @@
 		Host:       pa.Settings.Host.ID,
 		DataCentre: pa.Settings.Host.DataCentre,
 		View:       ct.View,
-		Acceptor:   pa.Versions,
-		History:    pa.Versions,
+		Acceptor:   pa.Acceptor,
+		History:    pa.History,
 		Explainer:  pa.Record,
 		Mesh:       pa.Mesh,
 		Accepted: func(de *contract.Delta, by access.OperatorName) {
@@ -135,6 +135,14 @@
 	})
 }
 
+func newHealth(ct *Control, set *metrics.Set) *operator.Health {
+	return operator.NewHealth(operator.HealthConfig{
+		Live:    ct.health.live,
+		Ready:   func() []operator.HealthReason { return ct.health.ready(ct.View().Config.Version) },
+		Metrics: set,
+	})
+}
+
 // Reload reads the keys of the console and of the links again; connections stay
 // open, and keys that can't be used leave the former ones.
 func (pr *Process) Reload() {
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"lynxfold/core/call"
 	"lynxfold/core/host"
 	"lynxfold/io/caller"
 	"lynxfold/io/ini"
@@ -43,6 +45,9 @@
 	caller   net.Listener
 	upstream net.Listener
 	operator net.Listener
+	// health and metrics are nil when the settings give no address.
+	health  net.Listener
+	metrics net.Listener
 }
 
 // addresses are where a node is reached.
@@ -56,15 +61,20 @@
 func listen(se *ini.Settings) (*sockets, error) {
 	so := &sockets{}
 	for _, it := range []struct {
-		address string
+		address netip.AddrPort
 		into    *net.Listener
 	}{
-		{address: se.Link.Listen.String(), into: &so.link},
-		{address: se.Caller.Listen.String(), into: &so.caller},
-		{address: se.Upstream.Listen.String(), into: &so.upstream},
-		{address: se.Operator.Listen.String(), into: &so.operator},
+		{address: se.Link.Listen, into: &so.link},
+		{address: se.Caller.Listen, into: &so.caller},
+		{address: se.Upstream.Listen, into: &so.upstream},
+		{address: se.Operator.Listen, into: &so.operator},
+		{address: se.Health.Listen, into: &so.health},
+		{address: se.Health.Metrics, into: &so.metrics},
 	} {
-		li, err := net.Listen("tcp", it.address)
+		if !it.address.IsValid() {
+			continue
+		}
+		li, err := net.Listen("tcp", it.address.String())
 		if err != nil {
 			so.close()
 			return nil, errors.Wrapf(err, "listen on %s", it.address)
@@ -75,7 +85,7 @@
 }
 
 func (so *sockets) close() {
-	for _, li := range []net.Listener{so.link, so.caller, so.upstream, so.operator} {
+	for _, li := range []net.Listener{so.link, so.caller, so.upstream, so.operator, so.health, so.metrics} {
 		if li != nil {
 			_ = li.Close()
 		}
@@ -105,6 +115,7 @@
 	incoming     *node.Incoming
 	caller       *caller.Server
 	operator     *operator.Server
+	health       *operator.Health
 	keyPair      *operator.KeyPair
 	announce     *upstream.Listener
 	listener     *node.Listener
@@ -132,10 +143,10 @@
 		func() *sockets { return so },
 		func() zerolog.Logger { return log },
 		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
-		newCertificates, node.NewCounters, newDialer, newPlatform, platform.NewVersions, platform.NewKeys,
+		newCertificates, node.NewCounters, newDialer, newSurroundings, platform.NewVersions, platform.NewKeys,
 		platform.NewIntroductions, newInvariants, newControl,
-		upstream.NewClient, newGate, upstream.NewListener,
-		node.NewLanes, newIncoming, newCaller, newRecord, newMesh, newKeyPair, newOperator, newListener,
+		upstream.NewClientOf, newGate, upstream.NewListener,
+		node.NewLanes, newIncoming, newCaller, newRecord, newMesh, newKeyPair, newOperator, newHealth, newListener,
 		newProcess,
 	} {
 		if err := co.Provide(constructor); err != nil {
@@ -164,6 +175,7 @@
 	Incoming *node.Incoming
 	Caller   *caller.Server
 	Operator *operator.Server
+	Health   *operator.Health
 	KeyPair  *operator.KeyPair
 	Announce *upstream.Listener
 	Listener *node.Listener
@@ -187,6 +199,7 @@
 		incoming:     pa.Incoming,
 		caller:       pa.Caller,
 		operator:     pa.Operator,
+		health:       pa.Health,
 		keyPair:      pa.KeyPair,
 		announce:     pa.Announce,
 		listener:     pa.Listener,
@@ -218,24 +231,11 @@
 	})
 }
 
-func newPlatform(se *ini.Settings) *platform.Client {
-	return platform.NewClient(platform.Config{
-		TableURL:  se.Platform.TableURL,
-		ObjectURL: se.Platform.ObjectURL,
-		Timeout:   se.Platform.Timeout,
-	})
-}
-
 // comeBack is when a refused caller is told to come back.
 const comeBack = time.Second
 
-const (
-	// drainGrace is how long a draining gate lets in attempts of nodes that have
-	// not heard of it yet.
-	drainGrace = 1500 * time.Millisecond
-	// announceLag bounds the age of what an announcement says.
-	announceLag = time.Second
-)
+// announceLag bounds the age of what an announcement says.
+const announceLag = time.Second
 
 func newGate(se *ini.Settings, id identity, ct *Control, cl *upstream.Client) *upstream.Gate {
 	return upstream.NewGate(upstream.GateConfig{
@@ -243,7 +243,7 @@
 			Incarnation:  id.incarnation,
 			QueuePerSlot: se.Upstream.QueuePerSlot,
 			ComeBack:     comeBack,
-			DrainGrace:   drainGrace,
+			DrainGrace:   se.Upstream.DrainGrace,
 			AnnounceLag:  announceLag,
 		},
 		LapseAfter: se.Upstream.LapseAfter,
@@ -260,22 +260,28 @@
 	ga *upstream.Gate,
 	la *node.Lanes,
 	ks *platform.Keys,
+	pr caller.Protocol,
 	set *metrics.Set,
 	re *record.Record,
 	log zerolog.Logger,
 ) *caller.Server {
 	return caller.New(caller.Config{
-		Host:                 se.Host.ID,
-		Incarnation:          id.incarnation,
-		DataCentre:           se.Host.DataCentre,
-		View:                 ct.View,
-		Local:                ga,
-		Remote:               la,
-		MaxHeaderBytes:       se.Caller.MaxHeaderBytes,
-		MaxBodyBytes:         se.Caller.MaxBodyBytes,
-		MaxConnections:       se.Caller.MaxConnections,
-		RetryPerSuccess:      se.Caller.RetryPerSuccess,
-		FleetSize:            se.Mesh.FleetSize,
+		Host:           se.Host.ID,
+		Incarnation:    id.incarnation,
+		DataCentre:     se.Host.DataCentre,
+		View:           ct.View,
+		Local:          ga,
+		Remote:         la,
+		MaxHeaderBytes: se.Caller.MaxHeaderBytes,
+		MaxBodyBytes:   se.Caller.MaxBodyBytes,
+		MaxConnections: se.Caller.MaxConnections,
+		Protocol:       pr,
+		Retries: call.FleetConfig{
+			PerSuccess: se.Caller.RetryPerSuccess,
+			Burst:      se.Caller.RetryBurst,
+			PerSecond:  se.Caller.RetryPerSecond,
+			Size:       se.Mesh.FleetSize,
+		},
 		Keys:                 ks,
 		KeyedWritesPerSecond: se.Platform.KeyedWritesPerSecond / float64(se.Mesh.FleetSize),
 		Rand:                 id.rand(),
@@ -342,6 +348,11 @@
 	pr.start("upstream", func() error { return pr.announce.Serve(pr.sockets.upstream) })
 	pr.start("caller", func() error { return pr.caller.Serve(pr.sockets.caller) })
 	pr.start("operator", func() error { return pr.operator.Serve(pr.sockets.operator) })
+	for _, li := range []net.Listener{pr.sockets.health, pr.sockets.metrics} {
+		if li != nil {
+			pr.start("health", func() error { return pr.health.Serve(li) })
+		}
+	}
 	ticking, stopTicking := context.WithCancel(context.Background())
 	defer stopTicking()
 	pr.start("tick", func() error { pr.tickGate(ticking); return nil })
--- /dev/null
+++ b/cmd/process/surroundings.go
@@ -0,0 +1,123 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+
+	"lynxfold/core/contract"
+	"lynxfold/io/caller"
+	"lynxfold/io/ini"
+	"lynxfold/io/operator"
+	"lynxfold/io/platform"
+	"lynxfold/io/upstream"
+	fleet "lynxfold/platform"
+)
+
+// surroundings are the parts that differ with the protocol that the platform,
+// callers and upstreams speak.
+type surroundings struct {
+	dig.Out
+
+	Store     platform.Store
+	Source    source
+	Callers   caller.Protocol
+	Upstreams upstream.Protocol
+	Registrar upstream.Registrar
+	Acceptor  operator.Acceptor
+	History   operator.History
+}
+
+func newSurroundings(se *ini.Settings, set *metrics.Set, log zerolog.Logger) surroundings {
+	if se.Platform.Protocol == ini.ProtocolFleet {
+		return newFleet(se, set, log)
+	}
+	cl := platform.NewClient(platform.Config{
+		TableURL:  se.Platform.TableURL,
+		ObjectURL: se.Platform.ObjectURL,
+		Timeout:   se.Platform.Timeout,
+	})
+	vs := platform.NewVersions(cl)
+	return surroundings{
+		Store:     cl,
+		Source:    vs,
+		Callers:   caller.OwnProtocol{},
+		Upstreams: upstream.OwnProtocol{},
+		Registrar: upstream.OwnAnnouncements{},
+		Acceptor:  vs,
+		History:   vs,
+	}
+}
+
+func newFleet(se *ini.Settings, set *metrics.Set, log zerolog.Logger) surroundings {
+	ad := fleet.New(fleet.Config{
+		URL:             se.Platform.TableURL,
+		Timeout:         se.Platform.Timeout,
+		Service:         se.Host.Service,
+		UpstreamAddress: fleet.UpstreamAddress(se),
+		Log:             log,
+		Skipped: func(kind string) {
+			set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_skipped_total{kind=%q}`, kind)).Inc()
+		},
+	})
+	return surroundings{
+		Store:     ad.Store,
+		Source:    ad.Configurations,
+		Callers:   ad.Callers,
+		Upstreams: ad.Upstreams,
+		Registrar: ad.Announcements,
+		Acceptor:  elsewhere{},
+		History:   elsewhere{},
+	}
+}
+
+// ElsewhereError reports a request about versions that this node does not keep:
+// the operators write the configuration to the platform themselves.
+type ElsewhereError struct{}
+
+func (er *ElsewhereError) Error() string {
+	return "the configuration is written to the platform's store and not accepted here"
+}
+
+// elsewhere stands for versions that are accepted elsewhere.
+type elsewhere struct{}
+
+// Accept implements operator.Acceptor.
+func (elsewhere) Accept(platform.Submission) (*contract.Delta, error) {
+	return nil, &platform.UnavailableError{Doing: "accept version", Err: &ElsewhereError{}}
+}
+
+// Row implements operator.History.
+func (elsewhere) Row(context.Context, contract.Version) (platform.VersionRow, error) {
+	return platform.VersionRow{}, &platform.UnavailableError{Doing: "read version", Err: &ElsewhereError{}}
+}
+
+// Rows implements operator.History.
+func (elsewhere) Rows(context.Context, contract.Version, int) ([]platform.VersionRow, error) {
+	return nil, &platform.UnavailableError{Doing: "read versions", Err: &ElsewhereError{}}
+}
+
+// Document implements operator.History.
+func (elsewhere) Document(context.Context, contract.Version) (*contract.Snapshot, error) {
+	return nil, &platform.UnavailableError{Doing: "read version", Err: &ElsewhereError{}}
+}
+
+// Prepare completes the settings for their surroundings and bounds the process
+// as they say.
+func Prepare(se *ini.Settings) error {
+	if se.Process.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(se.Process.MemoryMB) * memoryPermille / 1000 << 20)
+	}
+	if se.Platform.Protocol == ini.ProtocolFleet {
+		return fleet.Apply(se)
+	}
+	return nil
+}
+
+// memoryPermille is the part of the memory that the runtime keeps to; the rest
+// is for what it does not count.
+const memoryPermille = 800
--- a/core/call/budget.go
+++ b/core/call/budget.go
@@ -17,22 +17,26 @@
 	Ceiling float64
 }
 
-// What all nodes of a mesh may do together for one service.
-const (
-	// fleetBurst is the number of retries that they can save up.
-	fleetBurst = 240
-	// fleetPerSecond is the number of retries that they always have, each second.
-	fleetPerSecond = 6
-)
+// FleetConfig is what all nodes of a mesh may do together for one service.
+type FleetConfig struct {
+	// PerSuccess is what one success adds, in retries.
+	PerSuccess float64
+	// Burst is the number of retries that they can save up.
+	Burst float64
+	// PerSecond is the number of retries that they always have, each second.
+	PerSecond float64
+	// Size counts the hosts.
+	Size int
+}
 
 // FleetBudget divides among the nodes of a mesh what a service can bear, however
-// few calls each of them makes. The size counts hosts.
-func FleetBudget(perSuccess float64, size int) BudgetConfig {
-	nodes := float64(max(1, size))
+// few calls each of them makes.
+func FleetBudget(cfg FleetConfig) BudgetConfig {
+	nodes := float64(max(1, cfg.Size))
 	return BudgetConfig{
-		PerSuccess: perSuccess,
-		PerSecond:  fleetPerSecond / nodes,
-		Ceiling:    max(1, fleetBurst/nodes),
+		PerSuccess: cfg.PerSuccess,
+		PerSecond:  cfg.PerSecond / nodes,
+		Ceiling:    max(1, cfg.Burst/nodes),
 	}
 }
 
--- /dev/null
+++ b/core/call/split.go
@@ -0,0 +1,51 @@
+package call
+
+import (
+	"math"
+
+	"lynxfold/core/contract"
+)
+
+// goldenRatio spreads consecutive points evenly, however many are taken.
+const goldenRatio = 0.6180339887498949
+
+// Splits divides the calls of split routes among their services. Consecutive
+// calls of a route are spread evenly, so that the shares hold for short spans too.
+type Splits struct {
+	points map[contract.RouteName]float64
+}
+
+// Next chooses the part of a split route that the next call goes to.
+func (sp *Splits) Next(ta *contract.Target) *contract.Target {
+	if sp.points == nil {
+		sp.points = map[contract.RouteName]float64{}
+	}
+	point, known := sp.points[ta.Route.Name]
+	if !known {
+		point = 0.5
+	}
+	point = math.Mod(point+goldenRatio, 1)
+	sp.points[ta.Route.Name] = point
+	return ta.Parts[partAt(ta.Route.Split, point)]
+}
+
+// partAt finds the part that a point from 0 up to 1 falls into.
+func partAt(split []contract.Share, point float64) int {
+	total := 0
+	for _, sh := range split {
+		total += sh.Weight
+	}
+	left := point * float64(total)
+	last := 0
+	for i, sh := range split {
+		if sh.Weight == 0 {
+			continue
+		}
+		last = i
+		if left < float64(sh.Weight) {
+			return i
+		}
+		left -= float64(sh.Weight)
+	}
+	return last
+}
--- a/core/contract/change.go
+++ b/core/contract/change.go
@@ -13,6 +13,9 @@
 	removeServices  []string
 	removeContracts []string
 	removeRoutes    []string
+	// limits are those of the result, when they differ.
+	limits    *Limits
+	hasLimits bool
 }
 
 func serviceKey(se Service) string { return string(se.Name) }
@@ -25,12 +28,19 @@
 	ch.putServices, ch.removeServices = diffItems(from.Services, to.Services, serviceKey, sameService)
 	ch.putContracts, ch.removeContracts = diffItems(from.Contracts, to.Contracts, termsKey, sameTerms)
 	ch.putRoutes, ch.removeRoutes = diffItems(from.Routes, to.Routes, routeKey, sameRoute)
+	ch.limits = to.Limits
+	ch.hasLimits = !sameLimits(from.Limits, to.Limits)
 	return ch
 }
 
 // digests computes the sums that the change leads to.
 func (ch *change) digests(base *digests) digests {
+	limits := base.limits
+	if ch.hasLimits {
+		limits = sumLimits(ch.limits)
+	}
 	return digests{
+		limits:    limits,
 		services:  base.services.edit(sumItems(ch.putServices, serviceKey), ch.removeServices),
 		contracts: base.contracts.edit(sumItems(ch.putContracts, termsKey), ch.removeContracts),
 		routes:    base.routes.edit(sumItems(ch.putRoutes, routeKey), ch.removeRoutes),
@@ -39,7 +49,12 @@
 
 // document applies the change to a document whose lists are in order.
 func (ch *change) document(base *Document) *Document {
+	limits := base.Limits
+	if ch.hasLimits {
+		limits = ch.limits
+	}
 	return &Document{
+		Limits:    limits,
 		Services:  applyItems(base.Services, ch.putServices, ch.removeServices, serviceKey),
 		Contracts: applyItems(base.Contracts, ch.putContracts, ch.removeContracts, termsKey),
 		Routes:    applyItems(base.Routes, ch.putRoutes, ch.removeRoutes, routeKey),
@@ -65,11 +80,21 @@
 func sameService(a, b Service) bool { return a == b }
 func sameTerms(a, b Terms) bool     { return a == b }
 
+func sameLimits(a, b *Limits) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 func sameRoute(a, b Route) bool {
 	if !slices.Equal(a.Methods, b.Methods) {
 		return false
 	}
-	return a.Name == b.Name && a.PathPrefix == b.PathPrefix && a.Service == b.Service &&
+	if !slices.Equal(a.Split, b.Split) {
+		return false
+	}
+	return a.Name == b.Name && a.Host == b.Host && a.PathPrefix == b.PathPrefix && a.Service == b.Service &&
 		a.Contract == b.Contract && a.Fallback == b.Fallback
 }
 
--- a/core/contract/delta.go
+++ b/core/contract/delta.go
@@ -15,12 +15,15 @@
 	RemoveServices  []ServiceName `json:"remove_services,omitempty"`
 	RemoveContracts []TermsName   `json:"remove_contracts,omitempty"`
 	RemoveRoutes    []RouteName   `json:"remove_routes,omitempty"`
+	// Limits replace those of the base; a delta that removes them says so.
+	Limits       *Limits `json:"limits,omitempty"`
+	RemoveLimits bool    `json:"remove_limits,omitempty"`
 }
 
 // Diff computes the delta between two snapshots.
 func Diff(from, to *Snapshot) *Delta {
 	ch := changeOf(from.Document, to.Document)
-	return &Delta{
+	de := &Delta{
 		Base:            from.Version,
 		BaseDigest:      from.Digest,
 		Result:          to.Version,
@@ -32,6 +35,11 @@
 		RemoveContracts: convert[TermsName](ch.removeContracts),
 		RemoveRoutes:    convert[RouteName](ch.removeRoutes),
 	}
+	if ch.hasLimits {
+		de.Limits = ch.limits
+		de.RemoveLimits = ch.limits == nil
+	}
+	return de
 }
 
 func convert[To, From ~string](names []From) []To {
@@ -50,6 +58,8 @@
 		removeServices:  convert[string](de.RemoveServices),
 		removeContracts: convert[string](de.RemoveContracts),
 		removeRoutes:    convert[string](de.RemoveRoutes),
+		limits:          de.Limits,
+		hasLimits:       de.Limits != nil || de.RemoveLimits,
 	}
 }
 
--- a/core/contract/digest.go
+++ b/core/contract/digest.go
@@ -28,6 +28,8 @@
 	services  sums
 	contracts sums
 	routes    sums
+	// limits is zero when the document has none.
+	limits sum
 }
 
 func sumOf(item any) sum {
@@ -85,9 +87,20 @@
 			ha.Write(su.parts[i][:])
 		}
 	}
+	if di.limits != (sum{}) {
+		ha.Write(di.limits[:])
+	}
 	return Digest(hex.EncodeToString(ha.Sum(nil)))
 }
 
+// sumLimits is the digest of a document's limits; zero when there are none.
+func sumLimits(li *Limits) sum {
+	if li == nil {
+		return sum{}
+	}
+	return sumOf(li)
+}
+
 // digestsOf computes all sums of a document.
 func digestsOf(doc *Document) digests {
 	ch := changeOf(&Document{}, doc)
--- a/core/contract/document.go
+++ b/core/contract/document.go
@@ -5,7 +5,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -36,6 +38,29 @@
 	Services  []Service `json:"services"`
 	Contracts []Terms   `json:"contracts"`
 	Routes    []Route   `json:"routes"`
+	// Limits bound what callers may send; nil leaves it to the hosts' settings.
+	Limits *Limits `json:"limits,omitempty"`
+}
+
+// Limits bound a caller's requests and connections. A limit of 0 leaves the
+// bound to the settings of each host.
+type Limits struct {
+	MaxHeaderBytes int64 `json:"max_header_bytes,omitempty"`
+	MaxBodyBytes   int64 `json:"max_body_bytes,omitempty"`
+	// HeaderTimeoutMS bounds the arrival of a request's header, in milliseconds.
+	HeaderTimeoutMS int64 `json:"header_timeout_ms,omitempty"`
+	// IdleTimeoutMS is how long a connection may stay idle, in milliseconds.
+	IdleTimeoutMS int64 `json:"idle_timeout_ms,omitempty"`
+}
+
+// HeaderTimeout bounds the arrival of a request's header; 0 when not set.
+func (li Limits) HeaderTimeout() time.Duration {
+	return time.Duration(li.HeaderTimeoutMS) * time.Millisecond
+}
+
+// IdleTimeout is how long a connection may stay idle; 0 when not set.
+func (li Limits) IdleTimeout() time.Duration {
+	return time.Duration(li.IdleTimeoutMS) * time.Millisecond
 }
 
 // Service is a set of upstreams that answer the same calls.
@@ -59,6 +84,19 @@
 	// milliseconds after the first; 0 means never.
 	HedgeAfterMS int64 `json:"hedge_after_ms,omitempty"`
 	Class        Class `json:"class,omitempty"`
+	// Rank orders calls that compete for an upstream: 0 goes first.
+	Rank int `json:"rank,omitempty"`
+	// ObjectiveMS is the time within which an answer is wanted, in
+	// milliseconds; 0 means any time before the timeout.
+	ObjectiveMS int64 `json:"objective_ms,omitempty"`
+}
+
+// Objective is the time within which an answer is wanted.
+func (te Terms) Objective() time.Duration {
+	if te.ObjectiveMS == 0 {
+		return te.Timeout()
+	}
+	return time.Duration(te.ObjectiveMS) * time.Millisecond
 }
 
 // Timeout is the time that a call may take.
@@ -73,15 +111,67 @@
 
 // Route sends calls that match a path prefix and method to a service.
 type Route struct {
-	Name       RouteName   `json:"name"`
+	Name RouteName `json:"name"`
+	// Host is the name that calls are addressed to, in lower case and without a
+	// port; a route without one takes the calls to hosts that no route names.
+	Host string `json:"host,omitempty"`
+	// PathPrefix that ends in a slash takes only what lies below it.
 	PathPrefix string      `json:"path_prefix"`
 	Methods    []string    `json:"methods,omitempty"`
-	Service    ServiceName `json:"service"`
-	Contract   TermsName   `json:"contract"`
+	Service    ServiceName `json:"service,omitempty"`
+	// Split divides the calls among several services; Service is empty then.
+	Split    []Share   `json:"split,omitempty"`
+	Contract TermsName `json:"contract"`
 	// Fallback is the route taken when the service has no usable upstream.
 	Fallback RouteName `json:"fallback,omitempty"`
 }
 
+// Share is one service's part of a split route.
+type Share struct {
+	Service ServiceName `json:"service"`
+	// Weight is the part of the calls, in proportion to the other weights.
+	Weight int `json:"weight"`
+}
+
+// FormatSplit writes a split as a person reads it, such as "lookup=90 archive=10".
+func FormatSplit(split []Share) string {
+	parts := make([]string, 0, len(split))
+	for _, sh := range split {
+		parts = append(parts, fmt.Sprintf("%s=%d", sh.Service, sh.Weight))
+	}
+	return strings.Join(parts, " ")
+}
+
+// ParseSplit reads what FormatSplit writes; a part that can't be read gets the
+// weight -1, which no valid document has.
+func ParseSplit(text string) []Share {
+	var split []Share
+	for _, part := range strings.Fields(text) {
+		name, weight, _ := strings.Cut(part, "=")
+		nu, err := strconv.Atoi(weight)
+		if err != nil {
+			nu = -1
+		}
+		split = append(split, Share{
+			Service: ServiceName(name),
+			Weight:  nu,
+		})
+	}
+	return split
+}
+
+// Services lists the services that the route's calls go to.
+func (ro Route) Services() []ServiceName {
+	if len(ro.Split) == 0 {
+		return []ServiceName{ro.Service}
+	}
+	names := make([]ServiceName, 0, len(ro.Split))
+	for _, sh := range ro.Split {
+		names = append(names, sh.Service)
+	}
+	return names
+}
+
 // ParseDocument reads a document and rejects fields that it does not know.
 func ParseDocument(data []byte) (*Document, error) {
 	dec := json.NewDecoder(bytes.NewReader(data))
@@ -112,6 +202,7 @@
 		Services:  slices.Clone(doc.Services),
 		Contracts: slices.Clone(doc.Contracts),
 		Routes:    slices.Clone(doc.Routes),
+		Limits:    doc.Limits,
 	}
 }
 
--- a/core/contract/fields.go
+++ b/core/contract/fields.go
@@ -71,10 +71,17 @@
 	for _, ro := range doc.Routes {
 		fv.add("routes", string(ro.Name), ro)
 	}
+	if doc.Limits != nil {
+		fv.addFields("limits", doc.Limits)
+	}
 	return fv
 }
 
 func (fv fieldValues) add(list, name string, item any) {
+	fv.addFields(fmt.Sprintf("%s[%s]", list, name), item)
+}
+
+func (fv fieldValues) addFields(path string, item any) {
 	data, err := json.Marshal(item)
 	if err != nil {
 		panic(err) // items hold only types that always marshal
@@ -84,6 +91,6 @@
 		panic(err) // the JSON form of an item is an object
 	}
 	for field, va := range fields {
-		fv[fmt.Sprintf("%s[%s].%s", list, name, field)] = va
+		fv[path+"."+field] = va
 	}
 }
--- a/core/contract/snapshot.go
+++ b/core/contract/snapshot.go
@@ -26,6 +26,28 @@
 	Terms   Terms
 	// Fallback is nil when the route has none.
 	Fallback *Target
+	// Parts are the targets of a split route, one a service; Service is empty
+	// then. Each has the route as it would be with that service alone.
+	Parts []*Target
+}
+
+// resolve fills in the services and terms that a target's route names.
+func (sn *Snapshot) resolve(ta *Target) {
+	ta.Terms, _ = sn.terms.get(string(ta.Route.Contract))
+	if len(ta.Route.Split) == 0 {
+		ta.Service, _ = sn.services.get(string(ta.Route.Service))
+		return
+	}
+	ta.Parts = make([]*Target, 0, len(ta.Route.Split))
+	for _, sh := range ta.Route.Split {
+		part := &Target{
+			Route: ta.Route,
+			Terms: ta.Terms,
+		}
+		part.Route.Service = sh.Service
+		part.Service, _ = sn.services.get(string(sh.Service))
+		ta.Parts = append(ta.Parts, part)
+	}
 }
 
 // Empty is the configuration of a mesh before its first version.
@@ -67,12 +89,14 @@
 		delete(fresh, name)
 	}
 	for _, ta := range fresh {
-		ta.Service, _ = sn.services.get(string(ta.Route.Service))
-		ta.Terms, _ = sn.terms.get(string(ta.Route.Contract))
+		sn.resolve(ta)
 	}
 	sn.targets = base.targets.edit(fresh, ch.removeRoutes)
 	for _, ta := range fresh {
 		ta.Fallback, _ = sn.targets.get(string(ta.Route.Fallback))
+		for _, part := range ta.Parts {
+			part.Fallback = ta.Fallback
+		}
 	}
 	sn.prefixes = base.editPrefixes(fresh, ch.removeRoutes)
 }
@@ -93,7 +117,10 @@
 			if _, done := touched[name]; done {
 				return true
 			}
-			_, byService := services[string(ta.Route.Service)]
+			byService := slices.ContainsFunc(ta.Route.Services(), func(na ServiceName) bool {
+				_, put := services[string(na)]
+				return put
+			})
 			_, byTerms := terms[string(ta.Route.Contract)]
 			_, byFallback := touched[string(ta.Route.Fallback)]
 			if byService || byTerms || byFallback {
@@ -119,7 +146,7 @@
 	}
 	drop := func(name string) {
 		if old, ok := sn.targets.get(name); ok {
-			prefix := trimPrefix(old.Route.PathPrefix)
+			prefix := prefixKey(old.Route)
 			lists[prefix] = slices.DeleteFunc(list(prefix), func(ta *Target) bool { return ta == old })
 		}
 	}
@@ -130,7 +157,7 @@
 		drop(name)
 	}
 	for _, ta := range fresh {
-		prefix := trimPrefix(ta.Route.PathPrefix)
+		prefix := prefixKey(ta.Route)
 		lists[prefix] = append(list(prefix), ta)
 	}
 	var empty []string
@@ -148,26 +175,39 @@
 	return sn.services.get(string(name))
 }
 
-// Match finds the route with the longest prefix for a method and path; a route
-// that names the method goes before one that takes all. It is nil when none fits.
-func (sn *Snapshot) Match(method, path string) *Target {
-	path = strings.TrimRight(path, "/")
+// Match finds the route for a call. Routes that name the call's host go before
+// those that name none; among them the longest prefix wins, and a route that
+// names the method goes before one that takes all. It is nil when none fits.
+func (sn *Snapshot) Match(host, method, path string) *Target {
+	if host != "" {
+		if ta := sn.matchPath(host, method, path); ta != nil {
+			return ta
+		}
+	}
+	return sn.matchPath("", method, path)
+}
+
+func (sn *Snapshot) matchPath(host, method, path string) *Target {
+	rest := strings.TrimRight(path, "/")
 	for {
-		targets, _ := sn.prefixes.get(path)
-		if ta := pickMethod(targets, method); ta != nil {
+		targets, _ := sn.prefixes.get(host + rest)
+		if ta := pickMethod(targets, method, path); ta != nil {
 			return ta
 		}
-		cut := strings.LastIndexByte(path, '/')
+		cut := strings.LastIndexByte(rest, '/')
 		if cut < 0 {
 			return nil
 		}
-		path = path[:cut]
+		rest = rest[:cut]
 	}
 }
 
-func pickMethod(targets []*Target, method string) *Target {
+func pickMethod(targets []*Target, method, path string) *Target {
 	var any *Target
 	for _, ta := range targets {
+		if !strings.HasPrefix(path, ta.Route.PathPrefix) {
+			continue
+		}
 		if len(ta.Route.Methods) == 0 {
 			any = ta
 			continue
@@ -184,13 +224,26 @@
 func (sn *Snapshot) CheckRoutes() []RouteName {
 	var dangling []RouteName
 	sn.targets.all(func(name string, ta *Target) bool {
-		se, ok := sn.services.get(string(ta.Route.Service))
 		te, known := sn.terms.get(string(ta.Route.Contract))
 		fallback, _ := sn.targets.get(string(ta.Route.Fallback))
-		if !ok || !known || se != ta.Service || te != ta.Terms || fallback != ta.Fallback {
+		if !sn.holdsServices(ta) || !known || te != ta.Terms || fallback != ta.Fallback {
 			dangling = append(dangling, RouteName(name))
 		}
 		return true
 	})
 	return dangling
 }
+
+// holdsServices tells whether a target and its parts have the services of the snapshot.
+func (sn *Snapshot) holdsServices(ta *Target) bool {
+	if len(ta.Parts) == 0 {
+		se, ok := sn.services.get(string(ta.Route.Service))
+		return ok && se == ta.Service
+	}
+	for _, part := range ta.Parts {
+		if !sn.holdsServices(&Target{Route: part.Route, Service: part.Service}) {
+			return false
+		}
+	}
+	return len(ta.Parts) == len(ta.Route.Split)
+}
--- a/core/contract/validate.go
+++ b/core/contract/validate.go
@@ -9,14 +9,20 @@
 // Bounds on documents.
 const (
 	maxTimeoutMS   = 10 * 60 * 1000
+	maxIdleMS      = 24 * 60 * 60 * 1000
+	maxLimitBytes  = 1 << 40
 	maxRetries     = 5
 	maxItems       = 20_000
 	maxDescription = 1_000
+	maxRank        = 100
+	maxWeight      = 1_000_000
+	maxShares      = 16
 )
 
 var (
 	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 	methodPattern = regexp.MustCompile(`^[A-Z]{1,16}$`)
+	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$`)
 	pathPattern   = regexp.MustCompile(`^/[A-Za-z0-9._~/%-]*$`)
 )
 
@@ -44,6 +50,7 @@
 		route:      func(name RouteName) (Route, bool) { ro, ok := routes[string(name)]; return ro, ok },
 	}
 	ch.checkSizes()
+	ch.checkLimits(doc.Limits)
 	ch.checkServices()
 	ch.checkContracts()
 	ch.checkRoutes()
@@ -119,11 +126,22 @@
 	if te.Keyed && te.Idempotent {
 		ch.add(path+".keyed", FaultContradiction, "idempotent calls need no key")
 	}
+	ch.checkOrder(path, te)
 	if te.Class != ClassLookup && te.Class != ClassBulk {
 		ch.add(path+".class", FaultOutOfRange, "%q: use lookup or bulk", te.Class)
 	}
 }
 
+// checkOrder checks what orders calls that compete for an upstream.
+func (ch *checker) checkOrder(path string, te Terms) {
+	if te.Rank < 0 || te.Rank > maxRank {
+		ch.add(path+".rank", FaultOutOfRange, "%d: use 0 to %d", te.Rank, maxRank)
+	}
+	if te.ObjectiveMS < 0 || te.ObjectiveMS > maxTimeoutMS {
+		ch.add(path+".objective_ms", FaultImpossibleDeadline, "%d: use 0 to %d", te.ObjectiveMS, maxTimeoutMS)
+	}
+}
+
 func (ch *checker) checkRoutes() {
 	seen := map[RouteName]bool{}
 	for i, ro := range ch.doc.Routes {
@@ -143,14 +161,72 @@
 			ch.add(fmt.Sprintf("%s.methods[%d]", path, j), FaultBadMethod, "%q: use upper-case letters", me)
 		}
 	}
-	if !ch.hasService(ro.Service) {
-		ch.add(path+".service", FaultUnknownService, "%q is not a service of this document", ro.Service)
+	if ro.Host != "" && !hostPattern.MatchString(ro.Host) {
+		ch.add(path+".host", FaultBadName, "%q: use a host name in lower case without a port", ro.Host)
 	}
+	ch.checkDestination(path, ro)
 	if _, ok := ch.terms(ro.Contract); !ok {
 		ch.add(path+".contract", FaultUnknownContract, "%q is not a contract of this document", ro.Contract)
 	}
 }
 
+// checkDestination checks the service of a route, or those that it is split among.
+func (ch *checker) checkDestination(path string, ro Route) {
+	if len(ro.Split) == 0 {
+		ch.checkService(path+".service", ro.Service)
+		return
+	}
+	if ro.Service != "" {
+		ch.add(path+".service", FaultContradiction, "a split route names its services in split only")
+	}
+	if len(ro.Split) > maxShares {
+		ch.add(path+".split", FaultOutOfRange, "%d services, at most %d", len(ro.Split), maxShares)
+	}
+	seen := map[ServiceName]bool{}
+	total := 0
+	for i, sh := range ro.Split {
+		at := fmt.Sprintf("%s.split[%d]", path, i)
+		ch.checkService(at+".service", sh.Service)
+		if seen[sh.Service] {
+			ch.add(at+".service", FaultDuplicate, "%q is there twice", sh.Service)
+		}
+		seen[sh.Service] = true
+		if sh.Weight < 0 || sh.Weight > maxWeight {
+			ch.add(at+".weight", FaultOutOfRange, "%d: use 0 to %d", sh.Weight, maxWeight)
+		}
+		total += max(0, sh.Weight)
+	}
+	if total == 0 {
+		ch.add(path+".split", FaultOutOfRange, "at least one weight must be above 0")
+	}
+}
+
+func (ch *checker) checkService(path string, name ServiceName) {
+	if !ch.hasService(name) {
+		ch.add(path, FaultUnknownService, "%q is not a service of this document", name)
+	}
+}
+
+func (ch *checker) checkLimits(li *Limits) {
+	if li == nil {
+		return
+	}
+	for _, it := range []struct {
+		field string
+		value int64
+		most  int64
+	}{
+		{field: "max_header_bytes", value: li.MaxHeaderBytes, most: maxLimitBytes},
+		{field: "max_body_bytes", value: li.MaxBodyBytes, most: maxLimitBytes},
+		{field: "header_timeout_ms", value: li.HeaderTimeoutMS, most: maxTimeoutMS},
+		{field: "idle_timeout_ms", value: li.IdleTimeoutMS, most: maxIdleMS},
+	} {
+		if it.value < 0 || it.value > it.most {
+			ch.add("limits."+it.field, FaultOutOfRange, "%d: use 0 to %d", it.value, it.most)
+		}
+	}
+}
+
 func (ch *checker) checkFallbacks() {
 	for i, ro := range ch.doc.Routes {
 		path := fmt.Sprintf("routes[%d].fallback", i)
@@ -211,7 +287,7 @@
 			methods = []string{""}
 		}
 		for _, me := range methods {
-			ke := key{prefix: trimPrefix(ro.PathPrefix), method: me}
+			ke := key{prefix: prefixKey(ro), method: me}
 			if other, ok := taken[ke]; ok {
 				ch.add(fmt.Sprintf("routes[%d].path_prefix", i), FaultOverlap, "route %q matches the same calls", other)
 				continue
@@ -224,3 +300,6 @@
 func trimPrefix(prefix string) string {
 	return strings.TrimRight(prefix, "/")
 }
+
+// prefixKey is what a route is found by: its host and its prefix.
+func prefixKey(ro Route) string { return ro.Host + trimPrefix(ro.PathPrefix) }
--- a/core/contract/validchange.go
+++ b/core/contract/validchange.go
@@ -17,6 +17,9 @@
 	if sn.services.count+sn.terms.count+sn.targets.count > maxItems {
 		return false
 	}
+	if ch.hasLimits {
+		ck.checkLimits(ch.limits)
+	}
 	ck.checkServices()
 	ck.checkContracts()
 	ck.checkRoutes()
@@ -35,7 +38,7 @@
 // overlaps tells whether a changed route matches the same calls as another.
 func (sn *Snapshot) overlaps(ch *change) bool {
 	for _, ro := range ch.putRoutes {
-		targets, _ := sn.prefixes.get(trimPrefix(ro.PathPrefix))
+		targets, _ := sn.prefixes.get(prefixKey(ro))
 		taken := map[string]bool{}
 		for _, ta := range targets {
 			methods := ta.Route.Methods
@@ -61,13 +64,23 @@
 	found := false
 	sn.targets.all(func(_ string, ta *Target) bool {
 		fallback := string(ta.Route.Fallback)
-		found = !sn.services.has(string(ta.Route.Service)) || !sn.terms.has(string(ta.Route.Contract)) ||
+		found = !sn.hasServices(ta.Route) || !sn.terms.has(string(ta.Route.Contract)) ||
 			fallback != "" && base.targets.has(fallback) && !sn.targets.has(fallback)
 		return !found
 	})
 	return found
 }
 
+// hasServices tells whether the snapshot holds all services of a route.
+func (sn *Snapshot) hasServices(ro Route) bool {
+	for _, name := range ro.Services() {
+		if !sn.services.has(string(name)) {
+			return false
+		}
+	}
+	return true
+}
+
 // mixesSafety tells whether a route falls back to one that treats repeats in
 // another way; a change of terms may bring that about for unchanged routes.
 func (sn *Snapshot) mixesSafety() bool {
--- a/core/draft/change.go
+++ b/core/draft/change.go
@@ -134,18 +134,43 @@
 		{Label: "retries", Value: fmt.Sprint(te.Retries)},
 		{Label: "hedge after", Value: hedge},
 		{Label: "class", Value: string(te.Class)},
+		{Label: "rank", Value: fmt.Sprint(te.Rank)},
+		{Label: "objective", Value: objective(te)},
 	}
 }
 
+func objective(te contract.Terms) string {
+	if te.ObjectiveMS == 0 {
+		return none
+	}
+	return millis(te.ObjectiveMS)
+}
+
+func orAny(text string) string {
+	if text == "" {
+		return "any"
+	}
+	return text
+}
+
+// destination names a route's service, or its services and their weights.
+func destination(ro contract.Route) string {
+	if len(ro.Split) == 0 {
+		return string(ro.Service)
+	}
+	return contract.FormatSplit(ro.Split)
+}
+
 func routeFields(ro contract.Route) []Field {
 	methods := strings.Join(ro.Methods, ", ")
 	if methods == "" {
 		methods = "all"
 	}
 	return []Field{
+		{Label: "host", Value: orAny(ro.Host)},
 		{Label: "path prefix", Value: ro.PathPrefix},
 		{Label: "methods", Value: methods},
-		{Label: "service", Value: string(ro.Service)},
+		{Label: "service", Value: destination(ro)},
 		{Label: "contract", Value: string(ro.Contract)},
 		{Label: "fallback", Value: orNone(string(ro.Fallback))},
 	}
--- a/core/draft/draft.go
+++ b/core/draft/draft.go
@@ -131,6 +131,7 @@
 		Services:  apply(doc.Services, dr.Services, serviceName),
 		Contracts: apply(doc.Contracts, dr.Contracts, termsName),
 		Routes:    apply(doc.Routes, dr.Routes, routeName),
+		Limits:    doc.Limits,
 	}
 }
 
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -59,8 +59,9 @@
 		ga.bulk++
 	}
 	ga.do(Dispatch{
-		ID:      en.attempt.ID,
-		Address: ga.upstream.Address,
+		ID:       en.attempt.ID,
+		Address:  ga.upstream.Address,
+		Instance: ga.upstream.Instance,
 	})
 }
 
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -94,8 +94,9 @@
 // Dispatch sends an attempt to the upstream. From here on only the adapter
 // knows whether a byte went out: it says so with Ended.
 type Dispatch struct {
-	ID      AttemptID
-	Address string
+	ID       AttemptID
+	Address  string
+	Instance InstanceID
 }
 
 // Refuse ends an attempt that did not run and never will.
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -48,6 +48,7 @@
 	// demand is an average of the lookups that run or wait at once.
 	demand    float64
 	occupancy occupancy
+	seen      seen
 	lookups   estimate
 	uploads   estimate
 	acts      []Action
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -99,6 +99,9 @@
 	StateGone
 )
 
+// InstanceID names one incarnation of an upstream.
+type InstanceID string
+
 // Announcement is what an upstream tells its own host's node, repeatedly.
 type Announcement struct {
 	Service     contract.ServiceName
@@ -108,6 +111,12 @@
 	State       State
 	// InFlight is what the upstream itself counts as running.
 	InFlight int
+	// Instance is empty when the upstream does not name its incarnations.
+	Instance InstanceID
+	// Born is when the instance started, by its own clock; zero when unknown.
+	Born time.Time
+	// Sequence grows with each announcement of an instance; 0 when unknown.
+	Sequence uint64
 }
 
 // Attempt is one attempt at a call as its gate sees it.
@@ -116,5 +125,7 @@
 	Incarnation Incarnation
 	Service     contract.ServiceName
 	Class       contract.Class
-	Deadline    time.Time
+	// Rank orders the attempts that wait: 0 goes first.
+	Rank     int
+	Deadline time.Time
 }
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -1,11 +1,6 @@
 package caller
 
 import (
-	"encoding/json"
-	"math"
-	"strconv"
-	"time"
-
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/core/call"
@@ -18,26 +13,8 @@
 func (sv *Server) refuse(ctx *fasthttp.RequestCtx, status int, re call.Result) {
 	sv.cfg.Counters.refused(re.Reason)
 	ctx.Response.Reset()
-	ctx.SetStatusCode(status)
-	ctx.Response.Header.Set(HeaderOutcome, string(re.Outcome))
-	ctx.Response.Header.Set(HeaderReason, string(re.Reason))
-	setGaveUp(ctx, re)
-	if !re.ComeBack.IsZero() {
-		seconds := max(1, int(math.Ceil(time.Until(re.ComeBack).Seconds())))
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(seconds))
-	}
-	body, err := json.Marshal(struct {
-		Outcome call.Outcome `json:"outcome"`
-		Reason  host.Reason  `json:"reason"`
-	}{
-		Outcome: re.Outcome,
-		Reason:  re.Reason,
-	})
-	if err != nil {
-		return // the status and headers say it all
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	ctx.Response.Header.SetNoDefaultContentType(true)
+	sv.cfg.Protocol.Refused(ctx, status, re)
 }
 
 func setGaveUp(ctx *fasthttp.RequestCtx, re call.Result) {
@@ -73,12 +50,11 @@
 
 // respond passes an upstream's response on. The HTTP library closes its body
 // when it is sent, and the connection when it is cut short.
-func respond(ctx *fasthttp.RequestCtx, rp upstream.Reply, re call.Result) {
+func (sv *Server) respond(ctx *fasthttp.RequestCtx, rp upstream.Reply, re call.Result) {
 	rs := rp.Response
 	ctx.SetStatusCode(int(rs.GetStatus()))
-	copyHeaders(ctx, rs)
-	ctx.Response.Header.Set(HeaderOutcome, string(call.OutcomeRan))
-	setGaveUp(ctx, re)
+	sv.copyHeaders(ctx, rs)
+	defer sv.cfg.Protocol.Answered(ctx, re)
 	switch {
 	case rp.Body != nil:
 		ctx.Response.ImmediateHeaderFlush = true
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -97,10 +97,11 @@
 // headers are those of the call and the marker of the attempt.
 func (at *attempt) headers() []*wire.Header {
 	common := at.exchange.headers
-	return append(common[:len(common):len(common)], &wire.Header{
-		Name:  []byte(call.HeaderAttempt),
-		Value: []byte(call.AttemptMark(at.exchange.mark, at.try.Number)),
-	})
+	mark := at.exchange.server.cfg.Protocol.Marked(call.AttemptMark(at.exchange.mark, at.try.Number))
+	if mark == nil {
+		return common
+	}
+	return append(common[:len(common):len(common)], mark)
 }
 
 // result is what the reply says of the attempt.
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -46,6 +46,8 @@
 	taken bool
 	// err is why reading ended; io.EOF when the body is whole.
 	err error
+	// over is closed when reading has ended.
+	over chan struct{}
 }
 
 // read reads on; only a whole body ends with io.EOF.
@@ -63,7 +65,12 @@
 			Got:    bo.got,
 		}
 	}
-	bo.err = err
+	if err != nil && bo.err == nil {
+		close(bo.over)
+	}
+	if err != nil {
+		bo.err = err
+	}
 	return n, err
 }
 
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -38,7 +38,7 @@
 }
 
 // Accept returns the next connection within the limit.
-func (ls *listener) Accept() (net.Conn, error) {
+func (ls *listener) Accept() (*conn, error) {
 	for {
 		nc, err := ls.Listener.Accept()
 		if err != nil {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -47,12 +47,16 @@
 // request: attempts may outlast the HTTP library's.
 type exchange struct {
 	server  *Server
+	session *session
+	turn    *turn
 	http    *fasthttp.RequestCtx
 	conn    *conn
 	view    *datacentre.View
 	target  *contract.Target
 	number  uint64
 	name    record.CallID
+	// request is the caller's own name for the request.
+	request string
 	begun   time.Time
 	method  string
 	uri     string
@@ -78,9 +82,8 @@
 func (ex *exchange) run() {
 	ex.context, ex.cancel = context.WithDeadline(context.Background(), ex.deadline)
 	ex.call = call.New(ex.config())
-	ex.server.watch.add(ex)
+	ex.session.attach(ex.turn, ex)
 	an, ok := ex.loop()
-	ex.server.watch.remove(ex)
 	if !ok {
 		ex.server.cfg.Counters.callerGone()
 		an = call.Answer{
@@ -213,7 +216,7 @@
 	}
 }
 
-// callerGone ends the exchange; it is called once, by the watch. A keyed call
+// callerGone ends the exchange; it is called once, by the session. A keyed call
 // that was sent is seen through.
 func (ex *exchange) callerGone() {
 	close(ex.gone)
@@ -248,7 +251,7 @@
 	if winner.reply.Body == nil {
 		ex.cancel()
 		sv.active.Add(-1)
-		respond(ex.http, winner.reply, an.Result)
+		sv.respond(ex.http, winner.reply, an.Result)
 		ex.leaveUnread()
 		return
 	}
@@ -257,7 +260,7 @@
 		exchange:   ex,
 	}
 	ex.leaveUnread()
-	respond(ex.http, winner.reply, an.Result)
+	sv.respond(ex.http, winner.reply, an.Result)
 }
 
 // release drops the attempts that did not win. It waits for those that read
--- a/io/caller/headers.go
+++ b/io/caller/headers.go
@@ -68,12 +68,12 @@
 }
 
 // headersOf copies the headers of a request that travel on.
-func headersOf(ctx *fasthttp.RequestCtx) []*wire.Header {
+func (sv *Server) headersOf(ctx *fasthttp.RequestCtx) []*wire.Header {
 	skip := listed(string(ctx.Request.Header.Peek(fasthttp.HeaderConnection)))
 	headers := make([]*wire.Header, 0, ctx.Request.Header.Len()+3)
 	for na, va := range ctx.Request.Header.All() {
 		name := string(na)
-		if hopByHop[name] || ownRequest[name] || skip[name] {
+		if hopByHop[name] || skip[name] || !sv.cfg.Protocol.Forwards(name) {
 			continue
 		}
 		headers = append(headers, &wire.Header{
@@ -81,15 +81,7 @@
 			Value: bytes.Clone(va),
 		})
 	}
-	return append(headers,
-		&wire.Header{
-			Name:  []byte(headerForwardedFor),
-			Value: []byte(forwardedFor(ctx)),
-		},
-		&wire.Header{
-			Name:  []byte(headerForwardedHost),
-			Value: bytes.Clone(ctx.Host()),
-		})
+	return append(headers, sv.cfg.Protocol.Added(ctx)...)
 }
 
 func forwardedFor(ctx *fasthttp.RequestCtx) string {
@@ -101,7 +93,7 @@
 }
 
 // copyHeaders passes the headers of an upstream's response on.
-func copyHeaders(ctx *fasthttp.RequestCtx, rs *wire.Response) {
+func (sv *Server) copyHeaders(ctx *fasthttp.RequestCtx, rs *wire.Response) {
 	var skip map[string]bool
 	for _, he := range rs.GetHeaders() {
 		if string(he.GetName()) == fasthttp.HeaderConnection {
@@ -110,7 +102,7 @@
 	}
 	for _, he := range rs.GetHeaders() {
 		name := string(he.GetName())
-		if !hopByHop[name] && !ownResponse[name] && !skip[name] {
+		if !hopByHop[name] && !skip[name] && sv.cfg.Protocol.Returns(name) {
 			ctx.Response.Header.AddBytesV(name, he.GetValue())
 		}
 	}
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -90,7 +90,7 @@
 // runKeyed answers a request under a keyed contract.
 func (ex *exchange) runKeyed() {
 	if status, re := ex.checkKey(); status != 0 {
-		ex.server.refuseUnread(ex.http, status, re)
+		ex.refuseUnread(status, re)
 		return
 	}
 	ex.server.active.Add(1)
@@ -104,10 +104,9 @@
 	}
 	ke.context, ke.cancel = context.WithDeadline(context.Background(), ex.deadline.Add(seeThrough))
 	ke.call = keyed.New(ke.config())
-	ex.server.watch.add(ex)
+	ex.session.attach(ex.turn, ex)
 	ex.server.keyed.Go(ke.run)
 	ka, ok := <-ke.answers
-	ex.server.watch.remove(ex)
 	if !ok {
 		ex.server.cfg.Counters.callerGone()
 		ka.answer.Result = call.Result{
@@ -310,7 +309,7 @@
 	} else {
 		sv.active.Add(-1)
 	}
-	respond(ex.http, ka.reply, ka.answer.Result)
+	sv.respond(ex.http, ka.reply, ka.answer.Result)
 	if ka.replayed {
 		ex.http.Response.Header.Set(HeaderReplayed, "true")
 	}
--- /dev/null
+++ b/io/caller/sessions.go
@@ -0,0 +1,77 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// sessions are the open connections of callers and the listener that they come from.
+type sessions struct {
+	mu       sync.Mutex
+	listener net.Listener
+	open     map[*session]struct{}
+	ended    bool
+	done     sync.WaitGroup
+}
+
+// listen keeps the listener; it is false after the end.
+func (ss *sessions) listen(ls *listener) bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.listener = ls.Listener
+	return !ss.ended
+}
+
+// add keeps a session; it is false after the end.
+func (ss *sessions) add(se *session) bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	if ss.ended {
+		return false
+	}
+	if ss.open == nil {
+		ss.open = map[*session]struct{}{}
+	}
+	ss.open[se] = struct{}{}
+	ss.done.Add(1)
+	return true
+}
+
+func (ss *sessions) remove(se *session) {
+	ss.mu.Lock()
+	delete(ss.open, se)
+	ss.mu.Unlock()
+	ss.done.Done()
+}
+
+// shut closes the listener and the idle connections, and waits for the others.
+// Those that are left when the context ends are cut.
+func (ss *sessions) shut(ctx context.Context) error {
+	ss.mu.Lock()
+	ss.ended = true
+	if ss.listener != nil {
+		_ = ss.listener.Close()
+	}
+	for se := range ss.open {
+		se.shut()
+	}
+	ss.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		ss.done.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+	}
+	ss.mu.Lock()
+	for se := range ss.open {
+		se.abort()
+	}
+	ss.mu.Unlock()
+	<-done
+	return ctx.Err()
+}
--- a/io/ini/keys.go
+++ b/io/ini/keys.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/io/operator/access"
@@ -38,6 +39,7 @@
 	errNotURL      = errors.New("not a URL")
 	errNotFile     = errors.New("not a readable file")
 	errNotLevel    = errors.New("not a level")
+	errNotProtocol = errors.New("not a protocol")
 	errTokenTwice  = errors.New("an operator is there twice")
 )
 
@@ -50,6 +52,7 @@
 	remedyRate     = "use a number above 0"
 	remedyURL      = "use a URL such as http://10.0.0.2:7000"
 	remedyFile     = "use the path of a file that this process can read"
+	remedyProtocol = "use own or fleet"
 	remedyLevel    = "use debug, info, warn or error"
 	remedyTokens   = "use NAME ROLE DIGEST, separated by commas; ROLE is read or change, DIGEST the SHA-256 of the token in hexadecimal"
 )
@@ -66,9 +69,30 @@
 	all = append(all, operatorKeys()...)
 	all = append(all, platformKeys()...)
 	all = append(all, tlsKeys()...)
+	all = append(all, processKeys()...)
 	return all
 }
 
+func processKeys() []key {
+	return []key{
+		{
+			section: "health", name: "listen", remedy: remedyAddress,
+			help: "Address of the health pages, without a token; none when empty.",
+			set:  address(func(se *Settings) *netip.AddrPort { return &se.Health.Listen }),
+		},
+		{
+			section: "health", name: "metrics", remedy: remedyAddress,
+			help: "Address of the counters, without a token; none when empty.",
+			set:  address(func(se *Settings) *netip.AddrPort { return &se.Health.Metrics }),
+		},
+		{
+			section: "process", name: "memory_mb", remedy: remedyCount,
+			help: "Memory that the process may use, in MB; no bound when empty.",
+			set:  count(func(se *Settings) *int { return &se.Process.MemoryMB }),
+		},
+	}
+}
+
 func identityKeys() []key {
 	return []key{
 		{
@@ -97,6 +121,14 @@
 				return checkName(text)
 			},
 		},
+		{
+			section: "host", name: "service", remedy: remedyName,
+			help: "Service of this host's upstream; upstreams are told it of the calls that begin here.",
+			set: func(se *Settings, text string) error {
+				se.Host.Service = contract.ServiceName(text)
+				return checkName(text)
+			},
+		},
 	}
 }
 
@@ -167,11 +199,26 @@
 			help: "How long a node that stops waits for calls in flight.",
 			set:  duration(func(se *Settings) *time.Duration { return &se.Caller.DrainWithin }),
 		},
+		{
+			section: "caller", name: "linger_for", fallback: "1500ms", remedy: remedyDuration,
+			help: "How long a node that stops still takes new connections; its health page says at once that it is not ready.",
+			set:  duration(func(se *Settings) *time.Duration { return &se.Caller.LingerFor }),
+		},
 		{
 			section: "caller", name: "retry_per_success", fallback: "0.1", remedy: remedyRate,
 			help: "Retries that one success of a service pays for.",
 			set:  rate(func(se *Settings) *float64 { return &se.Caller.RetryPerSuccess }),
 		},
+		{
+			section: "caller", name: "retry_burst", fallback: "240", remedy: remedyRate,
+			help: "Retries of one service that all nodes together can save up.",
+			set:  rate(func(se *Settings) *float64 { return &se.Caller.RetryBurst }),
+		},
+		{
+			section: "caller", name: "retry_per_second", fallback: "6", remedy: remedyRate,
+			help: "Retries of one service that all nodes together always have, each second.",
+			set:  rate(func(se *Settings) *float64 { return &se.Caller.RetryPerSecond }),
+		},
 	}
 }
 
@@ -187,6 +234,16 @@
 			help: "An upstream that has not announced itself for this long takes no new calls.",
 			set:  duration(func(se *Settings) *time.Duration { return &se.Upstream.LapseAfter }),
 		},
+		{
+			section: "upstream", name: "announce_every", remedy: remedyDuration,
+			help: "Time between two announcements; when given, an upstream counts for four times as long at least.",
+			set:  duration(func(se *Settings) *time.Duration { return &se.Upstream.AnnounceEvery }),
+		},
+		{
+			section: "upstream", name: "drain_grace", fallback: "1500ms", remedy: remedyDuration,
+			help: "How long an upstream that leaves still gets calls that find a free slot.",
+			set:  duration(func(se *Settings) *time.Duration { return &se.Upstream.DrainGrace }),
+		},
 		{
 			section: "upstream", name: "queue_per_slot", fallback: "2", remedy: remedyCount,
 			help: "Calls that may wait for each slot of the upstream.",
@@ -222,6 +279,11 @@
 
 func platformKeys() []key {
 	return []key{
+		{
+			section: "platform", name: "protocol", fallback: string(ProtocolOwn), remedy: remedyProtocol,
+			help: "What the platform, callers and upstreams speak: own, or fleet for the adapter in the folder platform.",
+			set:  setProtocol,
+		},
 		{
 			section: "platform", name: "table_url", required: true, remedy: remedyURL,
 			help: "URL of the platform's transactional table.",
@@ -325,6 +387,15 @@
 	return nil
 }
 
+func setProtocol(se *Settings, text string) error {
+	switch pr := Protocol(text); pr {
+	case ProtocolOwn, ProtocolFleet:
+		se.Platform.Protocol = pr
+		return nil
+	}
+	return errNotProtocol
+}
+
 func setLevel(se *Settings, text string) error {
 	switch text {
 	case "debug", "info", "warn", "error":
--- a/io/ini/load.go
+++ b/io/ini/load.go
@@ -43,6 +43,13 @@
 	return strings.Join(lines, "\n")
 }
 
+// sectionSurroundings holds values that only the adapter of the surroundings
+// knows; the adapter checks them.
+const sectionSurroundings = "surroundings"
+
+// announcementsKept is how many announcements in a row may be missing.
+const announcementsKept = 4
+
 // loader collects the problems of one file.
 type loader struct {
 	name     string
@@ -112,6 +119,10 @@
 			lo.checkStray(se)
 			continue
 		}
+		if se.Name() == sectionSurroundings {
+			lo.settings.Surroundings = se.KeysHash()
+			continue
+		}
 		if !sections[se.Name()] {
 			lo.add(se.Name(), "", "unknown section", "remove it or correct its name")
 			continue
@@ -167,6 +178,7 @@
 	if se.Link.Advertise.IsValid() && se.Link.Advertise.Addr().IsUnspecified() {
 		lo.add("link", "advertise", "other nodes can't reach "+se.Link.Advertise.String(), "give the host's own IP address")
 	}
+	se.Upstream.LapseAfter = max(se.Upstream.LapseAfter, announcementsKept*se.Upstream.AnnounceEvery)
 	lo.checkAddresses()
 	lo.checkKeys()
 	if len(se.Operator.Tokens) == 0 && se.Operator.Listen.IsValid() && !se.Operator.Listen.Addr().IsLoopback() {
@@ -186,6 +198,7 @@
 		{section: "caller", address: se.Caller.Listen},
 		{section: "upstream", address: se.Upstream.Listen},
 		{section: "operator", address: se.Operator.Listen},
+		{section: "health", address: se.Health.Listen},
 	} {
 		if !it.address.IsValid() || it.address.Port() == 0 {
 			continue
--- a/io/ini/settings.go
+++ b/io/ini/settings.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/io/operator/access"
@@ -21,6 +22,10 @@
 	Platform PlatformSettings
 	TLS      TLSSettings
 	Log      LogSettings
+	Health   HealthSettings
+	Process  ProcessSettings
+	// Surroundings are values for the adapter that Platform.Protocol names.
+	Surroundings map[string]string
 }
 
 // MeshSettings name the mesh and its size.
@@ -34,6 +39,22 @@
 type HostSettings struct {
 	ID         host.ID
 	DataCentre datacentre.Name
+	// Service is that of the upstream on this host; calls that begin here are
+	// made in its name.
+	Service contract.ServiceName
+}
+
+// HealthSettings are the listener for health pages and counters.
+type HealthSettings struct {
+	// Listen is not valid when there is no such listener.
+	Listen  netip.AddrPort
+	Metrics netip.AddrPort
+}
+
+// ProcessSettings bound what the process takes of its host.
+type ProcessSettings struct {
+	// MemoryMB is the memory that the process may use; 0 means no bound.
+	MemoryMB int
 }
 
 // LinkSettings are the addresses between nodes.
@@ -58,6 +79,12 @@
 	MaxConnections  int
 	DrainWithin     time.Duration
 	RetryPerSuccess float64
+	// RetryBurst and RetryPerSecond are what all nodes together have for one
+	// service beside that: what they can save up, and what each second adds.
+	RetryBurst     float64
+	RetryPerSecond float64
+	// LingerFor is how long a node that stops still takes new connections.
+	LingerFor time.Duration
 }
 
 // UpstreamSettings are the announcements' listener and the gate's limits.
@@ -65,6 +92,11 @@
 	Listen       netip.AddrPort
 	LapseAfter   time.Duration
 	QueuePerSlot int
+	// DrainGrace is how long an upstream that leaves, or whose node stops, still
+	// gets calls that find a free slot.
+	DrainGrace time.Duration
+	// AnnounceEvery is the time between two announcements; 0 when not known.
+	AnnounceEvery time.Duration
 }
 
 // OperatorSettings are the console's listener and access.
@@ -79,6 +111,8 @@
 
 // PlatformSettings are the platform's services and the budget for reading them.
 type PlatformSettings struct {
+	// Protocol is what the platform, callers and upstreams speak.
+	Protocol  Protocol
 	TableURL  string
 	ObjectURL string
 	Timeout   time.Duration
@@ -88,6 +122,17 @@
 	KeyedWritesPerSecond float64
 }
 
+// Protocol names what the platform, callers and upstreams speak.
+type Protocol string
+
+// Protocols.
+const (
+	// ProtocolOwn is lynxfold's own.
+	ProtocolOwn Protocol = "own"
+	// ProtocolFleet is that of the adapter in the folder platform.
+	ProtocolFleet Protocol = "fleet"
+)
+
 // TLSSettings turn mutual TLS on between nodes.
 type TLSSettings struct {
 	CertFile string
--- a/io/operator/api.go
+++ b/io/operator/api.go
@@ -317,8 +317,12 @@
 }
 
 func (sv *Server) getMetrics(ctx *fasthttp.RequestCtx, _ access.Operator) {
+	writeMetrics(ctx, sv.cfg.Metrics)
+}
+
+func writeMetrics(ctx *fasthttp.RequestCtx, set *metrics.Set) {
 	ctx.SetContentType("text/plain; version=0.0.4")
-	sv.cfg.Metrics.WritePrometheus(ctx)
+	set.WritePrometheus(ctx)
 	metrics.WriteProcessMetrics(ctx)
 }
 
--- a/io/operator/items.go
+++ b/io/operator/items.go
@@ -72,6 +72,14 @@
 					{Value: string(contract.ClassBulk), Label: "bulk: long transfers"},
 				},
 			},
+			{
+				Name: "rank", Label: "Rank", Kind: inputNumber, Value: "0",
+				Help: "When an upstream is short of room, calls of rank 0 go before those of rank 1, and so on.",
+			},
+			{
+				Name: "objective_ms", Label: "Objective, in milliseconds", Kind: inputNumber, Value: "0",
+				Help: "The time within which an answer is wanted. 0 means any time before the timeout.",
+			},
 		},
 	}
 }
@@ -97,9 +105,11 @@
 		Intro: "A route sends the calls for a path to a service under a contract. The longest path that fits goes first.",
 		Fields: []*formField{
 			{Name: "name", Label: "Name", Help: helpName, Kind: inputText},
+			{Name: "host", Label: "Host", Help: "Only calls to this host name, such as portal.example. Empty means any host that no route names.", Kind: inputText},
 			{Name: "path_prefix", Label: "Path", Help: "Calls to this path and everything below it, such as /results.", Kind: inputText, Value: "/"},
 			{Name: "methods", Label: "Methods", Help: "Separated by spaces, such as GET HEAD. Empty means all.", Kind: inputText},
 			{Name: "service", Label: "Service", Kind: inputSelect, Options: services},
+			{Name: "split", Label: "Split", Help: "Several services with weights in place of one, such as portal=90 archive=10. Empty means that all calls go to the service above.", Kind: inputText},
 			{Name: "contract", Label: "Contract", Kind: inputSelect, Options: contracts},
 			{
 				Name: "fallback", Label: "Fallback", Kind: inputSelect, Options: fallbacks,
@@ -158,13 +168,17 @@
 		"retries":        strconv.Itoa(te.Retries),
 		"hedge_after_ms": strconv.FormatInt(te.HedgeAfterMS, 10),
 		"class":          string(te.Class),
+		"rank":           strconv.Itoa(te.Rank),
+		"objective_ms":   strconv.FormatInt(te.ObjectiveMS, 10),
 	})
 }
 
 func (fp *formPage) fillRoute(ro contract.Route) {
 	fp.set(map[string]string{
 		"name":        string(ro.Name),
+		"host":        ro.Host,
 		"path_prefix": ro.PathPrefix,
+		"split":       contract.FormatSplit(ro.Split),
 		"methods":     strings.Join(ro.Methods, " "),
 		"service":     string(ro.Service),
 		"contract":    string(ro.Contract),
@@ -188,6 +202,8 @@
 		Retries:      int(fp.field("retries").number()),
 		HedgeAfterMS: fp.field("hedge_after_ms").number(),
 		Class:        contract.Class(fp.field("class").Value),
+		Rank:         int(fp.field("rank").number()),
+		ObjectiveMS:  fp.field("objective_ms").number(),
 	}
 }
 
@@ -198,6 +214,11 @@
 		Service:    contract.ServiceName(fp.field("service").Value),
 		Contract:   contract.TermsName(fp.field("contract").Value),
 		Fallback:   contract.RouteName(fp.field("fallback").Value),
+		Host:       strings.ToLower(strings.TrimSpace(fp.field("host").Value)),
+		Split:      contract.ParseSplit(fp.field("split").Value),
+	}
+	if len(ro.Split) > 0 {
+		ro.Service = ""
 	}
 	for _, me := range strings.FieldsFunc(fp.field("methods").Value, func(ru rune) bool { return ru == ' ' || ru == ',' }) {
 		ro.Methods = append(ro.Methods, strings.ToUpper(me))
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,125 +19,32 @@
 	Timeout time.Duration
 }
 
-// Client speaks to the platform. It never repeats a request by itself and
-// never uses a connection again on which a request has failed.
+// Client speaks to the platform through its own protocol.
 type Client struct {
-	cfg  Config
-	http *fasthttp.Client
-
-	mu     sync.Mutex
-	conns  map[*trackedConn]bool
-	closed bool
+	*Transport
+	cfg Config
 }
 
-const (
-	// maxResponseBytes bounds an answer of the platform, in bytes.
-	maxResponseBytes = 64 << 20
-	// maxConns bounds the connections to each service of the platform.
-	maxConns = 16
-	// idleFor is how long an unused connection is kept.
-	idleFor = 10 * time.Second
-)
-
 // NewClient builds a client.
 func NewClient(cfg Config) *Client {
-	cl := &Client{
-		cfg:   cfg,
-		conns: map[*trackedConn]bool{},
-	}
-	cl.http = &fasthttp.Client{
-		NoDefaultUserAgentHeader:  true,
-		ReadTimeout:               cfg.Timeout,
-		WriteTimeout:              cfg.Timeout,
-		MaxConnWaitTimeout:        cfg.Timeout,
-		MaxConnsPerHost:           maxConns,
-		MaxIdleConnDuration:       idleFor,
-		MaxResponseBodySize:       maxResponseBytes,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                neverRetry,
-		Dial:                      cl.dial,
-	}
-	return cl
-}
-
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
-
-// trackedConn is a connection that Close can interrupt.
-type trackedConn struct {
-	net.Conn
-	client *Client
-}
-
-// Close ends the connection.
-func (tc *trackedConn) Close() error {
-	tc.client.mu.Lock()
-	delete(tc.client.conns, tc)
-	tc.client.mu.Unlock()
-	return tc.Conn.Close()
-}
-
-func (cl *Client) dial(addr string) (net.Conn, error) {
-	co, err := fasthttp.DialTimeout(addr, cl.cfg.Timeout)
-	if err != nil {
-		return nil, &DialError{Address: addr, Err: err}
-	}
-	tc := &trackedConn{
-		Conn:   co,
-		client: cl,
-	}
-	cl.mu.Lock()
-	defer cl.mu.Unlock()
-	if cl.closed {
-		_ = co.Close()
-		return nil, &DialError{Address: addr, Err: net.ErrClosed}
-	}
-	cl.conns[tc] = true
-	return tc, nil
-}
-
-// Close interrupts the requests that run and refuses later ones.
-func (cl *Client) Close() {
-	cl.mu.Lock()
-	cl.closed = true
-	conns := cl.conns
-	cl.conns = map[*trackedConn]bool{}
-	cl.mu.Unlock()
-	for tc := range conns {
-		_ = tc.Conn.Close()
+	return &Client{
+		Transport: NewTransport(cfg.Timeout),
+		cfg:       cfg,
 	}
-	cl.http.CloseIdleConnections()
 }
 
 // exchange makes one request; the response must be released by the caller.
 func (cl *Client) exchange(ctx context.Context, method, uri string, body []byte, header ...[2]string) (*fasthttp.Response, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, &DialError{Address: uri, Err: err}
-	}
-	deadline := time.Now().Add(cl.cfg.Timeout)
-	if by, ok := ctx.Deadline(); ok && by.Before(deadline) {
-		deadline = by
-	}
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	req.Header.SetMethod(method)
-	req.SetRequestURI(uri)
-	for _, he := range header {
-		req.Header.Set(he[0], he[1])
-	}
-	if body != nil {
-		req.Header.SetContentType("application/json")
-		req.SetBodyRaw(body)
-	}
-	if err := cl.http.DoDeadline(req, resp, deadline); err != nil {
-		fasthttp.ReleaseResponse(resp)
-		return nil, err
-	}
-	return resp, nil
+	return cl.Exchange(ctx, Exchange{
+		Method: method,
+		URL:    uri,
+		Body:   body,
+		Header: header,
+	})
 }
 
-// writeError tells a write that was never sent from one without an answer.
-func writeError(doing string, err error) error {
+// WriteError tells a write that was never sent from one without an answer.
+func WriteError(doing string, err error) error {
 	var dial *DialError
 	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return &UnavailableError{Doing: doing, Err: err}
@@ -147,7 +52,8 @@
 	return &InDoubtError{Doing: doing, Err: err}
 }
 
-func statusError(resp *fasthttp.Response) error {
+// NewStatusError reports the status of an answer that was not expected.
+func NewStatusError(resp *fasthttp.Response) error {
 	body := resp.Body()
 	return &StatusError{
 		Status: resp.StatusCode(),
@@ -190,7 +96,7 @@
 	case fasthttp.StatusNotFound:
 		return Row{}, false, &NotFoundError{Name: string(key)}
 	}
-	return Row{}, false, &UnavailableError{Doing: doing, Err: statusError(resp)}
+	return Row{}, false, &UnavailableError{Doing: doing, Err: NewStatusError(resp)}
 }
 
 // List reads rows whose key starts with a prefix and sorts after a key.
@@ -207,7 +113,7 @@
 	}
 	defer fasthttp.ReleaseResponse(resp)
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, &UnavailableError{Doing: doing, Err: statusError(resp)}
+		return nil, &UnavailableError{Doing: doing, Err: NewStatusError(resp)}
 	}
 	var rows struct {
 		Rows []Row `json:"rows"`
@@ -233,7 +139,7 @@
 	}
 	resp, err := cl.exchange(ctx, fasthttp.MethodPost, cl.cfg.TableURL+"/table/transactions", body)
 	if err != nil {
-		return nil, writeError(doing, err)
+		return nil, WriteError(doing, err)
 	}
 	defer fasthttp.ReleaseResponse(resp)
 	switch resp.StatusCode() {
@@ -242,9 +148,9 @@
 	case fasthttp.StatusPreconditionFailed:
 		return nil, conflictOf(resp)
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusBadRequest:
-		return nil, &UnavailableError{Doing: doing, Err: statusError(resp)}
+		return nil, &UnavailableError{Doing: doing, Err: NewStatusError(resp)}
 	}
-	return nil, &InDoubtError{Doing: doing, Err: statusError(resp)}
+	return nil, &InDoubtError{Doing: doing, Err: NewStatusError(resp)}
 }
 
 func etagsOf(resp *fasthttp.Response, count int) ([]ETag, error) {
@@ -252,7 +158,7 @@
 		ETags []ETag `json:"etags"`
 	}
 	if err := json.Unmarshal(resp.Body(), &body); err != nil || len(body.ETags) != count {
-		return nil, &InDoubtError{Doing: "table transaction", Err: statusError(resp)}
+		return nil, &InDoubtError{Doing: "table transaction", Err: NewStatusError(resp)}
 	}
 	return body.ETags, nil
 }
@@ -273,14 +179,14 @@
 	resp, err := cl.exchange(ctx, fasthttp.MethodPut, cl.objectURL(name), data,
 		[2]string{fasthttp.HeaderIfNoneMatch, "*"})
 	if err != nil {
-		return writeError(doing, err)
+		return WriteError(doing, err)
 	}
 	defer fasthttp.ReleaseResponse(resp)
 	switch resp.StatusCode() {
 	case fasthttp.StatusCreated, fasthttp.StatusPreconditionFailed:
 		return nil
 	}
-	return &UnavailableError{Doing: doing, Err: statusError(resp)}
+	return &UnavailableError{Doing: doing, Err: NewStatusError(resp)}
 }
 
 // GetObject reads an object.
@@ -297,7 +203,7 @@
 	case fasthttp.StatusNotFound:
 		return nil, &NotFoundError{Name: string(name)}
 	}
-	return nil, &UnavailableError{Doing: doing, Err: statusError(resp)}
+	return nil, &UnavailableError{Doing: doing, Err: NewStatusError(resp)}
 }
 
 func (cl *Client) objectURL(name ObjectName) string {
--- a/io/platform/introductions.go
+++ b/io/platform/introductions.go
@@ -34,11 +34,11 @@
 
 // Introductions stores the introduction rows of the data centres.
 type Introductions struct {
-	client *Client
+	client Store
 }
 
 // NewIntroductions builds the store over a client.
-func NewIntroductions(cl *Client) *Introductions { return &Introductions{client: cl} }
+func NewIntroductions(cl Store) *Introductions { return &Introductions{client: cl} }
 
 // Read reads the addresses in the rows of all data centres that nodes of one use.
 func (is *Introductions) Read(ctx context.Context, from datacentre.Name) ([]string, error) {
--- a/io/platform/keys.go
+++ b/io/platform/keys.go
@@ -54,11 +54,11 @@
 // Keys stores the rows of keyed calls. All its conditions rest on the table's
 // conditional writes: a write that arrives late finds the row changed and fails.
 type Keys struct {
-	client *Client
+	client Store
 }
 
 // NewKeys builds the store of keyed calls over a client.
-func NewKeys(cl *Client) *Keys { return &Keys{client: cl} }
+func NewKeys(cl Store) *Keys { return &Keys{client: cl} }
 
 // rowOf keeps any key within the alphabet and length of row names.
 func rowOf(ck CallKey) Key {
--- a/io/platform/versions.go
+++ b/io/platform/versions.go
@@ -57,11 +57,11 @@
 
 // Versions reads and accepts configuration versions.
 type Versions struct {
-	client *Client
+	client Store
 }
 
 // NewVersions builds the store of versions over a client.
-func NewVersions(cl *Client) *Versions { return &Versions{client: cl} }
+func NewVersions(cl Store) *Versions { return &Versions{client: cl} }
 
 func versionKey(ve contract.Version) Key {
 	return prefixVersion + Key(fmt.Sprintf("%020d", ve))
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -40,17 +40,36 @@
 	announceTimeout  = 5 * time.Second
 )
 
+// Announcer is told what an upstream says about itself.
+type Announcer interface {
+	Announce(an host.Announcement)
+	// Depart says that an instance has left.
+	Depart(id host.InstanceID)
+}
+
+// Registrar adds the calls by which an upstream announces itself.
+type Registrar interface {
+	Register(ro *router.Router, ga Announcer)
+}
+
+// OwnAnnouncements are the calls of lynxfold's own protocol.
+type OwnAnnouncements struct{}
+
+// Register implements Registrar.
+func (OwnAnnouncements) Register(ro *router.Router, ga Announcer) {
+	ro.POST("/announce", func(ctx *fasthttp.RequestCtx) { announce(ctx, ga) })
+}
+
 // Listener takes announcements.
 type Listener struct {
-	gate *Gate
 	http *fasthttp.Server
 }
 
 // NewListener builds the announcements' listener for a gate.
-func NewListener(ga *Gate) *Listener {
-	ls := &Listener{gate: ga}
+func NewListener(ga *Gate, re Registrar) *Listener {
+	ls := &Listener{}
 	ro := router.New()
-	ro.POST("/announce", ls.announce)
+	re.Register(ro, ga)
 	ls.http = &fasthttp.Server{
 		Handler:               ro.Handler,
 		NoDefaultServerHeader: true,
@@ -68,13 +87,13 @@
 // Shutdown ends Serve.
 func (ls *Listener) Shutdown() error { return ls.http.Shutdown() }
 
-func (ls *Listener) announce(ctx *fasthttp.RequestCtx) {
+func announce(ctx *fasthttp.RequestCtx, ga Announcer) {
 	an, err := parseAnnouncement(ctx.PostBody())
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	ls.gate.Announce(an)
+	ga.Announce(an)
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
 
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -21,8 +22,8 @@
 	HeaderDeadline = "Lynxfold-Deadline-Ms"
 )
 
-// ReasonUpstreamUnframed says that an answer has neither a length nor chunks,
-// so that a part of it can't be told from the whole.
+// ReasonUpstreamUnframed says that an answer has neither a length nor chunks
+// and is too long to be held until its end.
 const ReasonUpstreamUnframed host.Reason = "upstream_unframed"
 
 // Ending is how the work of the upstream on a request ended.
@@ -38,7 +39,8 @@
 
 // Client passes calls to the upstream. Each request goes out once, on one connection.
 type Client struct {
-	dialer net.Dialer
+	protocol Protocol
+	dialer   net.Dialer
 
 	mu    sync.Mutex
 	idle  []*conn
@@ -48,20 +50,27 @@
 	leaving bool
 }
 
-// NewClient builds a client without connections.
-func NewClient() *Client {
+// NewClient builds a client without connections that speaks lynxfold's own protocol.
+func NewClient() *Client { return NewClientOf(OwnProtocol{}) }
+
+// NewClientOf builds a client without connections that speaks a protocol.
+func NewClientOf(pr Protocol) *Client {
 	return &Client{
-		dialer: net.Dialer{Timeout: connectTimeout},
+		protocol: pr,
+		dialer:   net.Dialer{Timeout: connectTimeout},
 	}
 }
 
 // exchange is one request on its connection.
 type exchange struct {
-	client *Client
-	ctx    context.Context
-	conn   *conn
-	stop   func() bool
-	watch  Watch
+	client  *Client
+	ctx     context.Context
+	conn    *conn
+	stop    func() bool
+	watch   Watch
+	request *wire.Request
+	// foreign says that an answer to an earlier request came first.
+	foreign bool
 	// body is nil when the request carries it.
 	body io.ReadCloser
 	// sent is closed when the request was sent or given up; sendErr is set before.
@@ -86,23 +95,31 @@
 
 // Do passes a request on and returns when the response's head is there. A body
 // that was read from is closed before the watch is told of the end.
-func (cl *Client) Do(ctx context.Context, address string, rq *wire.Request, body io.ReadCloser, watch Watch) Reply {
-	co, err := cl.take(ctx, address, rq.GetIdempotent())
+func (cl *Client) Do(ctx context.Context, to Destination, rq *wire.Request, body io.ReadCloser, watch Watch) Reply {
+	co, err := cl.take(ctx, to.Address, rq.GetIdempotent())
 	if err != nil {
 		re := connectReason(ctx, err)
 		watch.Ended(Ending{Outcome: host.OutcomeNotRun, Reason: re})
 		return Refuse(re, true)
 	}
 	ex := &exchange{
-		client: cl,
-		ctx:    ctx,
-		conn:   co,
-		stop:   context.AfterFunc(ctx, func() { _ = co.Close() }),
-		watch:  watch,
-		body:   body,
-		sent:   make(chan struct{}),
+		client:  cl,
+		ctx:     ctx,
+		conn:    co,
+		stop:    context.AfterFunc(ctx, func() { _ = co.Close() }),
+		watch:   watch,
+		request: rq,
+		body:    body,
+		sent:    make(chan struct{}),
 	}
-	return ex.run(rq)
+	return ex.run(to)
+}
+
+// Destination is the upstream that a request is for.
+type Destination struct {
+	Address string
+	// Instance is empty when the upstream does not name its incarnations.
+	Instance host.InstanceID
 }
 
 // connectReason says why there is no connection to send a request on.
@@ -119,18 +136,26 @@
 	return host.ReasonUpstreamConnect
 }
 
-func (ex *exchange) run(rq *wire.Request) Reply {
-	ex.start(rq)
-	resp := &fasthttp.Response{}
-	// The head is read first: how the body is read depends on it.
-	resp.SkipBody = true
-	if err := resp.ReadLimitBody(ex.conn.reader, 0); err != nil {
+func (ex *exchange) run(to Destination) Reply {
+	ex.start(to)
+	resp, ju, err := ex.readHead()
+	if err != nil {
 		return ex.fail()
 	}
 	if ex.body != nil {
 		ex.watch.started()
 	}
-	if string(rq.GetMethod()) == fasthttp.MethodHead || withoutBody(resp.StatusCode()) {
+	switch ju {
+	case JudgedNotRun:
+		return ex.notRun(resp, ReasonUpstreamRefused)
+	case JudgedOtherInstance:
+		return ex.notRun(resp, ReasonUpstreamOtherInstance)
+	case JudgedSuspect:
+		ex.end(false, Ending{Outcome: host.OutcomeUnknown, Reason: ReasonUpstreamSuspect})
+		return Refuse(ReasonUpstreamSuspect, false)
+	case JudgedRan, JudgedForeign:
+	}
+	if string(ex.request.GetMethod()) == fasthttp.MethodHead || withoutBody(resp.StatusCode()) {
 		return ex.complete(resp, nil)
 	}
 	length := resp.Header.ContentLength()
@@ -142,12 +167,86 @@
 		}
 		return ex.complete(resp, data)
 	case length < -1:
-		ex.end(false, Ending{Outcome: host.OutcomeUnknown, Reason: ReasonUpstreamUnframed})
-		return Refuse(ReasonUpstreamUnframed, false)
+		return ex.unframed(resp)
 	}
 	return ex.stream(resp)
 }
 
+// maxForeign bounds the answers to earlier requests that are passed over.
+const maxForeign = 3
+
+// readHead reads the head of the answer. Answers to earlier requests that come
+// first are passed over, whole.
+func (ex *exchange) readHead() (*fasthttp.Response, Judgement, error) {
+	for range maxForeign + 1 {
+		resp := &fasthttp.Response{}
+		// The head is read first: how the body is read depends on it.
+		resp.SkipBody = true
+		if err := resp.ReadLimitBody(ex.conn.reader, 0); err != nil {
+			return nil, 0, err
+		}
+		ju := ex.client.protocol.Judge(ex.request, resp.StatusCode(), &resp.Header)
+		if ju != JudgedForeign {
+			return resp, ju, nil
+		}
+		ex.foreign = true
+		if err := ex.discard(resp); err != nil {
+			return nil, 0, err
+		}
+	}
+	return nil, 0, &ForeignError{Count: maxForeign + 1}
+}
+
+// ForeignError reports a connection with answers to other requests only.
+type ForeignError struct {
+	Count int
+}
+
+func (er *ForeignError) Error() string {
+	return fmt.Sprintf("%d answers to other requests came first", er.Count)
+}
+
+// discard reads the body of an answer that is of no use.
+func (ex *exchange) discard(resp *fasthttp.Response) error {
+	if withoutBody(resp.StatusCode()) {
+		return nil
+	}
+	if resp.Header.ContentLength() < -1 {
+		return &ForeignError{Count: 1} // nothing can follow it
+	}
+	resp.SkipBody = false
+	return resp.ReadBody(ex.conn.reader, maxDiscardBytes)
+}
+
+// maxDiscardBytes bounds the bodies that are read only to reach what follows, in bytes.
+const maxDiscardBytes = 1 << 20
+
+// notRun ends an exchange that the upstream refused without running it.
+func (ex *exchange) notRun(resp *fasthttp.Response, re host.Reason) Reply {
+	whole := ex.discard(resp) == nil
+	ex.end(whole && !resp.ConnectionClose(), Ending{Outcome: host.OutcomeNotRun, Reason: re})
+	return Refuse(re, true)
+}
+
+// maxUnframedBytes bounds the answers whose end is that of their connection, in bytes.
+const maxUnframedBytes = 8 << 20
+
+// unframed reads an answer that ends with its connection. A connection that is
+// reset, rather than closed, cuts the answer short.
+func (ex *exchange) unframed(resp *fasthttp.Response) Reply {
+	data, err := io.ReadAll(io.LimitReader(ex.conn.reader, maxUnframedBytes+1))
+	if err != nil {
+		return ex.fail()
+	}
+	if len(data) > maxUnframedBytes {
+		ex.end(false, ex.left(ReasonUpstreamUnframed))
+		return Refuse(ReasonUpstreamUnframed, false)
+	}
+	rp := ex.complete(resp, data)
+	rp.Response.Length = int64(len(data))
+	return rp
+}
+
 // withoutBody tells the statuses whose responses never have a body.
 func withoutBody(status int) bool {
 	return status < fasthttp.StatusOK || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
@@ -155,9 +254,9 @@
 
 // start sends a short request at once, and a long one beside the wait for the
 // response, which may come first.
-func (ex *exchange) start(rq *wire.Request) {
+func (ex *exchange) start(to Destination) {
 	if ex.body == nil {
-		ex.sendErr = ex.conn.send(ex.ctx, rq, nil)
+		ex.sendErr = ex.send(to, nil)
 		close(ex.sent)
 		if ex.sendErr == nil {
 			ex.watch.started()
@@ -166,7 +265,7 @@
 	}
 	go func() {
 		defer close(ex.sent)
-		ex.sendErr = ex.conn.send(ex.ctx, rq, ex.body)
+		ex.sendErr = ex.send(to, ex.body)
 		_ = ex.body.Close()
 		var bodyErr *BodyError
 		if errors.As(ex.sendErr, &bodyErr) {
@@ -242,7 +341,7 @@
 
 // end waits until the request is no longer sent and gives the connection back.
 func (ex *exchange) end(reusable bool, en Ending) {
-	reusable = ex.stop() && reusable
+	reusable = ex.stop() && reusable && !ex.foreign
 	reusable = ex.stopSending() && reusable
 	ex.client.release(ex.conn, reusable)
 	ex.watch.Ended(en)
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -149,12 +149,21 @@
 			ga.ended(di.ID, rq.GetIdempotent(), en)
 			ga.forget(di.ID, ad)
 			ad.cancel()
-			if en.Outcome == host.OutcomeNotRun && en.Reason == host.ReasonUpstreamConnect {
+			if en.Outcome == host.OutcomeNotRun && lostUpstream(en.Reason) {
 				ga.lost()
 			}
 		},
 	}
-	return ga.load(ga.cfg.Client.Do(ctx, di.Address, rq, body, watch))
+	to := Destination{
+		Address:  di.Address,
+		Instance: di.Instance,
+	}
+	return ga.load(ga.cfg.Client.Do(ctx, to, rq, body, watch))
+}
+
+// lostUpstream tells the reasons that say that the upstream is not there any more.
+func lostUpstream(re host.Reason) bool {
+	return re == host.ReasonUpstreamConnect || re == ReasonUpstreamOtherInstance
 }
 
 // lost takes the upstream out until it announces itself again.
@@ -262,9 +271,13 @@
 
 // Announce takes an upstream's announcement.
 func (ga *Gate) Announce(an host.Announcement) {
+	ga.mu.Lock()
+	if !ga.core.Takes(an, time.Now()) {
+		ga.mu.Unlock()
+		return
+	}
 	ga.cfg.Client.SetLimit(an.Connections)
 	ga.cfg.Client.SetLeaving(an.State != host.StateReady)
-	ga.mu.Lock()
 	ga.lapse = time.Now().Add(ga.cfg.LapseAfter)
 	ga.stepLocked(host.Announced{
 		Announcement: an,
@@ -278,6 +291,17 @@
 	}
 }
 
+// Depart takes in that an instance of the upstream has left.
+func (ga *Gate) Depart(id host.InstanceID) {
+	ga.mu.Lock()
+	an := ga.last
+	ga.mu.Unlock()
+	an.Instance = id
+	an.Born = time.Time{}
+	an.State = host.StateGone
+	ga.Announce(an)
+}
+
 // Tick lets time pass for the queue, the connections and the announcement.
 func (ga *Gate) Tick() {
 	ga.step(host.Tick{})
@@ -295,6 +319,7 @@
 // changed reports an announcement that differs from the last in what others must know.
 func (ga *Gate) changed(an host.Announcement) {
 	an.InFlight = 0
+	an.Sequence = 0
 	ga.mu.Lock()
 	same := an == ga.last
 	ga.last = an
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -1,18 +1,14 @@
 package upstream
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"math"
 	"net/http/httputil"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"lynxfold/core/wire"
 )
 
 // pieceBytes is the size in which a body is passed on, in bytes.
@@ -41,10 +37,11 @@
 }
 
 // send writes a request; body follows the head when it is not in the request.
-func (co *conn) send(ctx context.Context, rq *wire.Request, body io.Reader) error {
+func (ex *exchange) send(to Destination, body io.Reader) error {
+	co, rq := ex.conn, ex.request
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	co.fill(ctx, req, rq)
+	ex.fill(to, req)
 	if body == nil {
 		if len(rq.GetBody()) > 0 {
 			req.SetBodyRaw(rq.GetBody())
@@ -69,16 +66,17 @@
 }
 
 // fill sets the head of a request.
-func (co *conn) fill(ctx context.Context, req *fasthttp.Request, rq *wire.Request) {
+func (ex *exchange) fill(to Destination, req *fasthttp.Request) {
+	rq := ex.request
 	req.Header.SetMethodBytes(rq.GetMethod())
 	req.SetRequestURIBytes(rq.GetUri())
-	req.Header.SetHost(co.address)
+	req.Header.SetHost(to.Address)
 	req.Header.SetNoDefaultContentType(true)
 	for _, he := range rq.GetHeaders() {
 		req.Header.AddBytesKV(he.GetName(), he.GetValue())
 	}
-	if at, ok := ctx.Deadline(); ok {
-		req.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(at).Milliseconds(), 10))
+	if at, ok := ex.ctx.Deadline(); ok {
+		ex.client.protocol.Prepare(&req.Header, to.Instance, time.Until(at))
 	}
 }
 
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -266,6 +266,7 @@
 	cmd := exec.Command(Binary(t), "node", "--settings", ho.settings)
 	log, err := os.OpenFile(ho.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(t, err)
+	cmd.Stdout = log
 	cmd.Stderr = log
 	cmd.Env = append(os.Environ(), "LYNXFOLD_FATAL_INVARIANTS=1")
 	assert.NilError(t, cmd.Start())
