perf: gates order by rank and objective, and refuse what would miss it

An attempt now carries its rank, its kind and when its answer is wanted. The gate learns service times by kind, puts the higher rank and then the sooner objective first, refuses at once what would miss its objective in the queue, and lets attempts whose objective is out of reach have free slots only. A caller that comes back is known by having less time left than others begin with.

Ruled out: a shorter queue alone, which would still serve in order of arrival.

Left: calls refused while other gates have room, bytes between data centres.

--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -25,16 +25,33 @@
 		return
 	}
 	en := ga.ledger.open(at, or)
-	if re := ga.check(at, now); re != ReasonNone {
+	ga.schedule(en, now)
+	if re := ga.check(en, now); re != ReasonNone {
 		ga.refuse(en, re, now)
 		return
 	}
 	ga.queue.push(en)
 	if at.Class != contract.ClassBulk {
-		ga.noteDemand()
+		ga.noteDemand(at.Rank)
 	}
 }
 
+// withoutObjective orders attempts that have no objective behind those that have
+// one, and among themselves as they arrived.
+const withoutObjective = 24 * time.Hour
+
+// schedule decides the place of an attempt in the queue. One whose objective is
+// out of reach, even if it ran at once, waits behind those that can meet theirs.
+func (ga *Gate) schedule(en *entry, now time.Time) {
+	at := en.attempt
+	en.due = at.Objective
+	if at.Objective.IsZero() {
+		en.due = now.Add(withoutObjective)
+		return
+	}
+	en.late = now.Add(ga.service(at).usual()).After(at.Objective)
+}
+
 // duplicate answers an arrival of an attempt that the ledger holds.
 func (ga *Gate) duplicate(en *entry) {
 	re := ReasonDuplicateAttempt
@@ -49,7 +66,8 @@
 }
 
 // check says why an attempt can't be let in.
-func (ga *Gate) check(at Attempt, now time.Time) Reason {
+func (ga *Gate) check(en *entry, now time.Time) Reason {
+	at := en.attempt
 	if re := ga.Usable(now); re != ReasonNone {
 		return re
 	}
@@ -68,26 +86,44 @@
 	if ga.queue.count(at.Class) >= min(ga.cfg.QueuePerSlot*ga.limit(), ga.ledger.cfg.MaxEntries/4-1) {
 		return ReasonQueueFull
 	}
-	if now.Add(ga.wait(at.Class) + ga.service(at.Class).low).After(at.Deadline) {
+	wait := ga.wait(en)
+	if now.Add(wait + ga.service(at).low).After(at.Deadline) {
 		return ReasonDeadline
 	}
+	if !at.Objective.IsZero() && wait > ga.patience(en, now) {
+		return ReasonQueueFull
+	}
 	return ReasonNone
 }
 
+// lateShare is the part of its usual service time that an attempt may wait whose
+// objective is out of reach.
+const lateShare = 4
+
+// patience is how long an attempt with an objective may wait. While the queue is
+// longer, the slots are better spent on attempts that can still meet theirs.
+func (ga *Gate) patience(en *entry, now time.Time) time.Duration {
+	usual := ga.service(en.attempt).usual()
+	if en.late {
+		return usual / lateShare
+	}
+	return en.attempt.Objective.Sub(now) - usual
+}
+
 func (ga *Gate) refuse(en *entry, re Reason, now time.Time) {
 	ga.do(Refuse{
 		ID:       en.attempt.ID,
 		Reason:   re,
-		ComeBack: ga.comeBack(re, en.attempt.Class, now),
+		ComeBack: ga.comeBack(re, en, now),
 	})
 	ga.close(en, stateRefused, re, 0, now)
 }
 
 // comeBack is when another attempt at this gate makes sense.
-func (ga *Gate) comeBack(re Reason, cl contract.Class, now time.Time) time.Time {
+func (ga *Gate) comeBack(re Reason, en *entry, now time.Time) time.Time {
 	switch re {
 	case ReasonQueueFull, ReasonDeadline:
-		if wait := ga.wait(cl); wait > 0 {
+		if wait := ga.wait(en); wait > 0 {
 			return now.Add(wait)
 		}
 		return now.Add(ga.cfg.ComeBack)
--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -18,33 +18,66 @@
 
 func (ga *Gate) free() int { return ga.limit() - len(ga.running) - ga.occupancy.held }
 
-// bulkAllowed keeps as many slots for lookups as they have lately needed at once,
-// and some more; bulk has one at least.
-func (ga *Gate) bulkAllowed() bool {
-	reserve := int(math.Ceil(ga.demand + math.Sqrt(ga.demand)))
+// bulkAllowed keeps as many slots for lookups of the same rank or a higher one as
+// they have lately needed at once, and some more; bulk has one at least.
+func (ga *Gate) bulkAllowed(rank int) bool {
+	demand := 0.0
+	for ra, de := range ga.demand {
+		if ra <= rank {
+			demand += de
+		}
+	}
+	reserve := int(math.Ceil(demand + math.Sqrt(demand)))
 	return ga.bulk < max(1, ga.limit()-max(1, reserve))
 }
 
 // demandWeight is the share of the latest sample, as one in this many.
 const demandWeight = 64
 
-// noteDemand learns how many lookups there are at once.
-func (ga *Gate) noteDemand() {
-	lookups := len(ga.running) - ga.bulk + len(ga.queue.lookups)
-	ga.demand += (float64(lookups) - ga.demand) / demandWeight
+// noteDemand learns how many lookups there are at once, by rank, when one arrives.
+func (ga *Gate) noteDemand(rank int) {
+	counts := ga.counts
+	clear(counts)
+	counts[rank] = 0
+	for _, en := range ga.running {
+		if en.attempt.Class != contract.ClassBulk {
+			counts[en.attempt.Rank]++
+		}
+	}
+	for _, en := range ga.queue.lookups {
+		counts[en.attempt.Rank]++
+	}
+	for ra := range ga.demand {
+		counts[ra] += 0
+	}
+	for ra, co := range counts {
+		ga.demand[ra] += (float64(co) - ga.demand[ra]) / demandWeight
+	}
 }
 
-// wait estimates how long a new attempt of a class waits for a slot.
-func (ga *Gate) wait(cl contract.Class) time.Duration {
-	work := time.Duration(len(ga.queue.lookups)+1) * ga.lookups.mean
-	if cl == contract.ClassBulk {
-		work += time.Duration(len(ga.queue.bulk)+1) * ga.uploads.mean
-	}
+// wait estimates how long a new attempt waits for a slot.
+func (ga *Gate) wait(en *entry) time.Duration {
+	work := ga.service(en.attempt).mean
+	ga.queue.ahead(en, func(it *entry) { work += ga.service(it.attempt).mean })
 	return work / time.Duration(max(1, ga.limit()))
 }
 
-func (ga *Gate) service(cl contract.Class) *estimate {
-	if cl == contract.ClassBulk {
+// maxKinds bounds the kinds whose service times are learnt apart.
+const maxKinds = 64
+
+// service is what is known of the service time of an attempt.
+func (ga *Gate) service(at Attempt) *estimate {
+	if at.Kind != "" {
+		if es := ga.kinds[at.Kind]; es != nil {
+			return es
+		}
+		if len(ga.kinds) < maxKinds {
+			es := &estimate{}
+			ga.kinds[at.Kind] = es
+			return es
+		}
+	}
+	if at.Class == contract.ClassBulk {
 		return &ga.uploads
 	}
 	return &ga.lookups
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -9,7 +9,7 @@
 // fill moves attempts from the queue into free slots.
 func (ga *Gate) fill(now time.Time) {
 	for ga.free() > 0 && ga.queue.len() > 0 && ga.Usable(now) == ReasonNone {
-		en := ga.queue.pop(ga.bulkAllowed())
+		en := ga.queue.pop(ga.bulkAllowed)
 		if en == nil {
 			return
 		}
@@ -17,6 +17,10 @@
 			ga.refuse(en, ReasonDeadline, now)
 			continue
 		}
+		if ga.overtaken(en, now) {
+			ga.refuse(en, ReasonQueueFull, now)
+			continue
+		}
 		if iv := ga.broken(en, now); iv != "" {
 			ga.do(Violated{ID: en.attempt.ID, Invariant: iv})
 			ga.refuse(en, ReasonInvariant, now)
@@ -48,7 +52,16 @@
 	if ga.queue.len() == 0 {
 		return now.Before(at.Deadline)
 	}
-	return now.Add(ga.service(at.Class).low).Before(at.Deadline)
+	return now.Add(ga.service(at).low).Before(at.Deadline)
+}
+
+// overtaken tells whether an attempt has waited until its objective was out of
+// reach, while others wait that can still meet theirs.
+func (ga *Gate) overtaken(en *entry, now time.Time) bool {
+	if en.late || en.attempt.Objective.IsZero() || ga.queue.len() == 0 {
+		return false
+	}
+	return now.Add(ga.service(en.attempt).mean).After(en.attempt.Objective)
 }
 
 func (ga *Gate) dispatch(en *entry, now time.Time) {
@@ -92,7 +105,7 @@
 	}
 	switch ev.Outcome {
 	case OutcomeRan:
-		ga.service(en.attempt.Class).add(now.Sub(en.dispatched))
+		ga.service(en.attempt).add(now.Sub(en.dispatched))
 		ga.close(en, stateFinished, ev.Reason, ev.KeptBytes, now)
 	case OutcomeNotRun:
 		ga.close(en, stateRefused, ev.Reason, 0, now)
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -45,12 +45,14 @@
 	running map[AttemptID]*entry
 	bulk    int
 	started int
-	// demand is an average of the lookups that run or wait at once.
-	demand    float64
+	// demand is an average of the lookups that run or wait at once, by rank.
+	demand    map[int]float64
+	counts    map[int]int
 	occupancy occupancy
 	seen      seen
 	lookups   estimate
 	uploads   estimate
+	kinds     map[Kind]*estimate
 	acts      []Action
 }
 
@@ -64,6 +66,9 @@
 		cfg:     cfg,
 		ledger:  le,
 		running: map[AttemptID]*entry{},
+		demand:  map[int]float64{},
+		counts:  map[int]int{},
+		kinds:   map[Kind]*estimate{},
 		occupancy: occupancy{
 			lag:     cfg.AnnounceLag,
 			longest: cfg.LongestCall,
--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -201,6 +201,12 @@
 		td.ScanArgs(t, "within", &ms)
 		at.Deadline = sc.now.Add(time.Duration(ms) * time.Millisecond)
 	}
+	if td.HasArg("objective") {
+		var ms int
+		td.ScanArgs(t, "objective", &ms)
+		at.Objective = sc.now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	td.MaybeScanArgs(t, "rank", &at.Rank)
 	return host.Arrived{Attempt: at}
 }
 
--- a/core/host/ledger.go
+++ b/core/host/ledger.go
@@ -22,6 +22,9 @@
 	kept       int
 	dispatched time.Time
 	started    bool
+	// due orders the attempts that wait; late ones can't meet their objective.
+	due  time.Time
+	late bool
 	// cancelled attempts were interrupted already.
 	cancelled bool
 	waiters   []waiter
--- a/core/host/queue.go
+++ b/core/host/queue.go
@@ -1,15 +1,17 @@
 package host
 
 import (
+	"slices"
 	"time"
 
 	"lynxfold/core/contract"
 )
 
-// queue holds the attempts that wait for a slot, by class.
+// queue holds the attempts that wait for a slot, by class. Each list is in the
+// order in which its attempts go.
 type queue struct {
 	lookups, bulk []*entry
-	// passed counts the lookups dispatched before waiting bulk.
+	// passed counts the lookups dispatched before waiting bulk of the same rank.
 	passed int
 }
 
@@ -19,24 +21,42 @@
 func (qu *queue) len() int { return len(qu.lookups) + len(qu.bulk) }
 
 // count is how many attempts of a class wait.
-func (qu *queue) count(cl contract.Class) int {
+func (qu *queue) count(cl contract.Class) int { return len(*qu.list(cl)) }
+
+func (qu *queue) list(cl contract.Class) *[]*entry {
 	if cl == contract.ClassBulk {
-		return len(qu.bulk)
+		return &qu.bulk
 	}
-	return len(qu.lookups)
+	return &qu.lookups
 }
 
+// push puts an attempt behind those that go before it.
 func (qu *queue) push(en *entry) {
-	if en.attempt.Class == contract.ClassBulk {
-		qu.bulk = append(qu.bulk, en)
-		return
+	list := qu.list(en.attempt.Class)
+	at, _ := slices.BinarySearchFunc(*list, en, func(it, en *entry) int {
+		if en.goesBefore(it) {
+			return 1
+		}
+		return -1
+	})
+	*list = slices.Insert(*list, at, en)
+}
+
+// goesBefore tells whether an attempt goes before another of its class: by rank,
+// then those that can still meet their objective, then by the objective.
+func (en *entry) goesBefore(it *entry) bool {
+	switch {
+	case en.attempt.Rank != it.attempt.Rank:
+		return en.attempt.Rank < it.attempt.Rank
+	case en.late != it.late:
+		return it.late
 	}
-	qu.lookups = append(qu.lookups, en)
+	return en.due.Before(it.due)
 }
 
 // pop takes the next attempt; bulk only when it may run.
-func (qu *queue) pop(bulkAllowed bool) *entry {
-	if len(qu.bulk) > 0 && bulkAllowed && (len(qu.lookups) == 0 || qu.passed >= bulkShare) {
+func (qu *queue) pop(bulkAllowed func(rank int) bool) *entry {
+	if len(qu.bulk) > 0 && qu.bulkNext() && bulkAllowed(qu.bulk[0].attempt.Rank) {
 		qu.passed = 0
 		return take(&qu.bulk)
 	}
@@ -49,6 +69,34 @@
 	return take(&qu.lookups)
 }
 
+// bulkNext tells whether the first bulk attempt goes before the first lookup.
+func (qu *queue) bulkNext() bool {
+	if len(qu.lookups) == 0 {
+		return true
+	}
+	bulk, lookup := qu.bulk[0].attempt.Rank, qu.lookups[0].attempt.Rank
+	if bulk != lookup {
+		return bulk < lookup
+	}
+	return qu.passed >= bulkShare
+}
+
+// ahead visits the attempts that go before one that is not in the queue.
+func (qu *queue) ahead(en *entry, visit func(it *entry)) {
+	for _, it := range qu.lookups {
+		if en.attempt.Class == contract.ClassBulk && it.attempt.Rank <= en.attempt.Rank ||
+			en.attempt.Class != contract.ClassBulk && !en.goesBefore(it) {
+			visit(it)
+		}
+	}
+	for _, it := range qu.bulk {
+		if en.attempt.Class != contract.ClassBulk && it.attempt.Rank < en.attempt.Rank ||
+			en.attempt.Class == contract.ClassBulk && !en.goesBefore(it) {
+			visit(it)
+		}
+	}
+}
+
 func take(list *[]*entry) *entry {
 	en := (*list)[0]
 	(*list)[0] = nil
@@ -85,13 +133,21 @@
 	mean time.Duration
 	// low falls fast and rises slowly; few calls are quicker.
 	low time.Duration
+	// deviation is the average distance of a sample from the mean.
+	deviation time.Duration
 }
 
+// usual is what most calls take at most.
+func (es *estimate) usual() time.Duration { return es.mean + usualDeviations*es.deviation/2 }
+
 // Weights of a sample, as one in this many.
 const (
 	meanWeight = 8
 	fallWeight = 2
 	riseWeight = 64
+	// usualDeviations is how far above the mean most calls end, in halves of the
+	// average deviation.
+	usualDeviations = 3
 )
 
 func (es *estimate) add(sample time.Duration) {
@@ -100,6 +156,7 @@
 		es.low = sample
 		return
 	}
+	es.deviation += ((sample - es.mean).Abs() - es.deviation) / meanWeight
 	es.mean += (sample - es.mean) / meanWeight
 	if sample < es.low {
 		es.low += (sample - es.low) / fallWeight
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -126,6 +126,15 @@
 	Service     contract.ServiceName
 	Class       contract.Class
 	// Rank orders the attempts that wait: 0 goes first.
-	Rank     int
-	Deadline time.Time
+	Rank int
+	// Kind tells apart the attempts whose service times are alike; those without
+	// one are told apart by their class.
+	Kind Kind
+	// Objective is when the answer is wanted; zero means any time before the
+	// deadline.
+	Objective time.Time
+	Deadline  time.Time
 }
+
+// Kind names attempts whose service times are alike.
+type Kind string
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -82,6 +82,13 @@
 		Length:      int64(len(ex.inline)),
 		Body:        ex.inline,
 		Idempotent:  ex.target.Terms.Idempotent,
+		Rank:        uint32(ex.target.Terms.Rank),
+		RequestId:   ex.request,
+		Kind:        string(ex.target.Terms.Name),
+	}
+	if !ex.objective.IsZero() {
+		rq.HasObjective = true
+		rq.ObjectiveUs = time.Until(ex.objective).Microseconds()
 	}
 	var body io.ReadCloser
 	if ex.body != nil {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -67,6 +67,8 @@
 	body   *body
 
 	deadline time.Time
+	// objective is when the answer is wanted; zero when the contract has none.
+	objective time.Time
 	context  context.Context
 	cancel   context.CancelFunc
 	// gone is closed when the caller has left.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -74,6 +74,7 @@
 	// draining says that callers are to use other nodes.
 	draining atomic.Bool
 	splits   call.Splits
+	patience call.Patience
 	retries  *budgets
 	hedges   *budgets
 	writes   *writeBudget
@@ -263,23 +264,23 @@
 	ctx := tu.http
 	vi := sv.cfg.View()
 	ex := &exchange{
-		server:   sv,
-		session:  se,
-		turn:     tu,
-		http:     ctx,
-		conn:     se.conn,
-		view:     vi,
-		target:   call.Resolve(vi, sv.part(ta)),
-		number:   sv.calls.Add(1),
-		begun:    now,
-		method:   string(ctx.Method()),
-		uri:      string(ctx.Request.Header.RequestURI()),
-		mark:     string(ctx.Request.Header.Peek(call.HeaderAttempt)),
-		headers:  sv.headersOf(ctx),
-		request:  sv.cfg.Protocol.RequestID(&ctx.Request.Header),
-		deadline: sv.deadlineOf(ctx, ta, now),
-		gone:     make(chan struct{}),
+		server:  sv,
+		session: se,
+		turn:    tu,
+		http:    ctx,
+		conn:    se.conn,
+		view:    vi,
+		target:  call.Resolve(vi, sv.part(ta)),
+		number:  sv.calls.Add(1),
+		begun:   now,
+		method:  string(ctx.Method()),
+		uri:     string(ctx.Request.Header.RequestURI()),
+		mark:    string(ctx.Request.Header.Peek(call.HeaderAttempt)),
+		headers: sv.headersOf(ctx),
+		request: sv.cfg.Protocol.RequestID(&ctx.Request.Header),
+		gone:    make(chan struct{}),
 	}
+	sv.schedule(ex, now)
 	ex.name = ex.id()
 	if !ex.readBody() {
 		se.finish(tu)
@@ -318,13 +319,26 @@
 	return sv.splits.Next(ta)
 }
 
-// deadlineOf is the contract's deadline, or the caller's own if that is sooner.
-func (sv *Server) deadlineOf(ctx *fasthttp.RequestCtx, ta *contract.Target, now time.Time) time.Time {
-	timeout := ta.Terms.Timeout()
-	if own, ok := sv.cfg.Protocol.Timeout(&ctx.Request.Header); ok {
+// schedule sets when the answer is due: at the contract's deadline, or the
+// caller's own if that is sooner. The objective counts from when the caller
+// first asked.
+func (sv *Server) schedule(ex *exchange, now time.Time) {
+	te := ex.target.Terms
+	timeout := te.Timeout()
+	own, said := sv.cfg.Protocol.Timeout(&ex.http.Request.Header)
+	if said {
 		timeout = min(timeout, own)
 	}
-	return now.Add(timeout)
+	ex.deadline = now.Add(timeout)
+	if te.ObjectiveMS == 0 {
+		return
+	}
+	ex.objective = now.Add(te.Objective())
+	if said {
+		sv.mu.Lock()
+		ex.objective = ex.objective.Add(-sv.patience.Age(ex.target.Route.Name, own))
+		sv.mu.Unlock()
+	}
 }
 
 // readBody keeps a short body whole, so that it can be sent again, and leaves a
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -65,8 +65,13 @@
 		Incarnation: host.Incarnation(rq.GetIncarnation()),
 		Service:     contract.ServiceName(rq.GetService()),
 		Class:       contract.Class(rq.GetClass()),
+		Rank:        int(rq.GetRank()),
+		Kind:        host.Kind(rq.GetKind()),
 		Deadline:    now.Add(time.Duration(rq.GetRemainingUs()) * time.Microsecond),
 	}
+	if rq.GetHasObjective() {
+		at.Objective = now.Add(time.Duration(rq.GetObjectiveUs()) * time.Microsecond)
+	}
 	ctx, cancel := context.WithDeadline(ctx, at.Deadline)
 	ad := &admission{
 		verdict: make(chan host.Action, 1),
