--- a/core/call/retry.go
+++ b/core/call/retry.go
@@ -37,6 +37,12 @@
 	return false
 }
 
+// Full tells whether a result is the refusal of a gate without room: no upstream
+// has seen the attempt, so that another gate may be asked at no cost to them.
+func Full(re Result) bool {
+	return re.Outcome == OutcomeNotRun && re.Reason == host.ReasonQueueFull
+}
+
 // final tells whether a result is the upstream's last word.
 func (ca *Call) final(re Result) bool {
 	if re.Outcome != OutcomeRan {
@@ -56,8 +62,10 @@
 		return NoRetryUnknown, false
 	case !ca.cfg.Replayable && !re.BodyUnread:
 		return NoRetryBody, false
-	case Moved(re) && ca.moves < maxMoves:
+	case (Moved(re) || Full(re)) && ca.moves < maxMoves:
 		return RetryMoved, true
+	case Full(re):
+		return NoRetryNoRoom, false
 	case re.GaveUp:
 		return NoRetryLowerLayer, false
 	case ca.cfg.UpperRetries:
--- a/core/call/types.go
+++ b/core/call/types.go
@@ -59,6 +59,7 @@
 	NoRetryNoCandidate  RetryReason = "no_candidate"
 	NoHedgeBudget       RetryReason = "hedge_budget"
 	NoHedgeNoCandidate  RetryReason = "hedge_no_candidate"
+	NoRetryNoRoom       RetryReason = "no_room"
 	NoRetryInvariant    RetryReason = "invariant"
 	NoRetryCallerIsGone RetryReason = "caller_gone"
 )
