fix: keep slots from bulk calls only when they take far longer than lookups

Cause: a gate kept slots free for lookups while quick uploads waited, and the waiting uploads counted as ahead of everything that arrived (seen at a gate with 4 of 9 slots in use and 7 uploads in the queue). Found by logging the state of gates that refuse.

--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -77,7 +77,7 @@
 	if !now.Before(at.Deadline) {
 		return ReasonDeadline
 	}
-	if ga.free() > ga.queue.len() {
+	if ga.open(at) {
 		return ReasonNone
 	}
 	if ga.leaving() {
--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -18,9 +18,17 @@
 
 func (ga *Gate) free() int { return ga.limit() - len(ga.running) - ga.occupancy.held }
 
+// longBulk is how many times as long as a lookup a bulk attempt must take for
+// slots to be kept from it.
+const longBulk = 4
+
 // bulkAllowed keeps as many slots for lookups of the same rank or a higher one as
-// they have lately needed at once, and some more; bulk has one at least.
+// they have lately needed at once, and some more; bulk has one at least. Bulk that
+// is about as quick as lookups holds nobody up and may have every slot.
 func (ga *Gate) bulkAllowed(rank int) bool {
+	if ga.uploads.mean > 0 && ga.uploads.mean <= longBulk*ga.lookups.mean {
+		return true
+	}
 	demand := 0.0
 	for ra, de := range ga.demand {
 		if ra <= rank {
@@ -34,6 +42,18 @@
 // demandWeight is the share of the latest sample, as one in this many.
 const demandWeight = 64
 
+// open tells whether an attempt that arrives finds a slot at once.
+func (ga *Gate) open(at Attempt) bool {
+	ahead := ga.queue.len()
+	if at.Class == contract.ClassBulk && !ga.bulkAllowed(at.Rank) {
+		return ga.free() > ahead
+	}
+	if at.Class != contract.ClassBulk && len(ga.queue.bulk) > 0 && !ga.bulkAllowed(ga.queue.bulk[0].attempt.Rank) {
+		ahead = len(ga.queue.lookups)
+	}
+	return ga.free() > ahead
+}
+
 // noteDemand learns how many lookups there are at once, by rank, when one arrives.
 func (ga *Gate) noteDemand(rank int) {
 	counts := ga.counts
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -105,7 +105,7 @@
 	}
 	switch ev.Outcome {
 	case OutcomeRan:
-		ga.service(en.attempt).add(now.Sub(en.dispatched))
+		ga.learn(en.attempt, now.Sub(en.dispatched))
 		ga.close(en, stateFinished, ev.Reason, ev.KeptBytes, now)
 	case OutcomeNotRun:
 		ga.close(en, stateRefused, ev.Reason, 0, now)
@@ -114,6 +114,19 @@
 	}
 }
 
+// learn takes in how long the upstream took over an attempt.
+func (ga *Gate) learn(at Attempt, took time.Duration) {
+	es := ga.service(at)
+	es.add(took)
+	class := &ga.lookups
+	if at.Class == contract.ClassBulk {
+		class = &ga.uploads
+	}
+	if class != es {
+		class.add(took)
+	}
+}
+
 // close records an attempt's end and answers the queries that wait for it.
 func (ga *Gate) close(en *entry, st entryState, re Reason, kept int, now time.Time) {
 	gone := ga.ledger.end(en, st, re, kept, now)
