perf: calls leave their data centre only for want of room

Cause: a data centre was added for a whole service at 0.8 of its load, and from then on calls chose among all its upstreams alike, uploads of 60 KB too.

Weighed: adding data centres by average load (before) against the choice for each call; the latter needs no state.

Left: what the remaining bytes are.

--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -52,38 +52,72 @@
 }
 
 // Pick returns the better of two random upstreams that were not tried yet. It
-// takes data centres in the order of their distance, as many as the load needs.
-// The list is the view's own: it is recognised by its first element.
+// takes data centres in the order of their distance, and goes on to the next one
+// only when what it finds is full or slow. The list is the view's own: it is
+// recognised by its first element.
 func (ch *Chooser) Pick(
 	name contract.ServiceName,
 	all []datacentre.Upstream,
 	tried []host.ID,
 	now time.Time,
+) (datacentre.Upstream, bool) {
+	return ch.pick(name, all, tried, spillAbove, now)
+}
+
+// PickNear is Pick for calls that are expensive to carry far: they leave a data
+// centre only when the queues there are long.
+func (ch *Chooser) PickNear(
+	name contract.ServiceName,
+	all []datacentre.Upstream,
+	tried []host.ID,
+	now time.Time,
+) (datacentre.Upstream, bool) {
+	return ch.pick(name, all, tried, spillNearAbove, now)
+}
+
+func (ch *Chooser) pick(
+	name contract.ServiceName,
+	all []datacentre.Upstream,
+	tried []host.ID,
+	full float64,
+	now time.Time,
 ) (datacentre.Upstream, bool) {
 	if len(all) == 0 {
 		return datacentre.Upstream{}, false
 	}
 	po := ch.pool(name, all, now)
-	a, n := ch.first(po, tried, now)
-	if a == nil {
-		return ch.lastResort(po, tried)
+	var best *peer
+	from := 0
+	for _, end := range po.ends {
+		pe := ch.better(po, from, end, tried, now)
+		from = end
+		switch {
+		case pe == nil:
+			continue
+		case pe.roomy(po, full, now):
+			return pe.upstream, true
+		case best == nil || pe.utilisation(now)+spillGain < best.utilisation(now):
+			best = pe
+		}
 	}
-	b := ch.sample(po, n, tried, now)
-	if b.score(po, now) < a.score(po, now) {
-		a = b
+	if best == nil {
+		return ch.lastResort(po, tried)
 	}
-	return a.upstream, true
+	return best.upstream, true
 }
 
-// first samples the data centres in use, and one more at a time while none of
-// them has a usable upstream. It returns how many upstreams were looked at.
-func (ch *Chooser) first(po *pool, tried []host.ID, now time.Time) (*peer, int) {
-	for _, n := range po.ends[po.centres-1:] {
-		if pe := ch.sample(po, n, tried, now); pe != nil {
-			return pe, n
-		}
+// better returns the better of two random usable upstreams of one data centre, or
+// nil.
+func (ch *Chooser) better(po *pool, from, end int, tried []host.ID, now time.Time) *peer {
+	peers := po.peers[from:end]
+	a := ch.sample(peers, tried, now)
+	if a == nil {
+		return nil
+	}
+	if b := ch.sample(peers, tried, now); b.score(po, now) < a.score(po, now) {
+		return b
 	}
-	return nil, 0
+	return a
 }
 
 // lastResort picks among upstreams that are avoided, when there are no others: a
@@ -102,17 +136,18 @@
 // samples bounds the random candidates looked at before the list is searched.
 const samples = 4
 
-// sample returns a random usable upstream among the first n, or nil.
-func (ch *Chooser) sample(po *pool, n int, tried []host.ID, now time.Time) *peer {
+// sample returns a random usable upstream, or nil.
+func (ch *Chooser) sample(peers []*peer, tried []host.ID, now time.Time) *peer {
+	n := len(peers)
 	for range samples {
-		pe := po.peers[ch.cfg.Rand.IntN(n)]
+		pe := peers[ch.cfg.Rand.IntN(n)]
 		if pe.usable(tried, now) && ch.cfg.Rand.Float64() < pe.weight(now) {
 			return pe
 		}
 	}
 	from := ch.cfg.Rand.IntN(n)
 	for i := range n {
-		if pe := po.peers[(from+i)%n]; pe.usable(tried, now) {
+		if pe := peers[(from+i)%n]; pe.usable(tried, now) {
 			return pe
 		}
 	}
@@ -145,7 +180,7 @@
 	if po == nil {
 		return
 	}
-	po.observe(ob, now)
+	po.observe(ob)
 	ch.judge(po, pe, now)
 }
 
--- a/core/call/peer.go
+++ b/core/call/peer.go
@@ -110,6 +110,11 @@
 	return max(own, pe.agedLoad(now))
 }
 
+// roomy tells whether a call that goes here is served without a long wait.
+func (pe *peer) roomy(po *pool, full float64, now time.Time) bool {
+	return pe.utilisation(now) < full && pe.agedLatency(po, now) <= slowFactor*max(firstLatency, po.latency)
+}
+
 // score is lower for the better upstream.
 func (pe *peer) score(po *pool, now time.Time) float64 {
 	slots := float64(max(1, pe.upstream.Slots))
--- a/core/call/pool.go
+++ b/core/call/pool.go
@@ -11,17 +11,17 @@
 )
 
 const (
-	// spillAbove is the utilisation of the data centres in use at which the next
-	// one is added, and spillBelow what it would be without the last one when
-	// that one is taken away.
-	spillAbove = 0.8
-	spillBelow = 0.6
-	// sampleEvery is the time between two samples of the load, and sampleWeight
-	// the share of the latest one, as one in this many.
-	sampleEvery  = 100 * time.Millisecond
-	sampleWeight = 4
-	// spillEvery is the time between two changes of the data centres in use.
-	spillEvery = time.Second
+	// spillAbove is the utilisation of an upstream at which calls go on to the next
+	// data centre, and spillNearAbove the same for calls that are expensive to carry.
+	// Above 1 calls wait.
+	spillAbove     = 0.9
+	spillNearAbove = 1.5
+	// spillGain is how much less an upstream of a farther data centre must be used
+	// when all are full.
+	spillGain = 0.15
+	// slowFactor is how many times slower than its service an upstream may be
+	// before a farther one is looked at.
+	slowFactor = 3
 	// unknownDistance stands for the round trip to a data centre not yet measured.
 	unknownDistance = 10 * time.Millisecond
 	// ejectShare is the largest share of a service's upstreams that is ejected.
@@ -36,14 +36,8 @@
 	size  int
 	peers []*peer
 	// ends are the places in peers where each data centre ends.
-	ends []int
-	// centres is how many data centres are in use; it is at least 1.
-	centres int
-	// load is an average of the load of the upstreams in use, added up.
-	load     float64
-	sampleAt time.Time
-	changeAt time.Time
-	latency  time.Duration
+	ends    []int
+	latency time.Duration
 }
 
 // pool returns a service's pool; it is built anew when the view has changed.
@@ -60,7 +54,7 @@
 	po := ch.pools[name]
 	known := po != nil
 	if !known {
-		po = &pool{centres: 1}
+		po = &pool{}
 		ch.pools[name] = po
 	}
 	ch.removeGone(po, all)
@@ -133,43 +127,17 @@
 			po.ends = append(po.ends, i+1)
 		}
 	}
-	po.centres = min(po.centres, len(po.ends))
 }
 
-// observe learns the service's latency and the load of the data centres in use.
-func (po *pool) observe(ob Observation, now time.Time) {
-	if ob.Result.Outcome == OutcomeRan && !ob.Bulk && ob.Latency > 0 {
-		if po.latency == 0 {
-			po.latency = ob.Latency
-		}
-		po.latency += (ob.Latency - po.latency) / (latencyWeight * 4)
-	}
-	if ob.HasLoad && !now.Before(po.sampleAt) {
-		po.sampleAt = now.Add(sampleEvery)
-		po.sample(now)
-	}
-}
-
-// sample learns the load of the data centres in use, and adds or takes away one.
-func (po *pool) sample(now time.Time) {
-	all := po.ends[po.centres-1]
-	total := 0.0
-	for _, pe := range po.peers[:all] {
-		total += pe.utilisation(now)
-	}
-	po.load += (total - po.load) / sampleWeight
-	if now.Before(po.changeAt) {
+// observe learns the service's latency.
+func (po *pool) observe(ob Observation) {
+	if ob.Result.Outcome != OutcomeRan || ob.Bulk || ob.Latency <= 0 {
 		return
 	}
-	switch {
-	case po.load > spillAbove*float64(all) && po.centres < len(po.ends):
-		po.centres++
-	case po.centres > 1 && po.load < spillBelow*float64(po.ends[po.centres-2]):
-		po.centres--
-	default:
-		return
+	if po.latency == 0 {
+		po.latency = ob.Latency
 	}
-	po.changeAt = now.Add(spillEvery)
+	po.latency += (ob.Latency - po.latency) / (latencyWeight * 4)
 }
 
 // judge ejects an upstream that looks bad, unless too many do.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -69,8 +69,8 @@
 	deadline time.Time
 	// objective is when the answer is wanted; zero when the contract has none.
 	objective time.Time
-	context  context.Context
-	cancel   context.CancelFunc
+	context   context.Context
+	cancel    context.CancelFunc
 	// gone is closed when the caller has left.
 	gone     chan struct{}
 	call     *call.Call
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -388,14 +388,18 @@
 
 // pick chooses an upstream; it is safe for many goroutines.
 func (sv *Server) pick(
-	name contract.ServiceName,
+	ta *contract.Target,
 	all []datacentre.Upstream,
 	tried []host.ID,
 	now time.Time,
 ) (datacentre.Upstream, bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	up, ok := sv.chooser.Pick(name, all, tried, now)
+	pick := sv.chooser.Pick
+	if ta.Terms.Class == contract.ClassBulk {
+		pick = sv.chooser.PickNear
+	}
+	up, ok := pick(ta.Route.Service, all, tried, now)
 	if ok {
 		sv.chooser.Started(up)
 	}
