--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -75,6 +75,37 @@
 	return ch.pick(name, all, tried, spillNearAbove, now)
 }
 
+// PickSpare returns the best upstream that was not tried yet and is not known to
+// be full, in the nearest data centre that has one.
+func (ch *Chooser) PickSpare(
+	name contract.ServiceName,
+	all []datacentre.Upstream,
+	tried []host.ID,
+	now time.Time,
+) (datacentre.Upstream, bool) {
+	if len(all) == 0 {
+		return datacentre.Upstream{}, false
+	}
+	po := ch.pool(name, all, now)
+	from := 0
+	for _, end := range po.ends {
+		var best *peer
+		for _, pe := range po.peers[from:end] {
+			if !pe.usable(tried, now) || pe.utilisation(now) >= spillAbove {
+				continue
+			}
+			if best == nil || pe.score(po, now) < best.score(po, now) {
+				best = pe
+			}
+		}
+		if best != nil {
+			return best.upstream, true
+		}
+		from = end
+	}
+	return datacentre.Upstream{}, false
+}
+
 func (ch *Chooser) pick(
 	name contract.ServiceName,
 	all []datacentre.Upstream,
--- a/core/call/chooser_test.go
+++ b/core/call/chooser_test.go
@@ -363,3 +363,20 @@
 		assert.Equal(t, up.DataCentre != local, it.near, "load %d", it.load)
 	}
 }
+
+// TestChooserSpare passes over upstreams that said lately that they are full, and
+// looks at them again when that is old.
+func TestChooserSpare(t *testing.T) {
+	fi := newField(t, map[datacentre.Name]int{local: 2, "curing-room": 1})
+	fi.picks(50, at("curing-room-0", ok(2*time.Millisecond, 100), ok(2*time.Millisecond, 1200)))
+	tried := []host.ID{"press-hall-0"}
+	up, found := fi.chooser.PickSpare(service, fi.all, tried, fi.now)
+	assert.Assert(t, found)
+	assert.Equal(t, up.Host, host.ID("curing-room-0"))
+	tried = append(tried, "curing-room-0")
+	_, found = fi.chooser.PickSpare(service, fi.all, tried, fi.now)
+	assert.Assert(t, !found)
+	up, found = fi.chooser.PickSpare(service, fi.all, tried, fi.now.Add(2*time.Second))
+	assert.Assert(t, found)
+	assert.Equal(t, up.Host, host.ID("press-hall-1"))
+}
--- a/core/call/ingress_test.go
+++ b/core/call/ingress_test.go
@@ -161,6 +161,10 @@
 	in.inbox = nil
 }
 
+func (in *ingress) PickSpare(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
+	return in.Pick(tried, now)
+}
+
 // Pick implements call.Picker.
 func (in *ingress) Pick(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
 	up, ok := in.chooser.Pick(service, in.known, tried, now)
--- a/core/call/keyed/keyed_test.go
+++ b/core/call/keyed/keyed_test.go
@@ -24,6 +24,10 @@
 type hosts []host.ID
 
 // Pick implements call.Picker.
+func (ho hosts) PickSpare(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
+	return ho.Pick(tried, now)
+}
+
 func (ho hosts) Pick(tried []host.ID, _ time.Time) (datacentre.Upstream, bool) {
 	for _, id := range ho {
 		if !slices.Contains(tried, id) {
--- a/core/call/retry.go
+++ b/core/call/retry.go
@@ -131,7 +131,11 @@
 // are tried again from the time that they gave.
 func (ca *Call) retry(now time.Time) {
 	ca.retryAt = time.Time{}
-	up, ok := ca.cfg.Chooser.Pick(ca.tried, now)
+	pick := ca.cfg.Chooser.Pick
+	if Full(ca.last) {
+		pick = ca.cfg.Chooser.PickSpare
+	}
+	up, ok := pick(ca.tried, now)
 	if ok {
 		ca.try(up, ca.retryReason)
 		return
--- a/core/call/types.go
+++ b/core/call/types.go
@@ -214,6 +214,8 @@
 type Picker interface {
 	// Pick returns an upstream that is not among the hosts tried.
 	Pick(tried []host.ID, now time.Time) (datacentre.Upstream, bool)
+	// PickSpare is Pick among the upstreams that are not known to be full.
+	PickSpare(tried []host.ID, now time.Time) (datacentre.Upstream, bool)
 }
 
 // Spender grants retries or hedges.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -391,12 +391,16 @@
 	ta *contract.Target,
 	all []datacentre.Upstream,
 	tried []host.ID,
+	spare bool,
 	now time.Time,
 ) (datacentre.Upstream, bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	pick := sv.chooser.Pick
-	if ta.Terms.Class == contract.ClassBulk {
+	switch {
+	case spare:
+		pick = sv.chooser.PickSpare
+	case ta.Terms.Class == contract.ClassBulk:
 		pick = sv.chooser.PickNear
 	}
 	up, ok := pick(ta.Route.Service, all, tried, now)
