--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -61,18 +61,7 @@
 	tried []host.ID,
 	now time.Time,
 ) (datacentre.Upstream, bool) {
-	return ch.pick(name, all, tried, spillAbove, now)
-}
-
-// PickNear is Pick for calls that are expensive to carry far: they leave a data
-// centre only when the queues there are long.
-func (ch *Chooser) PickNear(
-	name contract.ServiceName,
-	all []datacentre.Upstream,
-	tried []host.ID,
-	now time.Time,
-) (datacentre.Upstream, bool) {
-	return ch.pick(name, all, tried, spillNearAbove, now)
+	return ch.PickPatient(name, all, tried, 0, now)
 }
 
 // PickSpare returns the best upstream that was not tried yet and is not known to
@@ -106,11 +95,13 @@
 	return datacentre.Upstream{}, false
 }
 
-func (ch *Chooser) pick(
+// PickPatient is Pick for calls that may wait for so long: they leave a data
+// centre only when the queues there are longer.
+func (ch *Chooser) PickPatient(
 	name contract.ServiceName,
 	all []datacentre.Upstream,
 	tried []host.ID,
-	full float64,
+	patience time.Duration,
 	now time.Time,
 ) (datacentre.Upstream, bool) {
 	if len(all) == 0 {
@@ -125,7 +116,7 @@
 		switch {
 		case pe == nil:
 			continue
-		case pe.roomy(po, full, now):
+		case pe.roomy(po, patience, now):
 			return pe.upstream, true
 		case best == nil || pe.utilisation(now)+spillGain < best.utilisation(now):
 			best = pe
--- a/core/call/chooser_test.go
+++ b/core/call/chooser_test.go
@@ -339,28 +339,28 @@
 }
 
 // TestChooserSpillsOnlyWhatDoesNotFit fills the one upstream of the own data
-// centre now and then: calls leave it only while it is full, and those that are
-// expensive to carry stay until its queue is long.
+// centre now and then: calls leave it only while it is full, and those that can
+// wait stay until its queue is long. Calls take 100 ms here.
 func TestChooserSpillsOnlyWhatDoesNotFit(t *testing.T) {
 	for _, it := range []struct {
 		load      uint32
-		far, near bool
+		far, late bool
 	}{
 		{load: 850},
 		{load: 1000, far: true},
 		{load: 1400, far: true},
-		{load: 1600, far: true, near: true},
+		{load: 1600, far: true, late: true},
 	} {
 		fi := newField(t, map[datacentre.Name]int{local: 1, "curing-room": 3})
-		loaded := at("press-hall-0", ok(2*time.Millisecond, it.load), ok(2*time.Millisecond, 300))
+		loaded := at("press-hall-0", ok(100*time.Millisecond, it.load), ok(100*time.Millisecond, 300))
 		fi.chooser.Ended(fi.all[0], loaded(fi.all[0]), fi.now)
 		fi.picks(1, loaded)
 		fi.chooser.Started(fi.all[0])
 		fi.chooser.Ended(fi.all[0], loaded(fi.all[0]), fi.now)
 		up, _ := fi.chooser.Pick(service, fi.all, nil, fi.now)
 		assert.Equal(t, up.DataCentre != local, it.far, "load %d", it.load)
-		up, _ = fi.chooser.PickNear(service, fi.all, nil, fi.now)
-		assert.Equal(t, up.DataCentre != local, it.near, "load %d", it.load)
+		up, _ = fi.chooser.PickPatient(service, fi.all, nil, 60*time.Millisecond, fi.now)
+		assert.Equal(t, up.DataCentre != local, it.late, "load %d", it.load)
 	}
 }
 
--- a/core/call/peer.go
+++ b/core/call/peer.go
@@ -110,9 +110,14 @@
 	return max(own, pe.agedLoad(now))
 }
 
-// roomy tells whether a call that goes here is served without a long wait.
-func (pe *peer) roomy(po *pool, full float64, now time.Time) bool {
-	return pe.utilisation(now) < full && pe.agedLatency(po, now) <= slowFactor*max(firstLatency, po.latency)
+// roomy tells whether a call that may wait for so long is well served here.
+func (pe *peer) roomy(po *pool, patience time.Duration, now time.Time) bool {
+	latency := pe.agedLatency(po, now)
+	if latency > slowFactor*max(firstLatency, po.latency) {
+		return false
+	}
+	over := pe.utilisation(now) - spillAbove
+	return over < 0 || time.Duration(over*float64(latency)) <= patience
 }
 
 // score is lower for the better upstream.
--- a/core/call/pool.go
+++ b/core/call/pool.go
@@ -11,11 +11,9 @@
 )
 
 const (
-	// spillAbove is the utilisation of an upstream at which calls go on to the next
-	// data centre, and spillNearAbove the same for calls that are expensive to carry.
-	// Above 1 calls wait.
-	spillAbove     = 0.9
-	spillNearAbove = 1.5
+	// spillAbove is the utilisation of an upstream at which calls that can't wait go
+	// on to the next data centre.
+	spillAbove = 0.9
 	// spillGain is how much less an upstream of a farther data centre must be used
 	// when all are full.
 	spillGain = 0.15
--- a/io/caller/choice.go
+++ b/io/caller/choice.go
@@ -9,14 +9,12 @@
 
 // Pick implements call.Picker.
 func (ex *exchange) Pick(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
-	name := ex.target.Route.Service
-	return ex.server.pick(ex.target, ex.view.Upstreams[name], tried, false, now)
+	return ex.server.pick(ex, tried, false, now)
 }
 
 // PickSpare implements call.Picker.
 func (ex *exchange) PickSpare(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
-	name := ex.target.Route.Service
-	return ex.server.pick(ex.target, ex.view.Upstreams[name], tried, true, now)
+	return ex.server.pick(ex, tried, true, now)
 }
 
 // Spend implements call.Spender for retries.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -387,29 +387,42 @@
 }
 
 // pick chooses an upstream; it is safe for many goroutines.
-func (sv *Server) pick(
-	ta *contract.Target,
-	all []datacentre.Upstream,
-	tried []host.ID,
-	spare bool,
-	now time.Time,
-) (datacentre.Upstream, bool) {
+func (sv *Server) pick(ex *exchange, tried []host.ID, spare bool, now time.Time) (datacentre.Upstream, bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	pick := sv.chooser.Pick
-	switch {
-	case spare:
-		pick = sv.chooser.PickSpare
-	case ta.Terms.Class == contract.ClassBulk:
-		pick = sv.chooser.PickNear
-	}
-	up, ok := pick(ta.Route.Service, all, tried, now)
+	name := ex.target.Route.Service
+	all := ex.view.Upstreams[name]
+	up, ok := datacentre.Upstream{}, false
+	if spare {
+		up, ok = sv.chooser.PickSpare(name, all, tried, now)
+	} else {
+		up, ok = sv.chooser.PickPatient(name, all, tried, sv.patienceOf(ex, now), now)
+	}
 	if ok {
 		sv.chooser.Started(up)
 	}
 	return up, ok
 }
 
+// waitShare is the part of the time that a call has to spare which it may spend
+// in a queue near by before it is carried farther. Bulk calls, which are
+// expensive to carry, may spend all of it.
+const waitShare = 2
+
+// patienceOf is how long a call may wait in a queue and still meet its objective;
+// sv.mu is held.
+func (sv *Server) patienceOf(ex *exchange, now time.Time) time.Duration {
+	if ex.objective.IsZero() {
+		return 0
+	}
+	estimate := sv.chooser.Estimate(ex.target.Route.Service)
+	left := max(0, ex.objective.Sub(now)-estimate-estimate/2)
+	if ex.target.Terms.Class == contract.ClassBulk {
+		return left
+	}
+	return left / waitShare
+}
+
 func (sv *Server) attemptEnded(up datacentre.Upstream, ob call.Observation, now time.Time) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -361,12 +361,23 @@
 	return ex.sendErr == nil
 }
 
+// ownHead are headers that concern the upstream's connection only, and would be
+// carried for nothing.
+var ownHead = map[string]bool{
+	fasthttp.HeaderContentLength: true,
+	fasthttp.HeaderDate:          true,
+	fasthttp.HeaderKeepAlive:     true,
+}
+
 func responseOf(resp *fasthttp.Response) *wire.Response {
 	re := &wire.Response{
 		Status: int32(resp.StatusCode()),
 		Length: int64(resp.Header.ContentLength()),
 	}
 	for na, va := range resp.Header.All() {
+		if ownHead[string(na)] {
+			continue
+		}
 		re.Headers = append(re.Headers, &wire.Header{
 			Name:  bytes.Clone(na),
 			Value: bytes.Clone(va),
