fix: a call to a host that can't be reached moves on soon and at no cost

Cause: opening a connection to a host without power took up to 2 s of a call whose deadline is 2 s, was then paid for from the retry budget, and was tried by the next call again. A lane that went silent under a call was noticed after 1.5 s.

--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -208,13 +208,18 @@
 	}
 }
 
-// dialTimeout bounds the opening of a connection to another node.
-const dialTimeout = 2 * time.Second
+// dialTimeout bounds the opening of a connection to another node, and laneTimeout
+// that of one for a call, which has another gate to go to.
+const (
+	dialTimeout = 2 * time.Second
+	laneTimeout = 400 * time.Millisecond
+)
 
 func newDialer(ce *node.Certificates) *node.Dialer {
 	return &node.Dialer{
 		Certificates: ce,
 		Timeout:      dialTimeout,
+		LaneTimeout:  laneTimeout,
 	}
 }
 
--- a/core/call/retry.go
+++ b/core/call/retry.go
@@ -26,12 +26,12 @@
 // failed tells whether a result is one that an upper layer might retry.
 func failed(re Result) bool { return re.Outcome != OutcomeRan || retryable(re.Status) }
 
-// Moved tells whether a refusal comes from a gate that is leaving or was
-// replaced: its upstream gets no load from another attempt.
+// Moved tells whether a refusal comes from a gate that is leaving, was replaced or
+// can't be reached: its upstream gets no load from another attempt.
 func Moved(re Result) bool {
 	switch re.Reason {
 	case host.ReasonDraining, host.ReasonNoUpstream, host.ReasonSettling,
-		host.ReasonWrongIncarnation, host.ReasonWrongService:
+		host.ReasonWrongIncarnation, host.ReasonWrongService, ReasonLinkDial:
 		return re.Outcome == OutcomeNotRun
 	}
 	return false
--- a/io/node/dialer.go
+++ b/io/node/dialer.go
@@ -15,12 +15,22 @@
 	Certificates *Certificates
 	// Timeout bounds the opening of a connection.
 	Timeout time.Duration
+	// LaneTimeout bounds the opening of a lane; Timeout when it is not set.
+	LaneTimeout time.Duration
+}
+
+// timeout bounds the opening of a connection for a purpose.
+func (di *Dialer) timeout(preface string) time.Duration {
+	if preface == prefaceLane && di.LaneTimeout > 0 {
+		return di.LaneTimeout
+	}
+	return di.Timeout
 }
 
 // dial opens a connection and says what it is for. A failure is a RefusedError
 // when the peer was reached but not accepted, or did not accept this node.
 func (di *Dialer) dial(ctx context.Context, address, preface string) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, di.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, di.timeout(preface))
 	defer cancel()
 	var nd net.Dialer
 	raw, err := nd.DialContext(ctx, "tcp", address)
--- a/io/node/lane.go
+++ b/io/node/lane.go
@@ -13,12 +13,12 @@
 
 const (
 	// beatEvery is the time between two signs of life of a gate that runs a call.
-	beatEvery = 500 * time.Millisecond
+	beatEvery = 250 * time.Millisecond
 	// followAfter is how long a call runs before its end of the lane is read on,
 	// for a cancel.
 	followAfter = 10 * time.Millisecond
 	// silentAfter is how long a lane with a call on it may bring nothing.
-	silentAfter = 1500 * time.Millisecond
+	silentAfter = 800 * time.Millisecond
 	// keptBufferBytes bounds the buffers that a lane keeps, in bytes.
 	keptBufferBytes = 128 << 10
 )
--- a/io/node/lanes.go
+++ b/io/node/lanes.go
@@ -18,7 +18,7 @@
 	// laneIdleFor is how long an unused lane is kept.
 	laneIdleFor = 30 * time.Second
 	// greetWithin bounds the wait for the far end of a new lane.
-	greetWithin = time.Second
+	greetWithin = 500 * time.Millisecond
 	// sweepEvery is the time between two searches for lanes unused for too long.
 	sweepEvery = 5 * time.Second
 )
