--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -40,16 +40,18 @@
 // one, and among themselves as they arrived.
 const withoutObjective = 24 * time.Hour
 
-// schedule decides the place of an attempt in the queue. One whose objective is
-// out of reach, even if it ran at once, waits behind those that can meet theirs.
+// schedule decides the place of an attempt in the queue. One whose caller has come
+// back too late for its objective waits behind those that can meet theirs; one
+// that is out of reach because the upstream is slow keeps its place.
 func (ga *Gate) schedule(en *entry, now time.Time) {
 	at := en.attempt
+	en.arrived = now
 	en.due = at.Objective
 	if at.Objective.IsZero() {
 		en.due = now.Add(withoutObjective)
 		return
 	}
-	en.late = now.Add(ga.service(at).usual()).After(at.Objective)
+	en.late = at.Returning && ga.outOfReach(at, now)
 }
 
 // duplicate answers an arrival of an attempt that the ledger holds.
@@ -104,12 +106,17 @@
 // longer, the slots are better spent on attempts that can still meet theirs.
 func (ga *Gate) patience(en *entry, now time.Time) time.Duration {
 	usual := ga.service(en.attempt).usual()
-	if en.late {
+	if ga.outOfReach(en.attempt, now) {
 		return usual / lateShare
 	}
 	return en.attempt.Objective.Sub(now) - usual
 }
 
+// outOfReach tells whether an attempt would miss its objective if it ran at once.
+func (ga *Gate) outOfReach(at Attempt, now time.Time) bool {
+	return now.Add(ga.service(at).usual()).After(at.Objective)
+}
+
 func (ga *Gate) refuse(en *entry, re Reason, now time.Time) {
 	ga.do(Refuse{
 		ID:       en.attempt.ID,
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -61,7 +61,8 @@
 	if en.late || en.attempt.Objective.IsZero() || ga.queue.len() == 0 {
 		return false
 	}
-	return now.Add(ga.service(en.attempt).mean).After(en.attempt.Objective)
+	mean := ga.service(en.attempt).mean
+	return mean < en.attempt.Objective.Sub(en.arrived) && now.Add(mean).After(en.attempt.Objective)
 }
 
 func (ga *Gate) dispatch(en *entry, now time.Time) {
--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -205,6 +205,7 @@
 		var ms int
 		td.ScanArgs(t, "objective", &ms)
 		at.Objective = sc.now.Add(time.Duration(ms) * time.Millisecond)
+		at.Returning = td.HasArg("returning")
 	}
 	td.MaybeScanArgs(t, "rank", &at.Rank)
 	return host.Arrived{Attempt: at}
--- a/core/host/ledger.go
+++ b/core/host/ledger.go
@@ -23,8 +23,9 @@
 	dispatched time.Time
 	started    bool
 	// due orders the attempts that wait; late ones can't meet their objective.
-	due  time.Time
-	late bool
+	due     time.Time
+	late    bool
+	arrived time.Time
 	// cancelled attempts were interrupted already.
 	cancelled bool
 	waiters   []waiter
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -133,6 +133,8 @@
 	// Objective is when the answer is wanted; zero means any time before the
 	// deadline.
 	Objective time.Time
+	// Returning says that the caller comes back after a refusal.
+	Returning bool
 	Deadline  time.Time
 }
 
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -88,6 +88,7 @@
 	}
 	if !ex.objective.IsZero() {
 		rq.HasObjective = true
+		rq.Returning = ex.returning
 		rq.ObjectiveUs = time.Until(ex.objective).Microseconds()
 	}
 	var body io.ReadCloser
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -69,6 +69,8 @@
 	deadline time.Time
 	// objective is when the answer is wanted; zero when the contract has none.
 	objective time.Time
+	// returning says that the caller comes back after a refusal.
+	returning bool
 	context   context.Context
 	cancel    context.CancelFunc
 	// gone is closed when the caller has left.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -336,8 +336,10 @@
 	ex.objective = now.Add(te.Objective())
 	if said {
 		sv.mu.Lock()
-		ex.objective = ex.objective.Add(-sv.patience.Age(ex.target.Route.Name, own))
+		age := sv.patience.Age(ex.target.Route.Name, own)
 		sv.mu.Unlock()
+		ex.objective = ex.objective.Add(-age)
+		ex.returning = age > 0
 	}
 }
 
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -70,6 +70,7 @@
 		Deadline:    now.Add(time.Duration(rq.GetRemainingUs()) * time.Microsecond),
 	}
 	if rq.GetHasObjective() {
+		at.Returning = rq.GetReturning()
 		at.Objective = now.Add(time.Duration(rq.GetObjectiveUs()) * time.Microsecond)
 	}
 	ctx, cancel := context.WithDeadline(ctx, at.Deadline)
