perf: calls that are part of another one go first at a gate

Such a call is known by its id, goes before all others and may wait until its deadline. Ruled out before: the order among slow upstreams, kept connections.

--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -208,6 +208,7 @@
 		at.Returning = td.HasArg("returning")
 	}
 	td.MaybeScanArgs(t, "rank", &at.Rank)
+	at.Nested = td.HasArg("nested")
 	return host.Arrived{Attempt: at}
 }
 
--- a/core/host/queue.go
+++ b/core/host/queue.go
@@ -42,10 +42,13 @@
 	*list = slices.Insert(*list, at, en)
 }
 
-// goesBefore tells whether an attempt goes before another of its class: by rank,
+// goesBefore tells whether an attempt goes before another of its class: those that
+// are part of another call, which has a slot already, then by rank,
 // then those that can still meet their objective, then by the objective.
 func (en *entry) goesBefore(it *entry) bool {
 	switch {
+	case en.attempt.Nested != it.attempt.Nested:
+		return en.attempt.Nested
 	case en.attempt.Rank != it.attempt.Rank:
 		return en.attempt.Rank < it.attempt.Rank
 	case en.late != it.late:
@@ -75,6 +78,9 @@
 		return true
 	}
 	bulk, lookup := qu.bulk[0].attempt.Rank, qu.lookups[0].attempt.Rank
+	if qu.lookups[0].attempt.Nested {
+		return false
+	}
 	if bulk != lookup {
 		return bulk < lookup
 	}
@@ -84,13 +90,13 @@
 // ahead visits the attempts that go before one that is not in the queue.
 func (qu *queue) ahead(en *entry, visit func(it *entry)) {
 	for _, it := range qu.lookups {
-		if en.attempt.Class == contract.ClassBulk && it.attempt.Rank <= en.attempt.Rank ||
+		if en.attempt.Class == contract.ClassBulk && (it.attempt.Nested || it.attempt.Rank <= en.attempt.Rank) ||
 			en.attempt.Class != contract.ClassBulk && !en.goesBefore(it) {
 			visit(it)
 		}
 	}
 	for _, it := range qu.bulk {
-		if en.attempt.Class != contract.ClassBulk && it.attempt.Rank < en.attempt.Rank ||
+		if en.attempt.Class != contract.ClassBulk && !en.attempt.Nested && it.attempt.Rank < en.attempt.Rank ||
 			en.attempt.Class == contract.ClassBulk && !en.goesBefore(it) {
 			visit(it)
 		}
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -135,7 +135,10 @@
 	Objective time.Time
 	// Returning says that the caller comes back after a refusal.
 	Returning bool
-	Deadline  time.Time
+	// Nested attempts are part of a call that an upstream runs, which fails with
+	// them; they go before all others.
+	Nested   bool
+	Deadline time.Time
 }
 
 // Kind names attempts whose service times are alike.
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -86,7 +86,8 @@
 		RequestId:   ex.request,
 		Kind:        string(ex.target.Terms.Name),
 	}
-	if !ex.objective.IsZero() {
+	rq.Nested = ex.nested
+	if !ex.objective.IsZero() && !ex.nested {
 		rq.HasObjective = true
 		rq.Returning = ex.returning
 		rq.ObjectiveUs = time.Until(ex.objective).Microseconds()
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -69,6 +69,8 @@
 	deadline time.Time
 	// objective is when the answer is wanted; zero when the contract has none.
 	objective time.Time
+	// nested says that the call is part of another one.
+	nested bool
 	// returning says that the caller comes back after a refusal.
 	returning bool
 	context   context.Context
--- a/io/caller/protocol.go
+++ b/io/caller/protocol.go
@@ -22,6 +22,8 @@
 	RequestID(he *fasthttp.RequestHeader) string
 	// Timeout is how long the caller waits; ok is false when it doesn't say.
 	Timeout(he *fasthttp.RequestHeader) (timeout time.Duration, ok bool)
+	// Nested tells whether the call is part of another one that an upstream runs.
+	Nested(he *fasthttp.RequestHeader) bool
 	// Forwards tells whether a request header travels on to the upstream.
 	Forwards(name string) bool
 	// Added are the headers that this layer adds to a request.
@@ -56,6 +58,11 @@
 	return time.Duration(ms) * time.Millisecond, true
 }
 
+// Nested implements Protocol; the marker of another layer says so.
+func (OwnProtocol) Nested(he *fasthttp.RequestHeader) bool {
+	return len(he.Peek(call.HeaderAttempt)) > 0
+}
+
 // Forwards implements Protocol.
 func (OwnProtocol) Forwards(name string) bool { return !ownRequest[name] }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -321,7 +321,8 @@
 
 // schedule sets when the answer is due: at the contract's deadline, or the
 // caller's own if that is sooner. The objective counts from when the caller
-// first asked.
+// first asked; a call that is part of another has less time left for another
+// reason.
 func (sv *Server) schedule(ex *exchange, now time.Time) {
 	te := ex.target.Terms
 	timeout := te.Timeout()
@@ -334,7 +335,8 @@
 		return
 	}
 	ex.objective = now.Add(te.Objective())
-	if said {
+	ex.nested = sv.cfg.Protocol.Nested(&ex.http.Request.Header)
+	if said && !ex.nested {
 		sv.mu.Lock()
 		age := sv.patience.Age(ex.target.Route.Name, own)
 		sv.mu.Unlock()
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -67,6 +67,7 @@
 		Class:       contract.Class(rq.GetClass()),
 		Rank:        int(rq.GetRank()),
 		Kind:        host.Kind(rq.GetKind()),
+		Nested:      rq.GetNested(),
 		Deadline:    now.Add(time.Duration(rq.GetRemainingUs()) * time.Microsecond),
 	}
 	if rq.GetHasObjective() {
