perf: a node that restarts serves its upstream sooner

Cause: with nodes restarted in turn, two of twelve upstreams were out of reach at any moment, and after all had lost power nothing was served for four seconds. A node that stops took its gate out at once and then lingered for callers; one that starts waited up to 1.5 s for an announcement and a second more for calls in flight that announcements here say nothing of.

A node that stops first sends its callers elsewhere and serves everything as before, then takes the gate out. One that starts again asks its upstream once, at the health path that services now may name, and lets calls in at once where nothing is told of calls in flight.

--- a/cmd/process/drain.go
+++ b/cmd/process/drain.go
@@ -7,21 +7,24 @@
 	"lynxfold/core/datacentre"
 )
 
+// leaveSpread is how long other nodes take to hear that this one leaves.
+const leaveSpread = 100 * time.Millisecond
+
 // Abort ends a drain at once; calls in flight are cut.
 func (pr *Process) Abort() { pr.abort() }
 
-// drain lets the node's news spread while its gate still takes what finds a
-// free slot, then takes nothing new, and ends when nothing is in flight.
+// drain first has callers go elsewhere, while everything is served as before.
+// Then it takes the gate out, and ends when nothing is in flight.
 func (pr *Process) drain(stopTicking func()) {
 	begun := time.Now()
 	pr.log.Info().Msg("node drains")
 	pr.control.health.draining.Store(true)
 	ctx, cancel := context.WithTimeout(pr.aborted, pr.settings.Caller.DrainWithin)
 	defer cancel()
-	pr.control.Emit(datacentre.Leave{})
-	pr.gate.Drain(begun.Add(pr.settings.Upstream.DrainGrace))
 	pr.caller.Drain()
 	wait(ctx, pr.settings.Caller.LingerFor)
+	pr.control.Emit(datacentre.Leave{})
+	pr.gate.Drain(time.Now().Add(leaveSpread))
 	if err := pr.caller.Shutdown(ctx); err != nil {
 		pr.log.Warn().Err(err).Str("step", "caller").Msg("calls are left in flight")
 	}
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -116,6 +116,7 @@
 	caller       *caller.Server
 	operator     *operator.Server
 	health       *operator.Health
+	prober       upstream.Prober
 	keyPair      *operator.KeyPair
 	announce     *upstream.Listener
 	listener     *node.Listener
@@ -176,6 +177,7 @@
 	Caller   *caller.Server
 	Operator *operator.Server
 	Health   *operator.Health
+	Prober   upstream.Prober
 	KeyPair  *operator.KeyPair
 	Announce *upstream.Listener
 	Listener *node.Listener
@@ -200,6 +202,7 @@
 		caller:       pa.Caller,
 		operator:     pa.Operator,
 		health:       pa.Health,
+		prober:       pa.Prober,
 		keyPair:      pa.KeyPair,
 		announce:     pa.Announce,
 		listener:     pa.Listener,
@@ -239,9 +242,6 @@
 // comeBack is when a refused caller is told to come back.
 const comeBack = time.Second
 
-// announceLag bounds the age of what an announcement says.
-const announceLag = time.Second
-
 func newGate(se *ini.Settings, id identity, ct *Control, cl *upstream.Client) *upstream.Gate {
 	return upstream.NewGate(upstream.GateConfig{
 		Core: host.Config{
@@ -249,7 +249,7 @@
 			QueuePerSlot: se.Upstream.QueuePerSlot,
 			ComeBack:     comeBack,
 			DrainGrace:   se.Upstream.DrainGrace,
-			AnnounceLag:  announceLag,
+			AnnounceLag:  se.Upstream.AnnounceLag,
 		},
 		LapseAfter: se.Upstream.LapseAfter,
 		Changed:    ct.upstreamChanged,
@@ -360,6 +360,7 @@
 	}
 	ticking, stopTicking := context.WithCancel(context.Background())
 	defer stopTicking()
+	pr.start("ask upstream", func() error { return pr.askUpstream(ticking) })
 	pr.start("tick", func() error { pr.tickGate(ticking); return nil })
 	pr.log.Info().Interface("addresses", pr.Addresses()).Msg("node started")
 	<-ctx.Done()
--- a/cmd/process/surroundings.go
+++ b/cmd/process/surroundings.go
@@ -28,6 +28,7 @@
 	Callers   caller.Protocol
 	Upstreams upstream.Protocol
 	Registrar upstream.Registrar
+	Prober    upstream.Prober
 	Acceptor  operator.Acceptor
 	History   operator.History
 }
@@ -48,6 +49,7 @@
 		Callers:   caller.OwnProtocol{},
 		Upstreams: upstream.OwnProtocol{},
 		Registrar: upstream.OwnAnnouncements{},
+		Prober:    upstream.NoProber{},
 		Acceptor:  vs,
 		History:   vs,
 	}
@@ -59,6 +61,7 @@
 		Timeout:         se.Platform.Timeout,
 		Service:         se.Host.Service,
 		UpstreamAddress: fleet.UpstreamAddress(se),
+		First:           fleet.First(se),
 		Log:             log,
 		Skipped: func(kind string) {
 			set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_skipped_total{kind=%q}`, kind)).Inc()
@@ -70,6 +73,7 @@
 		Callers:   ad.Callers,
 		Upstreams: ad.Upstreams,
 		Registrar: ad.Announcements,
+		Prober:    ad.Prober,
 		Acceptor:  elsewhere{},
 		History:   elsewhere{},
 	}
--- a/core/contract/document.go
+++ b/core/contract/document.go
@@ -67,6 +67,9 @@
 type Service struct {
 	Name        ServiceName `json:"name"`
 	Description string      `json:"description,omitempty"`
+	// HealthPath is where an upstream says whether it is healthy; empty when it
+	// is not asked.
+	HealthPath string `json:"health_path,omitempty"`
 }
 
 // Terms say how calls may be made: the contract between caller and upstream.
--- a/core/contract/validate.go
+++ b/core/contract/validate.go
@@ -97,6 +97,9 @@
 		if len(se.Description) > maxDescription {
 			ch.add(path+".description", FaultOutOfRange, "at most %d bytes", maxDescription)
 		}
+		if se.HealthPath != "" && !pathPattern.MatchString(se.HealthPath) {
+			ch.add(path+".health_path", FaultBadPath, "%q: use an absolute path", se.HealthPath)
+		}
 	}
 }
 
--- a/core/draft/change.go
+++ b/core/draft/change.go
@@ -119,6 +119,7 @@
 func serviceFields(se contract.Service) []Field {
 	return []Field{
 		{Label: "description", Value: orNone(se.Description)},
+		{Label: "health path", Value: orNone(se.HealthPath)},
 	}
 }
 
--- a/io/ini/keys.go
+++ b/io/ini/keys.go
@@ -234,6 +234,11 @@
 			help: "An upstream that has not announced itself for this long takes no new calls.",
 			set:  duration(func(se *Settings) *time.Duration { return &se.Upstream.LapseAfter }),
 		},
+		{
+			section: "upstream", name: "announce_lag", fallback: "1s", remedy: remedyDuration,
+			help: "Largest age of what an announcement says of calls in flight; a gate that starts lets nothing in for so long.",
+			set:  duration(func(se *Settings) *time.Duration { return &se.Upstream.AnnounceLag }),
+		},
 		{
 			section: "upstream", name: "announce_every", remedy: remedyDuration,
 			help: "Time between two announcements; when given, an upstream counts for four times as long at least.",
--- a/io/ini/settings.go
+++ b/io/ini/settings.go
@@ -95,6 +95,8 @@
 	// DrainGrace is how long an upstream that leaves, or whose node stops, still
 	// gets calls that find a free slot.
 	DrainGrace time.Duration
+	// AnnounceLag bounds the age of what an announcement says of calls in flight.
+	AnnounceLag time.Duration
 	// AnnounceEvery is the time between two announcements; 0 when not known.
 	AnnounceEvery time.Duration
 }
--- a/io/operator/items.go
+++ b/io/operator/items.go
@@ -34,6 +34,7 @@
 		Fields: []*formField{
 			{Name: "name", Label: "Name", Help: helpName, Kind: inputText},
 			{Name: "description", Label: "Description", Help: "For the people who read this; it changes nothing.", Kind: inputText},
+			{Name: "health_path", Label: "Health path", Help: "Where an upstream says whether it is healthy, such as /healthz. A node asks there once after a restart. Empty means never.", Kind: inputText},
 		},
 	}
 }
@@ -126,7 +127,7 @@
 	case draft.KindService:
 		for _, se := range doc.Services {
 			if string(se.Name) == it.Name {
-				fp.set(map[string]string{"name": it.Name, "description": se.Description})
+				fp.set(map[string]string{"name": it.Name, "description": se.Description, "health_path": se.HealthPath})
 				return true
 			}
 		}
@@ -190,6 +191,7 @@
 	return contract.Service{
 		Name:        contract.ServiceName(fp.field("name").Value),
 		Description: fp.field("description").Value,
+		HealthPath:  fp.field("health_path").Value,
 	}
 }
 
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -298,6 +298,13 @@
 	}
 }
 
+// Announced tells whether the upstream has announced itself, or its departure.
+func (ga *Gate) Announced() bool {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return !ga.lapse.IsZero()
+}
+
 // Depart takes in that an instance of the upstream has left.
 func (ga *Gate) Depart(id host.InstanceID) {
 	ga.mu.Lock()
