--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -128,13 +128,13 @@
 	return cmp.Or(sv.limits().IdleTimeout(), idleTimeout)
 }
 
-// maxHeaderBytes and maxBodyBytes are the lower of the settings' and the
+// headerLimit and bodyLimit are the lower of the settings' and the
 // configuration's limits.
-func (sv *Server) maxHeaderBytes() int64 {
+func (sv *Server) headerLimit() int64 {
 	return lower(int64(sv.cfg.MaxHeaderBytes), sv.limits().MaxHeaderBytes)
 }
 
-func (sv *Server) maxBodyBytes() int64 {
+func (sv *Server) bodyLimit() int64 {
 	return lower(int64(sv.cfg.MaxBodyBytes), sv.limits().MaxBodyBytes)
 }
 
@@ -213,7 +213,7 @@
 		return fasthttp.StatusServiceUnavailable, nil
 	}
 	he := &ctx.Request.Header
-	if int64(len(he.RawHeaders())+len(he.RequestURI())) > sv.maxHeaderBytes() {
+	if int64(len(he.RawHeaders())+len(he.RequestURI())) > sv.headerLimit() {
 		sv.refuse(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, notRun(call.ReasonBadRequest))
 		return fasthttp.StatusRequestHeaderFieldsTooLarge, nil
 	}
@@ -222,7 +222,7 @@
 		sv.refuse(ctx, fasthttp.StatusNotFound, notRun(call.ReasonNoRoute))
 		return fasthttp.StatusNotFound, nil
 	}
-	if int64(he.ContentLength()) > sv.maxBodyBytes() {
+	if int64(he.ContentLength()) > sv.bodyLimit() {
 		sv.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, notRun(call.ReasonBodyTooLarge))
 		return fasthttp.StatusRequestEntityTooLarge, nil
 	}
@@ -358,7 +358,7 @@
 			conn:   ex.conn,
 			stream: stream,
 			length: int64(max(length, -1)),
-			limit:  ex.server.maxBodyBytes(),
+			limit:  ex.server.bodyLimit(),
 			over:   make(chan struct{}),
 		}
 		_ = ex.conn.SetReadDeadline(ex.deadline)
@@ -396,7 +396,10 @@
 	defer sv.mu.Unlock()
 	name := ex.target.Route.Service
 	all := ex.view.Upstreams[name]
-	up, ok := datacentre.Upstream{}, false
+	var (
+		up datacentre.Upstream
+		ok bool
+	)
 	if spare {
 		up, ok = sv.chooser.PickSpare(name, all, tried, now)
 	} else {
