feat: structured logs within a budget, and counters by service

Failures and late answers come before answers in time; what does not fit the budget is dropped, counted and told. A reader that stops costs lines and no answers.

--- a/cmd/node.go
+++ b/cmd/node.go
@@ -5,10 +5,12 @@
 	"flag"
 	"fmt"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/subcommands"
 
 	"lynxfold/cmd/process"
 	"lynxfold/io/ini"
+	"lynxfold/io/stdout"
 )
 
 // nodeCommand runs one node.
@@ -58,7 +60,19 @@
 	}
 	ctx, cancel := untilSignal(ctx)
 	defer cancel()
-	pr, err := process.New(se, newLog(co.out, se.Log.Level))
+	set := metrics.NewSet()
+	wr := stdout.New(stdout.Config{
+		Out:       co.out,
+		Important: stdout.DefaultImportant,
+		Routine:   stdout.DefaultRoutine,
+		Set:       set,
+	})
+	defer wr.Close()
+	pr, err := process.New(se, process.Logs{
+		Important: newLog(wr.Important(), se.Log.Level),
+		Routine:   newLog(wr.Routine(), se.Log.Level),
+		Set:       set,
+	})
 	if err != nil {
 		_, _ = fmt.Fprintln(co.err, err)
 		return exitFailure
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -128,22 +128,41 @@
 	abort   context.CancelFunc
 }
 
+// Logs are where a node writes.
+type Logs struct {
+	// Important takes failures, doubts and changes of what the node believes.
+	Important zerolog.Logger
+	// Routine takes what needs no explanation.
+	Routine zerolog.Logger
+	// Set holds the node's counters.
+	Set *metrics.Set
+}
+
+// Routine is the logger for what needs no explanation.
+type Routine struct {
+	zerolog.Logger
+}
+
 // New opens a node's sockets and wires it; Run starts it.
-func New(se *ini.Settings, log zerolog.Logger) (*Process, error) {
+func New(se *ini.Settings, lo Logs) (*Process, error) {
 	so, err := listen(se)
 	if err != nil {
 		return nil, err
 	}
-	log = log.With().
-		Str("host", string(se.Host.ID)).
-		Str("data_centre", string(se.Host.DataCentre)).
-		Logger()
+	named := func(log zerolog.Logger) zerolog.Logger {
+		return log.With().
+			Str("host", string(se.Host.ID)).
+			Str("data_centre", string(se.Host.DataCentre)).
+			Logger()
+	}
 	co := dig.New()
 	for _, constructor := range []any{
 		func() *ini.Settings { return se },
 		func() *sockets { return so },
-		func() zerolog.Logger { return log },
-		newIdentity, addressesOf, metrics.NewSet, newControlCounters,
+		func() zerolog.Logger { return named(lo.Important) },
+		func() Routine { return Routine{Logger: named(lo.Routine)} },
+		func() *metrics.Set { return lo.Set },
+		newIdentity, addressesOf, newControlCounters,
 		newCertificates, node.NewCounters, newDialer, newSurroundings, platform.NewVersions, platform.NewKeys,
 		platform.NewIntroductions, newInvariants, newControl,
 		upstream.NewClientOf, newGate, upstream.NewListener,
@@ -242,7 +261,15 @@
 // comeBack is when a refused caller is told to come back.
 const comeBack = time.Second
 
-func newGate(se *ini.Settings, id identity, ct *Control, cl *upstream.Client) *upstream.Gate {
+func newGate(
+	se *ini.Settings,
+	id identity,
+	ct *Control,
+	cl *upstream.Client,
+	set *metrics.Set,
+	log zerolog.Logger,
+) *upstream.Gate {
+	waited := set.GetOrCreateHistogram(`lynxfold_gate_wait_seconds`)
 	return upstream.NewGate(upstream.GateConfig{
 		Core: host.Config{
 			Incarnation:  id.incarnation,
@@ -255,6 +282,8 @@
 		Changed:    ct.upstreamChanged,
 		Violated:   ct.gateViolated,
 		Client:     cl,
+		Waited:     func(took time.Duration) { waited.Update(took.Seconds()) },
+		Log:        log,
 	})
 }
 
@@ -269,6 +298,7 @@
 	set *metrics.Set,
 	re *record.Record,
 	log zerolog.Logger,
+	routine Routine,
 ) *caller.Server {
 	return caller.New(caller.Config{
 		Host:           se.Host.ID,
@@ -291,6 +321,7 @@
 		KeyedWritesPerSecond: se.Platform.KeyedWritesPerSecond / float64(se.Mesh.FleetSize),
 		Rand:                 id.rand(),
 		Log:                  log,
+		Routine:              routine.Logger,
 		Counters:             caller.NewCounters(set),
 		Record:               re,
 	})
--- a/cmd/quickstart.go
+++ b/cmd/quickstart.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/subcommands"
 
 	"lynxfold/cmd/process"
@@ -149,7 +150,11 @@
 	if err != nil {
 		return err
 	}
-	pr, err := process.New(se, newLog(co.err, co.level))
+	pr, err := process.New(se, process.Logs{
+		Important: newLog(co.err, co.level),
+		Routine:   newLog(co.err, co.level),
+		Set:       metrics.NewSet(),
+	})
 	if err != nil {
 		return err
 	}
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -102,6 +102,18 @@
 // InstanceID names one incarnation of an upstream.
 type InstanceID string
 
+// String is the state as logs show it.
+func (st State) String() string {
+	switch st {
+	case StateReady:
+		return "ready"
+	case StateDraining:
+		return "draining"
+	case StateGone:
+	}
+	return "gone"
+}
+
 // Announcement is what an upstream tells its own host's node, repeatedly.
 type Announcement struct {
 	Service     contract.ServiceName
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -23,6 +23,8 @@
 	// abandoned says that nobody wants the reply.
 	abandoned atomic.Bool
 	reply     upstream.Reply
+	// ended is how the attempt ended.
+	ended call.Result
 	// done is closed when the reply is there.
 	done chan struct{}
 }
@@ -47,6 +49,7 @@
 	at.reply = at.send()
 	now := time.Now()
 	re := at.result(now)
+	at.ended = re
 	ob := call.Observation{
 		Result:       re,
 		Latency:      now.Sub(begun),
@@ -57,6 +60,7 @@
 	}
 	at.exchange.server.attemptEnded(at.try.Upstream, ob, now)
 	at.recordEnd(re)
+	at.exchange.server.cfg.Counters.attempted(at.try.Upstream.Service, re.Outcome, now.Sub(begun))
 	if at.reply.Lost {
 		at.exchange.server.cfg.Counters.lost()
 		return call.LinkLost{Attempt: at.try.Attempt}
--- a/io/caller/counters.go
+++ b/io/caller/counters.go
@@ -8,6 +8,7 @@
 
 	"lynxfold/core/call"
 	"lynxfold/core/call/keyed"
+	"lynxfold/core/contract"
 	"lynxfold/core/host"
 	"lynxfold/core/wire"
 )
@@ -64,6 +65,16 @@
 	}
 }
 
+// attempted takes in how long an attempt at a service took, by how it ended.
+func (co *Counters) attempted(service contract.ServiceName, ou call.Outcome, took time.Duration) {
+	co.set.GetOrCreateHistogram(fmt.Sprintf(`lynxfold_attempt_duration_seconds{service=%q,outcome=%q}`, service, ou)).Update(took.Seconds())
+}
+
+// served counts what callers of a service were told.
+func (co *Counters) served(service contract.ServiceName, re call.Result) {
+	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_answers_total{service=%q,outcome=%q,reason=%q}`, service, re.Outcome, re.Reason)).Inc()
+}
+
 func (co *Counters) lost() { co.lanes.Inc() }
 
 func (co *Counters) callerGone() { co.gone.Inc() }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -243,10 +243,12 @@
 // answer answers the caller and releases everything else.
 func (ex *exchange) answer(an call.Answer) {
 	defer ex.recordAnswer(an)
+	defer ex.logAnswer(an)
 	sv := ex.server
 	winner := ex.find(an.Attempt)
 	ex.release(winner)
 	sv.cfg.Counters.answered(an, time.Since(ex.begun))
+	sv.cfg.Counters.served(ex.target.Route.Service, an.Result)
 	if an.Result.Outcome != call.OutcomeRan || winner == nil {
 		ex.cancel()
 		ex.refuse(an)
@@ -301,25 +303,10 @@
 			re.Reason = call.ReasonBodyTooLarge
 		}
 	}
-	ex.server.cfg.Log.Debug().
-		Str("service", string(ex.target.Route.Service)).
-		Uint64("call", ex.number).
-		Str("attempt", string(ex.lastAttempt())).
-		Str("reason", string(re.Reason)).
-		Str("retry", string(an.Retry)).
-		Msg("call refused")
 	ex.server.refuse(ex.http, statusOf(re), re)
 	ex.leaveUnread()
 }
 
-// lastAttempt names the newest attempt; it is empty when there was none.
-func (ex *exchange) lastAttempt() host.AttemptID {
-	if len(ex.attempts) == 0 {
-		return ""
-	}
-	return ex.attempts[len(ex.attempts)-1].try.Attempt
-}
-
 // leaveUnread ends the connection after the answer when the body was not read
 // to its end; it lingers, so that the answer still arrives.
 func (ex *exchange) leaveUnread() {
--- a/io/caller/log.go
+++ b/io/caller/log.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"lynxfold/core/call"
 )
 
 // httpLog takes the HTTP library's lines into the log.
@@ -16,3 +20,78 @@
 func (hl httpLog) Printf(format string, args ...any) {
 	hl.log.Debug().Str("detail", fmt.Sprintf(format, args...)).Msg("http server")
 }
+
+// logAnswer writes what the caller was told, and everything that decided it. An
+// answer in time is routine.
+func (ex *exchange) logAnswer(an call.Answer) {
+	now := time.Now()
+	ev := ex.server.cfg.Routine.Info()
+	message := "call was answered"
+	if !ex.routine(an, now) {
+		ev = ex.server.cfg.Log.Warn()
+		message = "call failed or was answered late"
+	}
+	if !ev.Enabled() {
+		return
+	}
+	ev.Str("event", "answer").
+		Str("request", ex.request).
+		Str("call", string(ex.name)).
+		Str("route", string(ex.target.Route.Name)).
+		Str("service", string(ex.target.Route.Service)).
+		Uint64("config_version", uint64(ex.view.Config.Version)).
+		Str("outcome", string(an.Result.Outcome)).
+		Int("status", an.Result.Status).
+		Str("reason", string(an.Result.Reason)).
+		Str("no_further_attempt", string(an.Retry)).
+		Bool("nested", ex.nested).
+		Bool("returning", ex.returning).
+		Int("upstreams", len(ex.view.Upstreams[ex.target.Route.Service])).
+		Int64("took_ms", now.Sub(ex.begun).Milliseconds()).
+		Int64("deadline_left_ms", ex.deadline.Sub(now).Milliseconds())
+	if !an.Result.ComeBack.IsZero() {
+		ev.Int64("come_back_in_ms", an.Result.ComeBack.Sub(now).Milliseconds())
+	}
+	attempts := zerolog.Arr()
+	for _, at := range ex.attempts {
+		attempts.Object(at)
+	}
+	ev.Array("attempts", attempts).Msg(message)
+}
+
+// MarshalZerologObject writes where an attempt went, why, and how it ended.
+func (at *attempt) MarshalZerologObject(ev *zerolog.Event) {
+	ev.Str("attempt", string(at.try.Attempt)).
+		Str("host", string(at.try.Upstream.Host)).
+		Str("data_centre", string(at.try.Upstream.DataCentre))
+	if at.try.Reason != "" {
+		ev.Str("why", string(at.try.Reason))
+	}
+	if at.done != nil {
+		select {
+		case <-at.done:
+		default:
+			ev.Bool("running", true)
+			return
+		}
+	}
+	ev.Str("outcome", string(at.ended.Outcome)).
+		Int("status", at.ended.Status).
+		Str("reason", string(at.ended.Reason))
+}
+
+func (ex *exchange) routine(an call.Answer, now time.Time) bool {
+	return an.Result.Outcome == call.OutcomeRan && an.Result.Status < fasthttp.StatusInternalServerError &&
+		(ex.objective.IsZero() || !now.After(ex.objective))
+}
+
+// logRefused writes why a request got no attempt at all.
+func (sv *Server) logRefused(ctx *fasthttp.RequestCtx, status int, re call.Result) {
+	sv.cfg.Log.Warn().
+		Str("event", "refused_unread").
+		Str("request", sv.cfg.Protocol.RequestID(&ctx.Request.Header)).
+		Int("status", status).
+		Str("reason", string(re.Reason)).
+		Uint64("config_version", uint64(sv.cfg.View().Config.Version)).
+		Msg("request was refused before an attempt")
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -45,6 +45,8 @@
 	// Protocol is how callers are spoken to; lynxfold's own when nil.
 	Protocol Protocol
 	Log      zerolog.Logger
+	// Routine logs answers that need no explanation.
+	Routine  zerolog.Logger
 	Counters *Counters
 	// Record keeps decisions for explanations; none are kept when it is nil.
 	Record Recorder
@@ -209,6 +211,7 @@
 	if vi.Config.Version == 0 {
 		re := notRun(ReasonNoConfiguration)
 		re.ComeBack = time.Now().Add(comeBack)
+		sv.logRefused(ctx, fasthttp.StatusServiceUnavailable, re)
 		sv.refuse(ctx, fasthttp.StatusServiceUnavailable, re)
 		return fasthttp.StatusServiceUnavailable, nil
 	}
@@ -219,6 +222,7 @@
 	}
 	ta := vi.Config.Match(hostOf(he.Host()), string(he.Method()), pathOf(he.RequestURI()))
 	if ta == nil {
+		sv.logRefused(ctx, fasthttp.StatusNotFound, notRun(call.ReasonNoRoute))
 		sv.refuse(ctx, fasthttp.StatusNotFound, notRun(call.ReasonNoRoute))
 		return fasthttp.StatusNotFound, nil
 	}
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"lynxfold/core/contract"
 	"lynxfold/core/host"
 	"lynxfold/core/wire"
@@ -20,7 +22,10 @@
 	Changed func(an host.Announcement)
 	// Violated is called when the gate has found a fault of its own; it may be nil.
 	Violated func(vi host.Violated)
-	Client   *Client
+	// Waited is told how long each attempt waited for a slot; it may be nil.
+	Waited func(took time.Duration)
+	Client *Client
+	Log    zerolog.Logger
 }
 
 // Gate runs host.Gate for many goroutines and executes what it decides.
@@ -83,11 +88,15 @@
 	if ac == nil {
 		ac = ga.await(ctx, at.ID, ad)
 	}
+	if _, sent := ac.(host.Dispatch); sent && ga.cfg.Waited != nil {
+		ga.cfg.Waited(time.Since(now))
+	}
 	switch ac := ac.(type) {
 	case host.Dispatch:
 		return ga.dispatch(ctx, ad, ac, rq, body)
 	case host.Refuse:
 		cancel()
+		ga.logRefused(rq, ac)
 		return ga.refuse(at.ID, ad, ac)
 	case host.RefuseDuplicate:
 		cancel()
@@ -97,6 +106,29 @@
 	return ga.load(Refuse(host.ReasonCancelled, false))
 }
 
+// logRefused writes why an attempt got no slot, and what the gate held then.
+func (ga *Gate) logRefused(rq *wire.Request, re host.Refuse) {
+	ev := ga.cfg.Log.Warn()
+	if !ev.Enabled() {
+		return
+	}
+	me := ga.Measures()
+	ev.Str("event", "gate_refused").
+		Str("request", rq.GetRequestId()).
+		Str("attempt", rq.GetAttempt()).
+		Str("service", rq.GetService()).
+		Str("reason", string(re.Reason)).
+		Int("slots", int(me.Slots)).
+		Int("running", me.Running).
+		Int("queued", me.Queued).
+		Uint32("rank", rq.GetRank()).
+		Bool("nested", rq.GetNested()).
+		Bool("returning", rq.GetReturning()).
+		Int64("objective_left_ms", rq.GetObjectiveUs()/1000).
+		Int64("deadline_left_ms", rq.GetRemainingUs()/1000).
+		Msg("attempt was refused by the gate")
+}
+
 // admit feeds the arrival; it returns what the gate decides at once, if anything.
 func (ga *Gate) admit(at host.Attempt, ad *admission, now time.Time) host.Action {
 	ga.mu.Lock()
@@ -339,6 +371,13 @@
 	ga.last = an
 	ga.mu.Unlock()
 	if !same {
+		ga.cfg.Log.Info().
+			Str("event", "upstream_changed").
+			Str("service", string(an.Service)).
+			Str("instance", string(an.Instance)).
+			Str("state", an.State.String()).
+			Int("slots", int(an.Slots)).
+			Msg("upstream of this host has changed")
 		ga.cfg.Changed(an)
 	}
 }
