--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -92,10 +92,14 @@
 	}
 }
 
+// logTime is the form of the time in log lines.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 func newLog(wr io.Writer, level string) zerolog.Logger {
 	le, err := zerolog.ParseLevel(level)
 	if err != nil {
 		le = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = logTime
 	return zerolog.New(wr).Level(le).With().Timestamp().Logger()
 }
