fix: calls whose connection was left count until their own deadlines

Cause: all of them counted until the latest deadline of any, so that a stream of timeouts kept slots taken (14 running, 13 queued, 18 slots in a gate's log).

--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -16,7 +16,7 @@
 	return min(limit, ga.ledger.cfg.MaxEntries/2)
 }
 
-func (ga *Gate) free() int { return ga.limit() - len(ga.running) - ga.occupancy.held }
+func (ga *Gate) free() int { return ga.limit() - len(ga.running) - ga.occupancy.held() }
 
 // longBulk is how many times as long as a lookup a bulk attempt must take for
 // slots to be kept from it.
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -34,7 +34,7 @@
 // to it.
 func (ga *Gate) broken(en *entry, now time.Time) Invariant {
 	ends := earlier(ga.nodeEnds, ga.upstreamEnds)
-	works := len(ga.running) + ga.occupancy.held + 1
+	works := len(ga.running) + ga.occupancy.held() + 1
 	switch {
 	case en.state != stateQueued || ga.running[en.attempt.ID] != nil || !en.dispatched.IsZero():
 		return InvariantOnce
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -85,6 +85,7 @@
 		ga.startAt = now
 	}
 	ga.occupancy.turn(ga.started, now)
+	ga.occupancy.expire(now)
 	switch ev := ev.(type) {
 	case Arrived:
 		ga.arrive(ev.Attempt, now)
@@ -132,7 +133,7 @@
 func (ga *Gate) Running() int { return len(ga.running) }
 
 // Held counts the calls that the upstream may work on beside those running.
-func (ga *Gate) Held() int { return ga.occupancy.held }
+func (ga *Gate) Held() int { return ga.occupancy.held() }
 
 // Queued counts the attempts that wait.
 func (ga *Gate) Queued() int { return ga.queue.len() }
@@ -152,5 +153,5 @@
 	if limit <= 0 {
 		return 1000
 	}
-	return uint32(1000 * (len(ga.running) + ga.occupancy.held + ga.queue.len()) / limit)
+	return uint32(1000 * (len(ga.running) + ga.occupancy.held() + ga.queue.len()) / limit)
 }
--- a/core/host/invariant_test.go
+++ b/core/host/invariant_test.go
@@ -31,7 +31,7 @@
 	})
 	t.Run("slots", func(t *testing.T) {
 		ga, en := ready()
-		ga.occupancy.held = 1
+		ga.occupancy.hold(now.Add(time.Hour))
 		assert.Equal(t, ga.broken(en, now), InvariantSlots)
 	})
 	t.Run("drain", func(t *testing.T) {
--- a/core/host/occupancy.go
+++ b/core/host/occupancy.go
@@ -1,6 +1,9 @@
 package host
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // occupancy counts the calls that the upstream may work on without the gate
 // running them: those of the gate's former incarnation, and those whose
@@ -12,9 +15,9 @@
 	longest time.Duration
 
 	settled bool
-	held    int
-	// heldTo is when the deadlines of all held calls have passed.
-	heldTo time.Time
+	// until holds, for each held call, when it has ended at the latest; the
+	// soonest comes first.
+	until []time.Time
 	// current and former cover the last lag to two lags.
 	current, former window
 	turnAt          time.Time
@@ -46,31 +49,41 @@
 	oc.current.least = min(oc.current.least, started)
 }
 
+// held counts the calls that the upstream may work on without the gate.
+func (oc *occupancy) held() int { return len(oc.until) }
+
 // leave counts an attempt that the upstream may still work on until its deadline.
 func (oc *occupancy) leave(deadline time.Time) {
-	oc.held++
 	oc.current.left++
-	if to := deadline.Add(oc.lag); to.After(oc.heldTo) {
-		oc.heldTo = to
-	}
+	oc.hold(deadline.Add(oc.lag))
+}
+
+func (oc *occupancy) hold(until time.Time) {
+	at, _ := slices.BinarySearchFunc(oc.until, until, time.Time.Compare)
+	oc.until = slices.Insert(oc.until, at, until)
 }
 
 // announced lowers the held calls to what an announcement doesn't explain.
 func (oc *occupancy) announced(inFlight int, now time.Time) {
 	if !oc.settled {
 		oc.settled = true
-		oc.held = inFlight
-		oc.heldTo = now.Add(oc.longest)
+		for range inFlight {
+			oc.hold(now.Add(oc.longest))
+		}
 		return
 	}
 	least := min(oc.current.least, oc.former.least)
 	most := max(0, inFlight-least) + oc.current.left + oc.former.left
-	oc.held = min(oc.held, most)
+	if more := oc.held() - most; more > 0 {
+		oc.until = slices.Delete(oc.until, 0, more)
+	}
 }
 
 // expire drops held calls whose deadlines have passed.
 func (oc *occupancy) expire(now time.Time) {
-	if oc.held > 0 && !now.Before(oc.heldTo) {
-		oc.held = 0
+	past := 0
+	for past < len(oc.until) && !now.Before(oc.until[past]) {
+		past++
 	}
+	oc.until = slices.Delete(oc.until, 0, past)
 }
--- a/core/host/upstream.go
+++ b/core/host/upstream.go
@@ -48,7 +48,6 @@
 }
 
 func (ga *Gate) tick(now time.Time) {
-	ga.occupancy.expire(now)
 	if re := ga.Usable(now); re != ReasonNone {
 		ga.flush(re, now)
 	}
