--- a/core/datacentre/member_test.go
+++ b/core/datacentre/member_test.go
@@ -187,3 +187,38 @@
 		me.Step(Tick{}, now)
 	}
 }
+
+// TestWholeReadIsSpreadAsDelta: a reader that reads a later whole document, however
+// many versions later, passes on what has changed and not only that it has.
+func TestWholeReadIsSpreadAsDelta(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	me := newTestMember("host-a", now)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	first := nextVersion(contract.Empty(), rnd)
+	me.Step(PlatformRead{Whole: first}, now)
+	me.Step(LinkOpened{Peer: "host-b", Hello: &wire.Hello{
+		Host:    &wire.Host{Id: "host-b", DataCentre: "dc-0", Address: "host-b:1", Incarnation: 1},
+		Version: uint64(first.Version),
+		Digest:  string(first.Digest),
+		Settled: true,
+	}}, now)
+	later := first
+	for range 3 {
+		later = nextVersion(later, rnd)
+	}
+	sent := 0
+	for _, ac := range me.Step(PlatformRead{Whole: later}, now) {
+		se, ok := ac.(Send)
+		if !ok || se.Message.GetUpdate() == nil {
+			continue
+		}
+		sent++
+		de, err := contract.ParseDelta(se.Message.GetUpdate().GetDelta())
+		assert.NilError(t, err)
+		got, err := de.Apply(first)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Digest, later.Digest)
+	}
+	assert.Equal(t, sent, 1)
+	assert.Equal(t, me.Report().InForce, later.Version)
+}
--- a/core/datacentre/readers.go
+++ b/core/datacentre/readers.go
@@ -114,7 +114,7 @@
 	}
 	if ev.Whole != nil && ev.Whole.Version > me.spread.held.Version {
 		me.reads.cost++
-		me.replace(ev.Whole, "", now)
+		me.adopt(ev.Whole, now)
 	}
 	if len(ev.Deltas) > 0 {
 		me.reads.cost++
@@ -128,6 +128,17 @@
 	me.introduce(now)
 }
 
+// adopt holds a whole document that was read, and passes on what has changed.
+func (me *Member) adopt(sn *contract.Snapshot, now time.Time) {
+	if me.spread.held.Version > 0 {
+		de := contract.Diff(me.spread.held, sn)
+		me.offer(de, de.Encode(), "", now)
+	}
+	if me.spread.held.Version < sn.Version {
+		me.replace(sn, "", now)
+	}
+}
+
 // readWhole tells whether everything that was read is held or refused for good.
 func (me *Member) readWhole(ev PlatformRead) bool {
 	var top contract.Version
