--- a/io/caller/log.go
+++ b/io/caller/log.go
@@ -85,13 +85,14 @@
 		(ex.objective.IsZero() || !now.After(ex.objective))
 }
 
-// logRefused writes why a request got no attempt at all.
-func (sv *Server) logRefused(ctx *fasthttp.RequestCtx, status int, re call.Result) {
+// refuseEarly refuses a request that gets no attempt at all, and writes why.
+func (sv *Server) refuseEarly(ctx *fasthttp.RequestCtx, status int, re call.Result) {
 	sv.cfg.Log.Warn().
-		Str("event", "refused_unread").
+		Str("event", "refused_early").
 		Str("request", sv.cfg.Protocol.RequestID(&ctx.Request.Header)).
 		Int("status", status).
 		Str("reason", string(re.Reason)).
 		Uint64("config_version", uint64(sv.cfg.View().Config.Version)).
 		Msg("request was refused before an attempt")
+	sv.refuse(ctx, status, re)
 }
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -357,8 +357,7 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status, re = fasthttp.StatusRequestTimeout, ReasonRequestTimeout
 	}
-	sv.logRefused(ctx, status, notRun(re))
-	sv.refuse(ctx, status, notRun(re))
+	sv.refuseEarly(ctx, status, notRun(re))
 }
 
 // ReasonRequestTimeout refuses requests whose header takes too long to arrive.
--- a/io/stdout/writer.go
+++ b/io/stdout/writer.go
@@ -25,10 +25,10 @@
 }
 
 const (
-	// DefaultImportant and DefaultRoutine are budgets for one node, in bytes a
-	// second: some forty lines about failures and a few about successes.
+	// DefaultImportant is a budget for one node, in bytes a second: some forty lines.
 	DefaultImportant = 24 << 10
-	DefaultRoutine   = 2 << 10
+	// DefaultRoutine is the same for routine lines: a few.
+	DefaultRoutine = 2 << 10
 	// burstSeconds is how many seconds' budget may be written at once.
 	burstSeconds = 4
 	// waiting bounds the lines that wait for standard output.
