feat: settings are read again on SIGHUP and when their file changes

Limits of callers and of memory hold at once; settings that can't be read change nothing and are reported.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
@@ -92,6 +93,30 @@
 	}
 }
 
+// lookEvery is the time between two looks whether a file has changed.
+const lookEvery = time.Second
+
+// onChange calls a function whenever a file was written since it was known, until
+// the context ends. A file that is not there for a moment, as it is replaced, has
+// not changed yet.
+func onChange(ctx context.Context, path string, known os.FileInfo, call func()) {
+	ti := time.NewTicker(lookEvery)
+	defer ti.Stop()
+	for {
+		select {
+		case <-ti.C:
+		case <-ctx.Done():
+			return
+		}
+		now, err := os.Stat(path)
+		if err != nil || now.ModTime().Equal(known.ModTime()) && now.Size() == known.Size() {
+			continue
+		}
+		known = now
+		call()
+	}
+}
+
 // logTime is the form of the time in log lines.
 const logTime = "2006-01-02T15:04:05.000Z07:00"
 
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/subcommands"
@@ -45,7 +46,12 @@
 		_, _ = fmt.Fprintln(co.err, "node: --settings is needed")
 		return exitUsage
 	}
-	se, err := ini.Load(co.settings)
+	known, err := os.Stat(co.settings)
+	if err != nil {
+		_, _ = fmt.Fprintln(co.err, err)
+		return exitRefused
+	}
+	se, err := co.load()
 	if err != nil {
 		_, _ = fmt.Fprintln(co.err, err)
 		return exitRefused
@@ -54,10 +60,6 @@
 		_, _ = fmt.Fprintln(co.out, "settings are valid")
 		return exitOK
 	}
-	if err := process.Prepare(se); err != nil {
-		_, _ = fmt.Fprintln(co.err, err)
-		return exitRefused
-	}
 	ctx, cancel := untilSignal(ctx)
 	defer cancel()
 	set := metrics.NewSet()
@@ -77,8 +79,10 @@
 		_, _ = fmt.Fprintln(co.err, err)
 		return exitFailure
 	}
-	stop := onHangup(pr.Reload)
+	reload := func() { pr.Reload(co.load()) }
+	stop := onHangup(reload)
 	defer stop()
+	go onChange(ctx, co.settings, known, reload)
 	go func() {
 		<-ctx.Done()
 		second, cancel := untilSignal(context.Background())
@@ -89,3 +93,12 @@
 	pr.Run(ctx)
 	return exitOK
 }
+
+// load reads the settings and completes them for their surroundings.
+func (co *nodeCommand) load() (*ini.Settings, error) {
+	se, err := ini.Load(co.settings)
+	if err != nil {
+		return nil, err
+	}
+	return se, process.Prepare(se)
+}
--- a/cmd/process/operators.go
+++ b/cmd/process/operators.go
@@ -11,6 +11,7 @@
 
 	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
+	"lynxfold/io/caller"
 	"lynxfold/io/ini"
 	"lynxfold/io/operator"
 	"lynxfold/io/operator/access"
@@ -143,21 +144,31 @@
 	})
 }
 
-// Reload reads the keys of the console and of the links again; connections stay
-// open, and keys that can't be used leave the former ones.
-func (pr *Process) Reload() {
+// Reload takes in settings that were read again, and reads the keys of the console
+// and of the links again. Connections stay open; settings and keys that can't be
+// used leave the former ones. Limits of callers and of memory hold at once; all
+// else holds from the next start.
+func (pr *Process) Reload(se *ini.Settings, err error) {
+	pr.reloaded("settings", err)
+	if err == nil {
+		pr.caller.SetLimits(caller.Limits{
+			MaxHeaderBytes: se.Caller.MaxHeaderBytes,
+			MaxBodyBytes:   se.Caller.MaxBodyBytes,
+		})
+		limitMemory(se)
+	}
 	if pr.keyPair != nil {
-		pr.reloaded("console", pr.keyPair.Reload())
+		pr.reloaded("console keys", pr.keyPair.Reload())
 	}
 	if pr.certificates != nil {
-		pr.reloaded("link", pr.certificates.Reload())
+		pr.reloaded("link keys", pr.certificates.Reload())
 	}
 }
 
 func (pr *Process) reloaded(step string, err error) {
 	if err != nil {
-		pr.log.Error().Err(err).Msg(step + " keys not read again, the old ones stay")
+		pr.log.Error().Err(err).Msg(step + " not read again, the old ones stay")
 		return
 	}
-	pr.log.Info().Msg(step + " keys read again")
+	pr.log.Info().Msg(step + " read again")
 }
--- a/cmd/process/surroundings.go
+++ b/cmd/process/surroundings.go
@@ -113,15 +113,21 @@
 // Prepare completes the settings for their surroundings and bounds the process
 // as they say.
 func Prepare(se *ini.Settings) error {
-	if se.Process.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(se.Process.MemoryMB) * memoryPermille / 1000 << 20)
-	}
+	limitMemory(se)
 	if se.Platform.Protocol == ini.ProtocolFleet {
 		return fleet.Apply(se)
 	}
 	return nil
 }
 
+// limitMemory has the runtime collect garbage before the process takes more than
+// it may.
+func limitMemory(se *ini.Settings) {
+	if se.Process.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(se.Process.MemoryMB) * memoryPermille / 1000 << 20)
+	}
+}
+
 // memoryPermille is the part of the memory that the runtime keeps to; the rest
 // is for what it does not count.
 const memoryPermille = 800
--- a/cmd/tls_test.go
+++ b/cmd/tls_test.go
@@ -131,3 +131,30 @@
 	t.Log(out.String(), err.String())
 	return code
 }
+
+// TestSettingsAreReadAgain changes a running node's settings, without a signal and
+// with one: limits hold at once, and settings that can't be read change nothing.
+func TestSettingsAreReadAgain(t *testing.T) {
+	me := testkit.StartMesh(t, testkit.MeshConfig{
+		Hosts: []testkit.HostSpec{{ID: "press-hall-1", DataCentre: "press-hall"}},
+	})
+	ho := me.Hosts["press-hall-1"]
+	text, err := os.ReadFile(ho.SettingsFile())
+	assert.NilError(t, err)
+	write := func(text string) {
+		assert.NilError(t, os.WriteFile(ho.SettingsFile(), []byte(text), 0o600))
+	}
+	testkit.Eventually(t, 20*time.Second, "the node runs", func() bool {
+		return strings.Contains(ho.Log(), "node started")
+	})
+	write(string(text) + "[caller]\nmax_body_bytes = 10\n")
+	testkit.Eventually(t, 20*time.Second, "the settings are read again", func() bool {
+		return strings.Contains(ho.Log(), "settings read again")
+	})
+	write(string(text) + "[caller]\nmax_body_bytes = none\n")
+	ho.Signal(syscall.SIGHUP)
+	testkit.Eventually(t, 20*time.Second, "the bad settings are reported", func() bool {
+		return strings.Contains(ho.Log(), "settings not read again")
+	})
+	assert.Assert(t, strings.Contains(ho.Log(), "max_body_bytes"))
+}
--- /dev/null
+++ b/core/call/split_test.go
@@ -0,0 +1,73 @@
+package call_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/call"
+	"lynxfold/core/contract"
+)
+
+// splitTarget compiles a split route.
+func splitTarget(t *testing.T, weights ...int) *contract.Target {
+	t.Helper()
+	names := []contract.ServiceName{"a", "b", "c"}
+	ro := contract.Route{
+		Name:       "results",
+		PathPrefix: "/",
+		Contract:   "read",
+	}
+	doc := &contract.Document{Contracts: []contract.Terms{{Name: "read", TimeoutMS: 1000}}}
+	for i, we := range weights {
+		doc.Services = append(doc.Services, contract.Service{Name: names[i]})
+		ro.Split = append(ro.Split, contract.Share{Service: names[i], Weight: we})
+	}
+	doc.Routes = []contract.Route{ro}
+	sn, err := contract.Compile(1, doc)
+	assert.NilError(t, err)
+	return sn.Match("", "GET", "/")
+}
+
+// TestSplitKeepsItsWeights counts the parts of short and long runs of calls.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	for _, weights := range [][]int{{90, 10}, {1, 1}, {50, 30, 20}, {0, 7}, {1, 0, 999}} {
+		ta := splitTarget(t, weights...)
+		total := 0
+		for _, we := range weights {
+			total += we
+		}
+		var sp call.Splits
+		counts := map[contract.ServiceName]int{}
+		for n := 1; n <= 3000; n++ {
+			counts[sp.Next(ta).Route.Service]++
+			if n != 30 && n != 300 && n != 3000 {
+				continue
+			}
+			for i, we := range weights {
+				name := ta.Route.Split[i].Service
+				got, want := float64(counts[name])/float64(n), float64(we)/float64(total)
+				assert.Assert(t, got > want-0.1 && got < want+0.1, "%v after %d: %s has %.3f, want %.3f", weights, n, name, got, want)
+				assert.Assert(t, we > 0 || counts[name] == 0)
+			}
+		}
+	}
+}
+
+// TestPatience tells callers that come back from those that begin.
+func TestPatience(t *testing.T) {
+	var pa call.Patience
+	for range 50 {
+		assert.Equal(t, pa.Age("results", 2*time.Second), time.Duration(0))
+	}
+	assert.Equal(t, pa.Age("results", 1400*time.Millisecond), 600*time.Millisecond)
+	assert.Equal(t, pa.Age("results", 1999*time.Millisecond), time.Duration(0))
+	assert.Equal(t, pa.Age("results", 5*time.Second), time.Duration(0), "a more patient caller")
+	assert.Equal(t, pa.Age("results", 1500*time.Millisecond), 500*time.Millisecond, "is not taken for the usual one")
+	assert.Equal(t, pa.Age("other", 100*time.Millisecond), time.Duration(0))
+	for range 500 {
+		pa.Age("results", time.Second)
+	}
+	assert.Equal(t, pa.Age("results", time.Second), time.Duration(0), "what most callers have changes")
+}
--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -7,6 +7,16 @@
 	"lynxfold/core/contract"
 )
 
+// Limits are a host's own limits of what callers may send.
+type Limits struct {
+	// MaxHeaderBytes can be lowered, but not raised above what the server began with.
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+}
+
+// SetLimits replaces the host's own limits for requests that come from now on.
+func (sv *Server) SetLimits(li Limits) { sv.settings.Store(&li) }
+
 // limits are those of the configuration in force.
 func (sv *Server) limits() contract.Limits {
 	if li := sv.cfg.View().Config.Document.Limits; li != nil {
@@ -26,11 +36,11 @@
 // headerLimit and bodyLimit are the lower of the settings' and the
 // configuration's limits.
 func (sv *Server) headerLimit() int64 {
-	return lower(int64(sv.cfg.MaxHeaderBytes), sv.limits().MaxHeaderBytes)
+	return lower(int64(sv.settings.Load().MaxHeaderBytes), sv.limits().MaxHeaderBytes)
 }
 
 func (sv *Server) bodyLimit() int64 {
-	return lower(int64(sv.cfg.MaxBodyBytes), sv.limits().MaxBodyBytes)
+	return lower(int64(sv.settings.Load().MaxBodyBytes), sv.limits().MaxBodyBytes)
 }
 
 // lower returns the lower of two limits, of which the second may be unset.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -70,6 +70,8 @@
 	calls  atomic.Uint64
 	inline atomic.Int64
 	active atomic.Int64
+	// settings are the limits that can change while the server runs.
+	settings atomic.Pointer[Limits]
 	// draining says that callers are to use other nodes.
 	draining atomic.Bool
 	retries  *budgets
@@ -102,6 +104,10 @@
 		retries: newBudgets(call.FleetBudget(cfg.Retries)),
 		hedges:  newBudgets(call.FleetBudget(hedgesOf(cfg.Retries))),
 	}
+	sv.SetLimits(Limits{
+		MaxHeaderBytes: cfg.MaxHeaderBytes,
+		MaxBodyBytes:   cfg.MaxBodyBytes,
+	})
 	return sv
 }
 
--- /dev/null
+++ b/io/caller/session_test.go
@@ -0,0 +1,160 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
+	"lynxfold/io/upstream/standin"
+)
+
+// TestPipelinedLookupsRunSideBySide sends lookups behind one another, the first of
+// which takes longest: all run at once, and the answers keep their order.
+func TestPipelinedLookupsRunSideBySide(t *testing.T) {
+	si := startSite(t, Config{}, standin.Config{})
+	nc, rd := si.dial(t)
+	const count = 6
+	for i := range count {
+		_, err := fmt.Fprintf(nc, "GET /results/%d?work=%dms HTTP/1.1\r\nHost: x\r\n\r\n", i, 400-60*i)
+		assert.NilError(t, err)
+	}
+	eventually(t, "all run at once", func() bool { return len(si.ledger()) == count })
+	for i := range count {
+		rs, err := http.ReadResponse(rd, nil)
+		assert.NilError(t, err)
+		data, err := io.ReadAll(rs.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(string(data), fmt.Sprintf("/results/%d", i)), "answer %d is %s", i, data)
+	}
+}
+
+// TestPipelinedBookingWaits runs a call that may not be repeated only when what
+// was sent before it is answered.
+func TestPipelinedBookingWaits(t *testing.T) {
+	si := startSite(t, Config{}, standin.Config{})
+	nc, rd := si.dial(t)
+	_, err := io.WriteString(nc, "GET /results/1?work=300ms HTTP/1.1\r\nHost: x\r\n\r\n"+
+		"POST /bookings/2 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab"+
+		"GET /results/3 HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	eventually(t, "the first runs", func() bool { return len(si.ledger()) == 1 })
+	for _, want := range []string{"/results/1", "/bookings/2", "/results/3"} {
+		rs, err := http.ReadResponse(rd, nil)
+		assert.NilError(t, err)
+		data, err := io.ReadAll(rs.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(string(data), want), "%s", data)
+	}
+	assert.Equal(t, len(si.ledger()), 3)
+}
+
+// TestPipelinedCallerLeaves cancels all lookups of a connection that ends.
+func TestPipelinedCallerLeaves(t *testing.T) {
+	si := startSite(t, Config{}, standin.Config{})
+	nc, _ := si.dial(t)
+	for range 3 {
+		_, err := io.WriteString(nc, "GET /results?work=15s HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+	}
+	eventually(t, "all run", func() bool { return len(si.ledger()) == 3 })
+	assert.NilError(t, nc.Close())
+	eventually(t, "the slots are free", func() bool { return si.gates["host-0"].Running() == 0 })
+	for i := range 3 {
+		eventually(t, "the upstream notices", func() bool { return si.ledger()[i].Cancelled })
+	}
+}
+
+// TestFirstAnswerIsNotHeldBack writes an answer while requests behind it still run.
+func TestFirstAnswerIsNotHeldBack(t *testing.T) {
+	si := startSite(t, Config{}, standin.Config{})
+	nc, rd := si.dial(t)
+	_, err := io.WriteString(nc, "GET /results/1 HTTP/1.1\r\nHost: x\r\n\r\nGET /results/2?work=8s HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = http.ReadResponse(rd, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, si.gates["host-0"].Running(), 1, "the second still runs")
+}
+
+// serveView starts a listener over a view without upstreams.
+func serveView(t *testing.T, sn *contract.Snapshot) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	view := &datacentre.View{Config: sn}
+	sv := New(Config{
+		View:           func() *datacentre.View { return view },
+		Rand:           rand.New(rand.NewPCG(1, 2)),
+		Log:            zerolog.Nop(),
+		Counters:       NewCounters(metrics.NewSet()),
+		MaxHeaderBytes: 8 << 10,
+		MaxBodyBytes:   1 << 20,
+		MaxConnections: 10,
+	})
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = sv.Serve(li) }()
+	t.Cleanup(func() { _ = sv.Shutdown(context.Background()) })
+	nc, err := net.Dial("tcp", li.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = nc.Close() })
+	return nc, bufio.NewReader(nc)
+}
+
+// TestNoConfigurationIsNoMissingRoute answers 503 with a time to come back, and
+// never 404, while nothing is in force.
+func TestNoConfigurationIsNoMissingRoute(t *testing.T) {
+	nc, rd := serveView(t, contract.Empty())
+	_, err := io.WriteString(nc, "GET /results HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	rs, err := http.ReadResponse(rd, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, rs.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, rs.Header.Get("Retry-After") != "")
+	assert.Equal(t, rs.Header.Get(HeaderReason), string(ReasonNoConfiguration))
+}
+
+// TestLimitsOfTheConfiguration hold beside those of the settings.
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	doc, err := contract.ParseDocument([]byte(document))
+	assert.NilError(t, err)
+	doc.Limits = &contract.Limits{
+		MaxHeaderBytes:  200,
+		MaxBodyBytes:    1000,
+		HeaderTimeoutMS: 50,
+		IdleTimeoutMS:   60,
+	}
+	sn, err := contract.Compile(1, doc)
+	assert.NilError(t, err)
+	for request, status := range map[string]int{
+		"GET /results HTTP/1.1\r\nHost: x\r\nX-Long: " + strings.Repeat("x", 200) + "\r\n\r\n": http.StatusRequestHeaderFieldsTooLarge,
+		"POST /results HTTP/1.1\r\nHost: x\r\nContent-Length: 1001\r\n\r\n":                    http.StatusRequestEntityTooLarge,
+		"GET /results HTTP/1.1\r\nHo": http.StatusRequestTimeout,
+	} {
+		nc, rd := serveView(t, sn)
+		_, err = io.WriteString(nc, request)
+		assert.NilError(t, err)
+		rs, err := http.ReadResponse(rd, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, rs.StatusCode, status, "%.30q", request)
+	}
+	nc, rd := serveView(t, sn)
+	_, err = io.WriteString(nc, "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	rs, err := http.ReadResponse(rd, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, rs.StatusCode, http.StatusNotFound)
+	_ = nc.SetReadDeadline(time.Now().Add(generous))
+	_, err = io.Copy(io.Discard, rd)
+	assert.NilError(t, err, "the idle connection is closed")
+}
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -322,6 +322,9 @@
 	}
 }
 
+// SettingsFile is the path of the node's settings.
+func (ho *Host) SettingsFile() string { return ho.settings }
+
 // Log returns what the node has logged.
 func (ho *Host) Log() string {
 	data, err := os.ReadFile(ho.settings + ".log")
