--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -42,12 +42,10 @@
 // demandWeight is the share of the latest sample, as one in this many.
 const demandWeight = 64
 
-// open tells whether an attempt that arrives finds a slot at once.
+// open tells whether an attempt that arrives finds a slot at once. Waiting bulk
+// that may have no slot is not ahead of a lookup.
 func (ga *Gate) open(at Attempt) bool {
 	ahead := ga.queue.len()
-	if at.Class == contract.ClassBulk && !ga.bulkAllowed(at.Rank) {
-		return ga.free() > ahead
-	}
 	if at.Class != contract.ClassBulk && len(ga.queue.bulk) > 0 && !ga.bulkAllowed(ga.queue.bulk[0].attempt.Rank) {
 		ahead = len(ga.queue.lookups)
 	}
--- a/io/stdout/writer.go
+++ b/io/stdout/writer.go
@@ -54,7 +54,6 @@
 // lane is one kind of lines.
 type lane struct {
 	writer  *Writer
-	name    string
 	budget  *rate.Limiter
 	dropped *metrics.Counter
 }
@@ -77,7 +76,6 @@
 func (wr *Writer) lane(name string, perSecond int, set *metrics.Set) *lane {
 	return &lane{
 		writer:  wr,
-		name:    name,
 		budget:  rate.NewLimiter(rate.Limit(perSecond), perSecond*burstSeconds),
 		dropped: set.GetOrCreateCounter(`lynxfold_log_lines_dropped_total{kind="` + name + `"}`),
 	}
