fix: answer malformed chunks and bare line feeds as the caller's error

A chunk of negative size, or one that is no number, was answered 502 with an unknown outcome's status although the bytes came from the caller; it is 400 now. A header line that ends without a carriage return let the HTTP library wait for the rest of the header until its timeout of 10 s; it is refused at once.

--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -36,6 +36,8 @@
 	switch {
 	case re.Reason == call.ReasonBodyTooLarge:
 		return fasthttp.StatusRequestEntityTooLarge
+	case re.Reason == call.ReasonBadRequest:
+		return fasthttp.StatusBadRequest
 	case re.Reason == keyed.ReasonKeyReused:
 		return fasthttp.StatusUnprocessableEntity
 	case re.Reason == keyed.ReasonInProgress:
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -28,6 +29,16 @@
 	return fmt.Sprintf("request body has more than %d bytes", er.Limit)
 }
 
+// MalformedBodyError reports a request body that is not sent as HTTP/1.1 asks.
+type MalformedBodyError struct {
+	Cause error
+}
+
+func (er *MalformedBodyError) Error() string { return "request body is malformed: " + er.Cause.Error() }
+
+// Unwrap returns the cause.
+func (er *MalformedBodyError) Unwrap() error { return er.Cause }
+
 // BodyStoppedError reports a body that is read after its attempt has ended.
 type BodyStoppedError struct{}
 
@@ -64,6 +75,8 @@
 			Length: bo.length,
 			Got:    bo.got,
 		}
+	case err != nil && !connectionEnded(err):
+		err = &MalformedBodyError{Cause: err}
 	}
 	if err != nil && bo.err == nil {
 		close(bo.over)
@@ -74,6 +87,13 @@
 	return n, err
 }
 
+// connectionEnded tells whether reading ended with the caller's connection, or
+// with the time for it, and not with bytes that can't be read.
+func connectionEnded(err error) bool {
+	var ne net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne)
+}
+
 // untouched tells whether the body can still be sent to an upstream.
 func (bo *body) untouched() bool {
 	bo.mu.Lock()
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -298,9 +298,15 @@
 func (ex *exchange) refuse(an call.Answer) {
 	re := an.Result
 	if ex.body != nil {
-		var large *BodyTooLargeError
-		if errors.As(ex.body.failure(), &large) {
+		var (
+			large     *BodyTooLargeError
+			malformed *MalformedBodyError
+		)
+		switch err := ex.body.failure(); {
+		case errors.As(err, &large):
 			re.Reason = call.ReasonBodyTooLarge
+		case errors.As(err, &malformed):
+			re.Reason = call.ReasonBadRequest
 		}
 	}
 	ex.server.refuse(ex.http, statusOf(re), re)
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -129,6 +129,9 @@
 func (se *session) serveRequest() bool {
 	ctx := se.server.acquire(se.conn)
 	_ = se.conn.SetReadDeadline(time.Now().Add(se.server.headerTimeout()))
+	if err := awaitHeader(se.reader); err != nil {
+		return se.unreadable(ctx, err)
+	}
 	if err := ctx.Request.Header.Read(se.reader); err != nil {
 		return se.unreadable(ctx, err)
 	}
