feat: edit the limits of callers in the console's forms

Limits are an item of drafts like services, contracts and routes: a form, a row of the overview, changes in plain words, conflicts with what somebody else accepted, and a risk where requests that were taken until now would be refused.

Cause of a fault that this mends: a draft knew nothing of limits and kept those in force, so that a rollback to an older version left them as they were, and a document sent whole could overwrite limits that somebody else had changed meanwhile.

--- a/core/draft/change.go
+++ b/core/draft/change.go
@@ -60,7 +60,8 @@
 	var all []Change
 	all = append(all, changes(dr.Services, KindService, serviceFields)...)
 	all = append(all, changes(dr.Contracts, KindContract, termsFields)...)
-	return append(all, changes(dr.Routes, KindRoute, routeFields)...)
+	all = append(all, changes(dr.Routes, KindRoute, routeFields)...)
+	return append(all, changes(dr.Limits, KindLimits, limitsFields)...)
 }
 
 func changes[T any, K ~string](edits map[K]Edit[T], ki Kind, fields func(T) []Field) []Change {
@@ -176,3 +177,20 @@
 		{Label: "fallback", Value: orNone(string(ro.Fallback))},
 	}
 }
+
+func limitsFields(li contract.Limits) []Field {
+	return []Field{
+		{Label: "header", Value: orHosts(li.MaxHeaderBytes, "bytes")},
+		{Label: "body", Value: orHosts(li.MaxBodyBytes, "bytes")},
+		{Label: "header timeout", Value: orHosts(li.HeaderTimeoutMS, "ms")},
+		{Label: "idle timeout", Value: orHosts(li.IdleTimeoutMS, "ms")},
+	}
+}
+
+// orHosts writes a limit that may be left to the settings of each host.
+func orHosts(limit int64, unit string) string {
+	if limit == 0 {
+		return "as the host's settings"
+	}
+	return fmt.Sprintf("%d %s", limit, unit)
+}
--- a/core/draft/draft.go
+++ b/core/draft/draft.go
@@ -28,8 +28,15 @@
 	Services  map[contract.ServiceName]Edit[contract.Service] `json:"services,omitempty"`
 	Contracts map[contract.TermsName]Edit[contract.Terms]     `json:"contracts,omitempty"`
 	Routes    map[contract.RouteName]Edit[contract.Route]     `json:"routes,omitempty"`
+	Limits    map[LimitsName]Edit[contract.Limits]            `json:"limits,omitempty"`
 }
 
+// LimitsName names a document's limits among its items.
+type LimitsName string
+
+// LimitsCallers are the limits of what callers may send, the only ones there are.
+const LimitsCallers LimitsName = "callers"
+
 // SyntaxError reports a draft that can't be read.
 type SyntaxError struct {
 	Detail string
@@ -44,6 +51,7 @@
 		Services:  map[contract.ServiceName]Edit[contract.Service]{},
 		Contracts: map[contract.TermsName]Edit[contract.Terms]{},
 		Routes:    map[contract.RouteName]Edit[contract.Route]{},
+		Limits:    map[LimitsName]Edit[contract.Limits]{},
 	}
 }
 
@@ -53,6 +61,7 @@
 	between(dr.Services, from.Document.Services, to.Services, serviceName)
 	between(dr.Contracts, from.Document.Contracts, to.Contracts, termsName)
 	between(dr.Routes, from.Document.Routes, to.Routes, routeName)
+	between(dr.Limits, limitsOf(from.Document), limitsOf(to), limitsName)
 	return dr
 }
 
@@ -75,7 +84,8 @@
 	begun := New(dr.Base)
 	ok := named(begun.Services, dr.Services, serviceName) &&
 		named(begun.Contracts, dr.Contracts, termsName) &&
-		named(begun.Routes, dr.Routes, routeName)
+		named(begun.Routes, dr.Routes, routeName) &&
+		named(begun.Limits, dr.Limits, limitsName)
 	if !ok {
 		return nil, &SyntaxError{Detail: "an edit has another name than its item"}
 	}
@@ -92,7 +102,9 @@
 }
 
 // Len counts the edits.
-func (dr *Draft) Len() int { return len(dr.Services) + len(dr.Contracts) + len(dr.Routes) }
+func (dr *Draft) Len() int {
+	return len(dr.Services) + len(dr.Contracts) + len(dr.Routes) + len(dr.Limits)
+}
 
 // PutService adds or changes a service of a document.
 func (dr *Draft) PutService(doc *contract.Document, se contract.Service) {
@@ -124,20 +136,42 @@
 	edit(dr.Routes, doc.Routes, routeName, na, nil)
 }
 
+// PutLimits adds or changes the limits of a document.
+func (dr *Draft) PutLimits(doc *contract.Document, li contract.Limits) {
+	edit(dr.Limits, limitsOf(doc), limitsName, LimitsCallers, &li)
+}
+
+// RemoveLimits removes the limits of a document.
+func (dr *Draft) RemoveLimits(doc *contract.Document) {
+	edit(dr.Limits, limitsOf(doc), limitsName, LimitsCallers, nil)
+}
+
 // Apply builds the document that the edits lead to. Every edit wins over what
 // the document holds; Merge finds out whether it may.
 func (dr *Draft) Apply(doc *contract.Document) *contract.Document {
-	return &contract.Document{
+	out := &contract.Document{
 		Services:  apply(doc.Services, dr.Services, serviceName),
 		Contracts: apply(doc.Contracts, dr.Contracts, termsName),
 		Routes:    apply(doc.Routes, dr.Routes, routeName),
-		Limits:    doc.Limits,
 	}
+	if limits := apply(limitsOf(doc), dr.Limits, limitsName); len(limits) > 0 {
+		out.Limits = &limits[0]
+	}
+	return out
+}
+
+// limitsOf lists the limits of a document: one, or none.
+func limitsOf(doc *contract.Document) []contract.Limits {
+	if doc.Limits == nil {
+		return nil
+	}
+	return []contract.Limits{*doc.Limits}
 }
 
 func serviceName(se contract.Service) contract.ServiceName { return se.Name }
 func termsName(te contract.Terms) contract.TermsName       { return te.Name }
 func routeName(ro contract.Route) contract.RouteName       { return ro.Name }
+func limitsName(contract.Limits) LimitsName                { return LimitsCallers }
 
 func find[T any, K comparable](items []T, key func(T) K, name K) *T {
 	for i := range items {
--- a/core/draft/merge.go
+++ b/core/draft/merge.go
@@ -16,6 +16,7 @@
 	KindService  Kind = "service"
 	KindContract Kind = "contract"
 	KindRoute    Kind = "route"
+	KindLimits   Kind = "limits"
 )
 
 // Item names one item of a document.
@@ -72,6 +73,13 @@
 		fields:  routeFields,
 		choices: choices,
 	})...)
+	conflicts = append(conflicts, merge(out.Limits, dr.Limits, merging[contract.Limits, LimitsName]{
+		kind:    KindLimits,
+		onto:    limitsOf(onto.Document),
+		key:     limitsName,
+		fields:  limitsFields,
+		choices: choices,
+	})...)
 	return out, conflicts
 }
 
--- a/core/draft/risk.go
+++ b/core/draft/risk.go
@@ -21,6 +21,7 @@
 	RiskRouteRemoved   RiskKind = "route_removed"
 	RiskRouteMoved     RiskKind = "route_moved"
 	RiskNoUpstream     RiskKind = "no_upstream"
+	RiskLimitTighter   RiskKind = "limit_tighter"
 )
 
 // Risk is one thing that a draft puts at risk, in plain words.
@@ -57,9 +58,35 @@
 	for _, na := range sortedKeys(dr.Routes) {
 		as.route(na, dr.Routes[na])
 	}
+	for _, na := range sortedKeys(dr.Limits) {
+		as.limits(na, dr.Limits[na])
+	}
 	return as.risks
 }
 
+// limits tells of requests that were taken until now and are refused from now on.
+func (as *assessor) limits(na LimitsName, ed Edit[contract.Limits]) {
+	var was, now contract.Limits
+	if ed.Was != nil {
+		was = *ed.Was
+	}
+	if ed.Now != nil {
+		now = *ed.Now
+	}
+	for _, it := range []struct {
+		part     string
+		was, now int64
+	}{
+		{part: "headers", was: was.MaxHeaderBytes, now: now.MaxHeaderBytes},
+		{part: "bodies", was: was.MaxBodyBytes, now: now.MaxBodyBytes},
+	} {
+		if it.now > 0 && (it.was == 0 || it.now < it.was) {
+			as.add(RiskLimitTighter, KindLimits, string(na),
+				"requests with %s of more than %d bytes are refused", it.part, it.now)
+		}
+	}
+}
+
 func (as *assessor) add(rk RiskKind, ki Kind, name, format string, args ...any) {
 	as.risks = append(as.risks, Risk{
 		Kind:   rk,
--- a/io/operator/form.go
+++ b/io/operator/form.go
@@ -166,6 +166,9 @@
 // retype puts what was typed into a form.
 func (vi *visit) retype(fp *formPage) {
 	for _, fi := range fp.Fields {
+		if fi.Fixed {
+			continue
+		}
 		text := strings.TrimSpace(vi.typed(fi.Name))
 		switch fi.Kind {
 		case inputCheck:
@@ -219,6 +222,8 @@
 		taken = slices.ContainsFunc(doc.Contracts, func(te contract.Terms) bool { return string(te.Name) == it.Name })
 	case draft.KindRoute:
 		taken = slices.ContainsFunc(doc.Routes, func(ro contract.Route) bool { return string(ro.Name) == it.Name })
+	case draft.KindLimits:
+		taken = doc.Limits != nil
 	}
 	if taken {
 		fp.fail("name", fmt.Sprintf("there is a %s of this name already", it.Kind))
@@ -236,6 +241,8 @@
 		vi.draft.PutContract(doc, termsOf(fp))
 	case draft.KindRoute:
 		vi.draft.PutRoute(doc, routeOf(fp))
+	case draft.KindLimits:
+		vi.draft.PutLimits(doc, limitsOf(fp))
 	}
 	after := vi.document()
 	for _, fe := range fieldErrors(after) {
@@ -260,6 +267,12 @@
 
 // placeOf finds the item and field of a path such as routes[2].methods[0].
 func placeOf(doc *contract.Document, path string) place {
+	if field, ok := strings.CutPrefix(path, "limits."); ok {
+		return place{
+			item:  draft.Item{Kind: draft.KindLimits, Name: string(draft.LimitsCallers)},
+			field: field,
+		}
+	}
 	list, rest, _ := strings.Cut(path, "[")
 	index, field, _ := strings.Cut(rest, "].")
 	i, err := strconv.Atoi(index)
--- a/io/operator/items.go
+++ b/io/operator/items.go
@@ -23,10 +23,38 @@
 		return contractForm()
 	case draft.KindRoute:
 		return routeForm(vi.document())
+	case draft.KindLimits:
+		return limitsForm()
 	}
 	return nil
 }
 
+func limitsForm() *formPage {
+	return &formPage{
+		Item:  draft.Item{Kind: draft.KindLimits},
+		Intro: "Limits bound what callers may send, on every host. 0 leaves a limit to the settings of each host.",
+		Fields: []*formField{
+			{Name: "name", Label: "Name", Kind: inputText, Value: string(draft.LimitsCallers), Fixed: true},
+			{
+				Name: "max_header_bytes", Label: "Header, in bytes", Kind: inputNumber, Value: "0",
+				Help: "Requests with a longer header are refused with 431.",
+			},
+			{
+				Name: "max_body_bytes", Label: "Body, in bytes", Kind: inputNumber, Value: "0",
+				Help: "Requests with a longer body are refused with 413.",
+			},
+			{
+				Name: "header_timeout_ms", Label: "Header timeout, in milliseconds", Kind: inputNumber, Value: "0",
+				Help: "A header that takes longer to arrive is refused with 408.",
+			},
+			{
+				Name: "idle_timeout_ms", Label: "Idle timeout, in milliseconds", Kind: inputNumber, Value: "0",
+				Help: "A connection that is idle for longer is closed.",
+			},
+		},
+	}
+}
+
 func serviceForm() *formPage {
 	return &formPage{
 		Item:  draft.Item{Kind: draft.KindService},
@@ -145,6 +173,11 @@
 				return true
 			}
 		}
+	case draft.KindLimits:
+		if doc.Limits != nil {
+			fp.fillLimits(*doc.Limits)
+			return true
+		}
 	}
 	return false
 }
@@ -187,6 +220,24 @@
 	})
 }
 
+func (fp *formPage) fillLimits(li contract.Limits) {
+	fp.set(map[string]string{
+		"max_header_bytes":  strconv.FormatInt(li.MaxHeaderBytes, 10),
+		"max_body_bytes":    strconv.FormatInt(li.MaxBodyBytes, 10),
+		"header_timeout_ms": strconv.FormatInt(li.HeaderTimeoutMS, 10),
+		"idle_timeout_ms":   strconv.FormatInt(li.IdleTimeoutMS, 10),
+	})
+}
+
+func limitsOf(fp *formPage) contract.Limits {
+	return contract.Limits{
+		MaxHeaderBytes:  fp.field("max_header_bytes").number(),
+		MaxBodyBytes:    fp.field("max_body_bytes").number(),
+		HeaderTimeoutMS: fp.field("header_timeout_ms").number(),
+		IdleTimeoutMS:   fp.field("idle_timeout_ms").number(),
+	}
+}
+
 func serviceOf(fp *formPage) contract.Service {
 	return contract.Service{
 		Name:        contract.ServiceName(fp.field("name").Value),
--- a/io/operator/overview.go
+++ b/io/operator/overview.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -28,6 +29,8 @@
 	Empty   string
 	Columns []string
 	Rows    []itemRow
+	// Single groups have one item at most.
+	Single bool
 	// More counts the rows that were left out.
 	More int
 }
@@ -53,6 +56,7 @@
 			vi.services(doc).finish(marks, find),
 			contracts(doc).finish(marks, find),
 			routes(doc).finish(marks, find),
+			limits(doc).finish(marks, find),
 		},
 	})
 }
@@ -108,6 +112,29 @@
 	return gr
 }
 
+func limits(doc *contract.Document) itemGroup {
+	gr := itemGroup{
+		Kind:    draft.KindLimits,
+		Title:   "Limits",
+		Empty:   "What callers may send is bounded by the settings of each host.",
+		Columns: []string{"Name", "Header", "Body", "Header timeout", "Idle timeout"},
+		Single:  true,
+	}
+	if li := doc.Limits; li != nil {
+		gr.add(string(draft.LimitsCallers), limit(li.MaxHeaderBytes, "bytes"), limit(li.MaxBodyBytes, "bytes"),
+			limit(li.HeaderTimeoutMS, "ms"), limit(li.IdleTimeoutMS, "ms"))
+	}
+	return gr
+}
+
+// limit writes a limit that may be left to the settings of each host.
+func limit(value int64, unit string) string {
+	if value == 0 {
+		return "by the host"
+	}
+	return fmt.Sprintf("%d %s", value, unit)
+}
+
 func (gr *itemGroup) add(name string, cells ...string) {
 	gr.Rows = append(gr.Rows, itemRow{
 		Item:  draft.Item{Kind: gr.Kind, Name: name},
@@ -157,6 +184,8 @@
 		delete(vi.draft.Contracts, contract.TermsName(it.Name))
 	case draft.KindRoute:
 		delete(vi.draft.Routes, contract.RouteName(it.Name))
+	case draft.KindLimits:
+		delete(vi.draft.Limits, draft.LimitsName(it.Name))
 	}
 	vi.notice = "The edit of " + string(it.Kind) + " " + it.Name + " is undone."
 	vi.overview()
@@ -172,6 +201,8 @@
 		vi.draft.RemoveContract(doc, contract.TermsName(it.Name))
 	case draft.KindRoute:
 		vi.draft.RemoveRoute(doc, contract.RouteName(it.Name))
+	case draft.KindLimits:
+		vi.draft.RemoveLimits(doc)
 	default:
 		vi.status = fasthttp.StatusBadRequest
 	}
