feat: log lost and regained links and platform, and count its requests

Links that open and end, with the reason and how many are left; the platform lost and back, one line for each change with how long it was gone; when this node begins and ends to read it. Counters for every request to the platform by method and outcome, and the age of what this node sees of hosts and upstreams. Until now a link and the platform's loss were notes of control decisions, and a link's end, a regained platform and readers left no line at all.

--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -45,7 +45,11 @@
 	log         zerolog.Logger
 	counters    *controlCounters
 	health      health
-	record      *record.Record
+	// dependencies and viewAt belong to the control goroutine; viewAt is read by
+	// others, in Unix nanoseconds.
+	dependencies dependencies
+	viewAt       atomic.Int64
+	record       *record.Record
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
@@ -87,6 +91,9 @@
 		linkBox:    make(chan node.Event, inboxSize),
 		reports:    make(chan chan<- *datacentre.Report),
 		stop:       make(chan struct{}),
+		dependencies: dependencies{
+			log: log,
+		},
 	}
 	ct.jobCtx, ct.endJobs = context.WithCancel(context.Background())
 	ct.member = datacentre.New(datacentre.Config{
@@ -165,6 +172,7 @@
 			for _, me := range ct.links.Handle(ev, now) {
 				ct.step(me, now)
 			}
+			ct.dependencies.link(ev, ct.links.Peers())
 		case answer := <-ct.reports:
 			answer <- ct.member.Report()
 		case now := <-ti.C:
@@ -179,6 +187,7 @@
 
 func (ct *Control) step(ev datacentre.Event, now time.Time) {
 	acts := ct.member.Step(ev, now)
+	ct.dependencies.member(ev, ct.member.Reads(), now)
 	for _, ac := range acts {
 		ct.execute(ac)
 	}
@@ -198,6 +207,7 @@
 		ct.links.CloseLink(ac.Peer)
 	case datacentre.Publish:
 		ct.view.Store(ac.View)
+		ct.viewAt.Store(time.Now().UnixNano())
 	case datacentre.ReadPlatform:
 		ct.jobs.Go(func() { ct.read(ac) })
 	case datacentre.Introduce:
--- a/cmd/process/surroundings.go
+++ b/cmd/process/surroundings.go
@@ -41,6 +41,7 @@
 		TableURL:  se.Platform.TableURL,
 		ObjectURL: se.Platform.ObjectURL,
 		Timeout:   se.Platform.Timeout,
+		Exchanged: countExchanges(set),
 	})
 	vs := platform.NewVersions(cl)
 	return surroundings{
@@ -66,6 +67,7 @@
 		Skipped: func(kind string) {
 			set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_skipped_total{kind=%q}`, kind)).Inc()
 		},
+		Exchanged: countExchanges(set),
 	})
 	return surroundings{
 		Store:     ad.Store,
@@ -79,6 +81,13 @@
 	}
 }
 
+// countExchanges counts the requests to the platform, by their method and outcome.
+func countExchanges(set *metrics.Set) func(method, outcome string) {
+	return func(method, outcome string) {
+		set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_platform_requests_total{method=%q,outcome=%q}`, method, outcome)).Inc()
+	}
+}
+
 // ElsewhereError reports a request about versions that this node does not keep:
 // the operators write the configuration to the platform themselves.
 type ElsewhereError struct{}
--- a/core/datacentre/readers.go
+++ b/core/datacentre/readers.go
@@ -40,6 +40,10 @@
 	return slices.Contains(me.readers(me.cfg.DataCentre), me.cfg.Host)
 }
 
+// Reads tells whether this node reads the platform: as one of its data centre's
+// readers, or because it lacks something that no neighbour gives.
+func (me *Member) Reads() bool { return me.reads.wanted }
+
 // readers are the hosts of a data centre that read the platform, by rendezvous
 // hashing over the live hosts.
 func (me *Member) readers(name Name) []host.ID { return me.rank(name, "reader", readersPerCentre) }
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -457,6 +457,36 @@
 	assert.Equal(t, rs.StatusCode, 200)
 }
 
+// TestLongerBodiesFollow sends a body of some length to another host only when its
+// gate asks for it.
+func TestLongerBodiesFollow(t *testing.T) {
+	for name, it := range map[string]struct {
+		length  int
+		carried int
+	}{
+		"short":  {length: eagerBytes, carried: eagerBytes},
+		"longer": {length: eagerBytes + 1, carried: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			si := startSite(t, Config{}, standin.Config{}, standin.Config{})
+			carried := -1
+			si.lost = func(_ string, rq *wire.Request) bool {
+				carried = len(rq.GetBody())
+				return false
+			}
+			for i := 0; carried < 0; i++ {
+				rs, _, err := si.do(t, "POST", "/bookings", fmt.Sprintf("c%d", i), strings.NewReader(strings.Repeat("x", it.length)))
+				assert.NilError(t, err)
+				assert.Equal(t, rs.StatusCode, 200)
+			}
+			assert.Equal(t, carried, it.carried)
+			for _, ru := range si.ledger() {
+				assert.Equal(t, ru.Bytes, it.length)
+			}
+		})
+	}
+}
+
 // TestExpectContinue lets a caller that waits for leave send its body.
 func TestExpectContinue(t *testing.T) {
 	si := startSite(t, Config{}, standin.Config{})
--- a/io/node/session.go
+++ b/io/node/session.go
@@ -60,6 +60,8 @@
 	incarnation host.Incarnation
 	heard       uint64
 	silent      bool
+	// reason is why the session was closed; empty while it is open.
+	reason atomic.Value
 	// replacement is set when the session was opened beside a silent one.
 	replacement bool
 	finishing   bool
@@ -168,10 +170,20 @@
 func (se *Session) close(reason ClosedReason) {
 	se.once.Do(func() {
 		se.counters.closed(reason)
+		se.reason.Store(string(reason))
 		_ = se.raw.Close() // the multiplexer notices and ends
 	})
 }
 
+// Peer is the host at the other end.
+func (se *Session) Peer() host.ID { return se.peer }
+
+// Reason is why the session was closed.
+func (se *Session) Reason() ClosedReason {
+	reason, _ := se.reason.Load().(string)
+	return ClosedReason(reason)
+}
+
 // write sends one message on the calling goroutine.
 func (se *Session) write(ms *wire.Control) error {
 	data, err := appendMessage(nil, ms)
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -17,6 +17,8 @@
 	ObjectURL string
 	// Timeout bounds one request; a context may bound it further.
 	Timeout time.Duration
+	// Exchanged is told how each request ended; it may be nil.
+	Exchanged func(method, outcome string)
 }
 
 // Client speaks to the platform through its own protocol.
@@ -28,7 +30,7 @@
 // NewClient builds a client.
 func NewClient(cfg Config) *Client {
 	return &Client{
-		Transport: NewTransport(cfg.Timeout),
+		Transport: NewTransport(cfg.Timeout, cfg.Exchanged),
 		cfg:       cfg,
 	}
 }
--- a/io/platform/transport.go
+++ b/io/platform/transport.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -23,17 +25,21 @@
 type Transport struct {
 	timeout time.Duration
 	http    *fasthttp.Client
+	// exchanged is told of each request's end; it may be nil.
+	exchanged func(method, outcome string)
 
 	mu     sync.Mutex
 	conns  map[*trackedConn]bool
 	closed bool
 }
 
-// NewTransport builds a transport whose requests end after a timeout.
-func NewTransport(timeout time.Duration) *Transport {
+// NewTransport builds a transport whose requests end after a timeout; exchanged is
+// told of each, with the status of its answer or why there is none, and may be nil.
+func NewTransport(timeout time.Duration, exchanged func(method, outcome string)) *Transport {
 	tr := &Transport{
-		timeout: timeout,
-		conns:   map[*trackedConn]bool{},
+		timeout:   timeout,
+		exchanged: exchanged,
+		conns:     map[*trackedConn]bool{},
 	}
 	tr.http = &fasthttp.Client{
 		NoDefaultUserAgentHeader:  true,
@@ -131,7 +137,27 @@
 	}
 	if err := tr.http.DoDeadline(req, resp, deadline); err != nil {
 		fasthttp.ReleaseResponse(resp)
+		tr.tell(ex.Method, outcomeOf(err))
 		return nil, err
 	}
+	tr.tell(ex.Method, strconv.Itoa(resp.StatusCode()))
 	return resp, nil
 }
+
+func (tr *Transport) tell(method, outcome string) {
+	if tr.exchanged != nil {
+		tr.exchanged(method, outcome)
+	}
+}
+
+// outcomeOf names how a request without an answer ended.
+func outcomeOf(err error) string {
+	var dial *DialError
+	switch {
+	case errors.As(err, &dial):
+		return "no_connection"
+	case errors.Is(err, fasthttp.ErrTimeout):
+		return "timeout"
+	}
+	return "broken"
+}
