perf: bound the bodies that arrive at once by what the link shows

Cause: a body that arrives holds a slot, and on a link that is short every body beside it takes longer. Nine bodies at once on 5 Mbit/s took most of a second each, during which nothing else crossed the link in time and the upstream's slots stood empty.

A gate learns how long a byte of a body takes alone and beside others. As long as a body takes no longer beside others, their number grows; when more than two bodies' worth of waiting shows, it falls, to two at least.

--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -24,8 +24,12 @@
 
 // bulkAllowed keeps as many slots for lookups of the same rank or a higher one as
 // they have lately needed at once, and some more; bulk has one at least. Bulk that
-// is about as quick as lookups holds nobody up and may have every slot.
+// is about as quick as lookups holds nobody up and may have every slot. None may
+// run while its body could not arrive.
 func (ga *Gate) bulkAllowed(rank int) bool {
+	if ga.transfers.full() {
+		return false
+	}
 	if ga.uploads.mean > 0 && ga.uploads.mean <= longBulk*ga.lookups.mean {
 		return true
 	}
@@ -45,6 +49,9 @@
 // open tells whether an attempt that arrives finds a slot at once. Waiting bulk
 // that may have no slot is not ahead of a lookup.
 func (ga *Gate) open(at Attempt) bool {
+	if at.Class == contract.ClassBulk && at.Body != 0 && ga.transfers.full() {
+		return false
+	}
 	ahead := ga.queue.len()
 	if at.Class != contract.ClassBulk && len(ga.queue.bulk) > 0 && !ga.bulkAllowed(ga.queue.bulk[0].attempt.Rank) {
 		ahead = len(ga.queue.lookups)
@@ -73,11 +80,21 @@
 	}
 }
 
-// wait estimates how long a new attempt waits for a slot.
+// wait estimates how long a new attempt waits for a slot, and for its body's turn.
 func (ga *Gate) wait(en *entry) time.Duration {
 	work := ga.service(en.attempt).mean
-	ga.queue.ahead(en, func(it *entry) { work += ga.service(it.attempt).mean })
-	return work / time.Duration(max(1, ga.limit()))
+	bodies := 0
+	ga.queue.ahead(en, func(it *entry) {
+		work += ga.service(it.attempt).mean
+		if it.attempt.Body != 0 {
+			bodies++
+		}
+	})
+	wait := work / time.Duration(max(1, ga.limit()))
+	if en.attempt.Class == contract.ClassBulk && en.attempt.Body != 0 {
+		wait = max(wait, ga.transfers.wait(bodies))
+	}
+	return wait
 }
 
 // maxKinds bounds the kinds whose service times are learnt apart.
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -72,6 +72,9 @@
 	if en.attempt.Class == contract.ClassBulk {
 		ga.bulk++
 	}
+	if en.attempt.Body != 0 {
+		ga.transfers.begin(en)
+	}
 	ga.do(Dispatch{
 		ID:       en.attempt.ID,
 		Address:  ga.upstream.Address,
@@ -94,6 +97,7 @@
 		return
 	}
 	delete(ga.running, ev.ID)
+	ga.transfers.end(en, 0, now)
 	if en.attempt.Class == contract.ClassBulk {
 		ga.bulk--
 	}
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -21,6 +21,14 @@
 	ID AttemptID
 }
 
+// Received says that the body of a dispatched attempt has arrived, or that no
+// more of it comes. Without it, the body ends with its attempt.
+type Received struct {
+	ID AttemptID
+	// Bytes is the length of a body that is whole; 0 for any other.
+	Bytes int64
+}
+
 // Ended says how a dispatched attempt ended. It comes once for each Dispatch.
 type Ended struct {
 	ID AttemptID
@@ -82,6 +90,7 @@
 
 func (Arrived) isEvent()      {}
 func (Started) isEvent()      {}
+func (Received) isEvent()     {}
 func (Ended) isEvent()        {}
 func (Cancelled) isEvent()    {}
 func (Reincarnated) isEvent() {}
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -49,6 +49,7 @@
 	demand    map[int]float64
 	counts    map[int]int
 	occupancy occupancy
+	transfers transfers
 	seen      seen
 	lookups   estimate
 	uploads   estimate
@@ -91,6 +92,10 @@
 		ga.arrive(ev.Attempt, now)
 	case Started:
 		ga.begun(ev.ID)
+	case Received:
+		if en := ga.running[ev.ID]; en != nil {
+			ga.transfers.end(en, ev.Bytes, now)
+		}
 	case Ended:
 		ga.ended(ev, now)
 	case Cancelled:
--- a/core/host/ledger.go
+++ b/core/host/ledger.go
@@ -22,6 +22,10 @@
 	kept       int
 	dispatched time.Time
 	started    bool
+	// receiving says that the body is on its way, which began beside so many
+	// sharers, itself among them.
+	receiving bool
+	sharers   int
 	// due orders the attempts that wait; late ones can't meet their objective.
 	due     time.Time
 	late    bool
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -149,7 +149,10 @@
 	Returning bool
 	// Nested attempts are part of a call that an upstream runs, which fails with
 	// them; they go before all others.
-	Nested   bool
+	Nested bool
+	// Body is the length of a body that follows when the attempt is dispatched, in
+	// bytes; 0 when the attempt carries it, and negative when it is not known.
+	Body     int64
 	Deadline time.Time
 }
 
--- a/io/node/links_test.go
+++ b/io/node/links_test.go
@@ -184,7 +184,7 @@
 func isNotice(version uint64) func(ev datacentre.Event) bool {
 	return func(ev datacentre.Event) bool {
 		re, ok := ev.(datacentre.Received)
-		return ok && re.Message.GetNotice().GetVersion() == version
+		return ok && re.Message.GetNotice() != nil && re.Message.GetNotice().GetVersion() == version
 	}
 }
 
@@ -253,6 +253,10 @@
 		return a.metric(`lynxfold_link_replacements_total{outcome="done"}`)+
 			b.metric(`lynxfold_link_replacements_total{outcome="done"}`) > 0
 	})
+	// What an end sends before it knows of the new link is lost with the old one.
+	for _, en := range []*end{a, b} {
+		en.waitFor(t, "a new link beside", isNotice(0))
+	}
 	a.send("b", notice(5))
 	b.send("a", notice(6))
 	b.waitFor(t, "notice", isNotice(5))
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -75,6 +75,9 @@
 		Nested:      rq.GetNested(),
 		Deadline:    now.Add(time.Duration(rq.GetRemainingUs()) * time.Microsecond),
 	}
+	if body != nil {
+		at.Body = rq.GetLength()
+	}
 	if rq.GetHasObjective() {
 		at.Returning = rq.GetReturning()
 		at.Objective = now.Add(time.Duration(rq.GetObjectiveUs()) * time.Microsecond)
@@ -193,6 +196,7 @@
 			}
 		},
 	}
+	body = ga.watchBody(di.ID, body)
 	body, err := receive(ctx, rq, body)
 	if err != nil {
 		re := receiveReason(ctx)
--- a/io/upstream/receive.go
+++ b/io/upstream/receive.go
@@ -29,6 +29,36 @@
 	return nil, nil
 }
 
+// watchBody tells the gate when a body has arrived.
+func (ga *Gate) watchBody(id host.AttemptID, body io.ReadCloser) io.ReadCloser {
+	if body == nil {
+		return nil
+	}
+	return &watchedBody{
+		ReadCloser: body,
+		arrived:    func(bytes int64) { ga.step(host.Received{ID: id, Bytes: bytes}) },
+	}
+}
+
+// watchedBody tells of its end.
+type watchedBody struct {
+	io.ReadCloser
+	arrived func(bytes int64)
+	got     int64
+	told    bool
+}
+
+// Read reads on.
+func (wb *watchedBody) Read(buf []byte) (int, error) {
+	n, err := wb.ReadCloser.Read(buf)
+	wb.got += int64(n)
+	if err == io.EOF && !wb.told {
+		wb.told = true
+		wb.arrived(wb.got)
+	}
+	return n, err
+}
+
 // receiveReason says why the body of a request did not arrive.
 func receiveReason(ctx context.Context) host.Reason {
 	if ctx.Err() != nil {
