--- a/testkit/callers.go
+++ b/testkit/callers.go
@@ -34,19 +34,49 @@
 
 // Callers make calls side by side and remember what they were told.
 type Callers struct {
-	mesh  *Mesh
+	mesh *Mesh
+	// name begins the ids of the calls.
+	name  string
 	calls atomic.Int64
+	// kept is the client whose connections are used again; nil for a new one each.
+	kept *http.Client
 
 	mu   sync.Mutex
 	told []Told
 }
 
 // NewCallers builds callers that have made no call.
-func NewCallers(me *Mesh) *Callers { return &Callers{mesh: me} }
+func NewCallers(me *Mesh) *Callers { return NewNamedCallers(me, "call") }
+
+// NewNamedCallers builds callers whose calls are told apart by a name of their own.
+func NewNamedCallers(me *Mesh, name string) *Callers {
+	return &Callers{
+		mesh: me,
+		name: name,
+	}
+}
+
+// KeepConnections has callers use their connections again.
+func (ca *Callers) KeepConnections() {
+	tr := &http.Transport{MaxIdleConnsPerHost: keptConnections}
+	ca.mesh.T.Cleanup(tr.CloseIdleConnections)
+	ca.kept = &http.Client{Transport: tr}
+}
+
+// keptConnections bounds the connections that wait to be used again, for each host.
+const keptConnections = 64
+
+// client is what one call is made with.
+func (ca *Callers) client() *http.Client {
+	if ca.kept != nil {
+		return ca.kept
+	}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
 
 // Call makes one call at a host, with a body of some bytes, and never again.
 func (ca *Callers) Call(id, method, path string, size int) Told {
-	te := Told{Call: fmt.Sprintf("call-%d", ca.calls.Add(1))}
+	te := Told{Call: fmt.Sprintf("%s-%d", ca.name, ca.calls.Add(1))}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	url := "http://" + ca.mesh.Hosts[id].Caller + path
@@ -56,8 +86,7 @@
 		return ca.add(te)
 	}
 	rq.Header.Set(upstreamstandin.HeaderCall, te.Call)
-	cl := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	rs, err := cl.Do(rq)
+	rs, err := ca.client().Do(rq)
 	if err != nil {
 		te.Err = err
 		return ca.add(te)
--- a/testkit/faults.go
+++ b/testkit/faults.go
@@ -1,6 +1,8 @@
 package testkit
 
 import (
+	"time"
+
 	"gotest.tools/v3/assert"
 
 	upstreamstandin "lynxfold/io/upstream/standin"
@@ -46,3 +48,23 @@
 	}
 	return runs
 }
+
+// SilenceOneWay makes the host's proxy swallow everything in one direction,
+// "upstream" being the one to the host, until the returned function is called.
+func (ho *Host) SilenceOneWay(direction string) (end func()) {
+	name := "silent-" + direction
+	addToxic(ho.mesh.T, ho.Proxy, name, "timeout", direction, map[string]int64{"timeout": 0})
+	return func() {
+		ho.Proxy.Stop()
+		assert.NilError(ho.mesh.T, ho.Proxy.Toxics.RemoveToxic(ho.mesh.T.Context(), name))
+		assert.NilError(ho.mesh.T, ho.Proxy.Start())
+	}
+}
+
+// Delay makes everything take longer to the host, until the returned function is called.
+func (ho *Host) Delay(by time.Duration) (end func()) {
+	addToxic(ho.mesh.T, ho.Proxy, "delay", "latency", "upstream", map[string]int64{"latency": by.Milliseconds()})
+	return func() {
+		assert.NilError(ho.mesh.T, ho.Proxy.Toxics.RemoveToxic(ho.mesh.T.Context(), "delay"))
+	}
+}
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -369,6 +369,13 @@
 // Apply has a document accepted through a host and returns its version.
 func (me *Mesh) Apply(id string, base uint64, document string) (status int, body operator.ConfigBody) {
 	me.T.Helper()
+	status, body, err := me.TryApply(id, base, document)
+	assert.NilError(me.T, err)
+	return status, body
+}
+
+// TryApply is Apply at a host that may not answer.
+func (me *Mesh) TryApply(id string, base uint64, document string) (status int, body operator.ConfigBody, err error) {
 	req := struct {
 		Version  uint64          `json:"version"`
 		Document json.RawMessage `json:"document"`
@@ -379,9 +386,11 @@
 	data, err := json.Marshal(req)
 	assert.NilError(me.T, err)
 	status, answer, err := Post("http://"+me.Hosts[id].Operator+"/api/config", data)
-	assert.NilError(me.T, err)
+	if err != nil {
+		return 0, body, err
+	}
 	_ = json.Unmarshal(answer, &body)
-	return status, body
+	return status, body, nil
 }
 
 // Status asks a host for what it knows; it is nil when the host does not answer.
