perf: ask near by for a free slot before a call waits in a queue

Cause: a node makes few calls to each gate of its data centre and knows their load from the last one; the queue it picks is long while others stand empty.

The first attempt of a call is a brief one when another upstream near by may have room: a gate without a free slot refuses it at once ("busy", certainly not run) and names its wait. Two further gates near by are asked, then one farther away if the shortest wait is longer than the call may wait, and then the call waits where that was shortest. Calls of upstreams go before all others at any gate and don't ask.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -27,6 +27,7 @@
 	upstream datacentre.Upstream
 	// doubt says that the link was lost and the gate is asked.
 	doubt bool
+	brief bool
 	asks  int
 	// askAt is when the next query is due; zero while one is under way.
 	askAt time.Time
@@ -40,6 +41,11 @@
 	attempts int
 	retries  int
 	moves    int
+	briefs   int
+	// leastBusy is where a call waits when all brief attempts were refused.
+	leastBusy leastBusy
+	// wentFar says that a brief attempt has left the data centre, or could not.
+	wentFar bool
 	// retryAt is when the next attempt is due; zero means none is planned.
 	retryAt     time.Time
 	retryReason RetryReason
@@ -115,7 +121,7 @@
 		ca.answer("", Result{Outcome: OutcomeNotRun, Reason: ReasonNoCandidate}, NoRetryNoCandidate)
 		return
 	}
-	ca.try(up, "")
+	ca.first(up, now)
 	if ca.mayHedge() {
 		ca.hedgeAt = now.Add(ca.cfg.Terms.HedgeAfter())
 	}
@@ -129,13 +135,19 @@
 }
 
 // try starts an attempt at an upstream.
-func (ca *Call) try(up datacentre.Upstream, re RetryReason) {
+func (ca *Call) try(up datacentre.Upstream, re RetryReason) { ca.tryAs(up, re, false) }
+
+// tryAs starts an attempt at an upstream, which may be a brief one.
+func (ca *Call) tryAs(up datacentre.Upstream, re RetryReason, brief bool) {
 	if !ca.cfg.Terms.Idempotent && (ca.mayHaveRun || len(ca.open) > 0) {
 		ca.do(Violated{Upstream: up})
 		ca.answer("", Result{Outcome: OutcomeUnknown, Reason: host.ReasonInvariant}, NoRetryInvariant)
 		return
 	}
 	ca.attempts++
+	if brief {
+		ca.briefs++
+	}
 	id := host.Origin{
 		Issuer:     ca.cfg.Issuer,
 		Call:       ca.cfg.Number,
@@ -146,6 +158,7 @@
 	ca.open = append(ca.open, trial{
 		id:       id,
 		upstream: up,
+		brief:    brief,
 	})
 	ca.do(Try{
 		Attempt:  id,
@@ -153,6 +166,7 @@
 		Deadline: ca.cfg.Deadline.Add(-ca.cfg.Margin),
 		Number:   ca.attempts,
 		Reason:   re,
+		Brief:    brief,
 	})
 }
 
@@ -179,9 +193,12 @@
 
 // ended takes the result of an attempt.
 func (ca *Call) ended(id host.AttemptID, re Result, now time.Time) {
-	if !ca.remove(id) {
+	found := ca.find(id)
+	if found == nil {
 		return
 	}
+	tr := *found
+	ca.remove(id)
 	if re.Outcome != OutcomeNotRun {
 		ca.mayHaveRun = true
 	}
@@ -194,6 +211,10 @@
 	if len(ca.open) > 0 || !ca.retryAt.IsZero() {
 		return // the other attempt may still answer
 	}
+	if tr.brief && re.Outcome == OutcomeNotRun && re.Reason == host.ReasonBusy {
+		ca.busy(tr, re, now)
+		return
+	}
 	why, again := ca.mayRetry(re)
 	if !again {
 		ca.giveUp(why)
--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -95,6 +95,37 @@
 	return datacentre.Upstream{}, false
 }
 
+// PickNear returns the better of two random upstreams of the own data centre that
+// were not tried yet and are not known to be full.
+func (ch *Chooser) PickNear(
+	name contract.ServiceName,
+	all []datacentre.Upstream,
+	tried []host.ID,
+	now time.Time,
+) (datacentre.Upstream, bool) {
+	if len(all) == 0 || ch.cfg.DataCentre == "" {
+		return datacentre.Upstream{}, false
+	}
+	po := ch.pool(name, all, now)
+	if po.peers[0].upstream.DataCentre != ch.cfg.DataCentre {
+		return datacentre.Upstream{}, false
+	}
+	var near []*peer
+	for _, pe := range po.peers[:po.ends[0]] {
+		if pe.usable(tried, now) && pe.utilisation(now) < spillAbove {
+			near = append(near, pe)
+		}
+	}
+	if len(near) == 0 {
+		return datacentre.Upstream{}, false
+	}
+	a, b := near[ch.cfg.Rand.IntN(len(near))], near[ch.cfg.Rand.IntN(len(near))]
+	if b.score(po, now) < a.score(po, now) {
+		a = b
+	}
+	return a.upstream, true
+}
+
 // PickPatient is Pick for calls that may wait for so long: they leave a data
 // centre only when the queues there are longer.
 func (ch *Chooser) PickPatient(
--- a/core/call/types.go
+++ b/core/call/types.go
@@ -45,6 +45,8 @@
 	// RetryMoved follows a refusal by a gate that is leaving or was replaced; it
 	// is free.
 	RetryMoved RetryReason = "moved"
+	// RetryBusy follows the refusal of a brief attempt; it is free.
+	RetryBusy RetryReason = "busy"
 	// RetryHedge starts beside a slow attempt.
 	RetryHedge RetryReason = "hedge"
 
@@ -140,6 +142,8 @@
 	Number int
 	// Reason says why a further attempt is made; empty for the first.
 	Reason RetryReason
+	// Brief asks the gate to refuse the attempt when it has no free slot.
+	Brief bool
 }
 
 // Ask asks the attempt's gate, on a link that was opened after the doubt, what
@@ -201,7 +205,11 @@
 	// Estimate is how long an attempt takes as a rule; 0 when unknown.
 	Estimate time.Duration
 	Chooser  Picker
-	Budget   Spender
+	// Patience is how long the call may wait in a queue before it goes farther.
+	Patience time.Duration
+	// Near finds upstreams for brief attempts; nil means that none are made.
+	Near   NearPicker
+	Budget Spender
 	// Hedges grants hedges; nil means that there are none.
 	Hedges Spender
 	// ComeBack is the shortest delay that a caller is told when no gate named one.
@@ -218,6 +226,13 @@
 	PickSpare(tried []host.ID, now time.Time) (datacentre.Upstream, bool)
 }
 
+// NearPicker chooses upstreams of the own data centre.
+type NearPicker interface {
+	// PickNear returns an upstream that is not among the hosts tried and not known
+	// to be full.
+	PickNear(tried []host.ID, now time.Time) (datacentre.Upstream, bool)
+}
+
 // Spender grants retries or hedges.
 type Spender interface {
 	Spend(now time.Time) bool
--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -85,6 +85,9 @@
 	if ga.leaving() {
 		return ReasonDraining
 	}
+	if at.Brief {
+		return ReasonBusy
+	}
 	if ga.queue.count(at.Class) >= min(ga.cfg.QueuePerSlot*ga.limit(), ga.ledger.cfg.MaxEntries/4-1) {
 		return ReasonQueueFull
 	}
@@ -129,7 +132,7 @@
 // comeBack is when another attempt at this gate makes sense.
 func (ga *Gate) comeBack(re Reason, en *entry, now time.Time) time.Time {
 	switch re {
-	case ReasonQueueFull, ReasonDeadline:
+	case ReasonQueueFull, ReasonDeadline, ReasonBusy:
 		if wait := ga.wait(en); wait > 0 {
 			return now.Add(wait)
 		}
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -20,11 +20,13 @@
 
 // Reasons for refusals by a gate.
 const (
-	ReasonNone              Reason = ""
-	ReasonNoUpstream        Reason = "no_upstream"
-	ReasonSettling          Reason = "settling"
-	ReasonDraining          Reason = "draining"
-	ReasonQueueFull         Reason = "queue_full"
+	ReasonNone       Reason = ""
+	ReasonNoUpstream Reason = "no_upstream"
+	ReasonSettling   Reason = "settling"
+	ReasonDraining   Reason = "draining"
+	ReasonQueueFull  Reason = "queue_full"
+	// ReasonBusy refuses a brief attempt that would have to wait.
+	ReasonBusy              Reason = "busy"
 	ReasonDeadline          Reason = "deadline"
 	ReasonCancelled         Reason = "cancelled"
 	ReasonWrongIncarnation  Reason = "wrong_incarnation"
@@ -150,6 +152,9 @@
 	// Nested attempts are part of a call that an upstream runs, which fails with
 	// them; they go before all others.
 	Nested bool
+	// Brief attempts are refused when they find no free slot, since another gate
+	// may have one.
+	Brief bool
 	// Body is the length of a body that follows when the attempt is dispatched, in
 	// bytes; 0 when the attempt carries it, and negative when it is not known.
 	Body     int64
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -40,6 +40,7 @@
 		cancel:   cancel,
 	}
 	ex.attempts = append(ex.attempts, at)
+	ex.server.attemptStarted(tr.Upstream)
 	return at
 }
 
@@ -91,6 +92,7 @@
 		Kind:        string(ex.target.Terms.Name),
 	}
 	rq.Nested = ex.nested
+	rq.Brief = at.try.Brief
 	if !ex.objective.IsZero() && !ex.nested {
 		rq.HasObjective = true
 		rq.Returning = ex.returning
--- a/io/caller/choice.go
+++ b/io/caller/choice.go
@@ -17,6 +17,15 @@
 	return ex.server.pick(ex, tried, true, now)
 }
 
+// PickNear implements call.NearPicker.
+func (ex *exchange) PickNear(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
+	sv := ex.server
+	name := ex.target.Route.Service
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.chooser.PickNear(name, ex.view.Upstreams[name], tried, now)
+}
+
 // Spend implements call.Spender for retries.
 func (ex *exchange) Spend(now time.Time) bool {
 	return ex.server.retries.spend(ex.target.Route.Service, now)
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -122,6 +122,8 @@
 		UpperRetries: call.UpperRetries(ex.mark),
 		Estimate:     sv.estimate(ex.target.Route.Service),
 		Chooser:      ex,
+		Near:         ex.near(),
+		Patience:     sv.waitNear(ex),
 		Budget:       ex,
 		Hedges:       hedges{exchange: ex},
 		ComeBack:     comeBack,
@@ -129,6 +131,15 @@
 	}
 }
 
+// near makes brief attempts for calls that may have to wait. A call that is part of
+// another one goes before all others at any gate.
+func (ex *exchange) near() call.NearPicker {
+	if ex.nested {
+		return nil
+	}
+	return ex
+}
+
 // loop drives the call to its answer; it is false when the caller has gone.
 func (ex *exchange) loop() (call.Answer, bool) {
 	var ev call.Event = call.Begin{}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -180,19 +180,23 @@
 	defer sv.mu.Unlock()
 	name := ex.target.Route.Service
 	all := ex.view.Upstreams[name]
-	var (
-		up datacentre.Upstream
-		ok bool
-	)
 	if spare {
-		up, ok = sv.chooser.PickSpare(name, all, tried, now)
-	} else {
-		up, ok = sv.chooser.PickPatient(name, all, tried, sv.patienceOf(ex, now), now)
+		return sv.chooser.PickSpare(name, all, tried, now)
 	}
-	if ok {
-		sv.chooser.Started(up)
-	}
-	return up, ok
+	return sv.chooser.PickPatient(name, all, tried, sv.patienceOf(ex, now), now)
+}
+
+// waitNear is how long a call that begins may wait in a queue near by.
+func (sv *Server) waitNear(ex *exchange) time.Duration {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.patienceOf(ex, ex.begun)
+}
+
+func (sv *Server) attemptStarted(up datacentre.Upstream) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.chooser.Started(up)
 }
 
 // waitShare is the part of the time that a call has to spare which it may spend
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -469,12 +469,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			si := startSite(t, Config{}, standin.Config{}, standin.Config{})
+			si.gates["host-0"].Drain(time.Now())
 			carried := -1
 			si.lost = func(_ string, rq *wire.Request) bool {
 				carried = len(rq.GetBody())
 				return false
 			}
-			for i := 0; carried < 0; i++ {
+			for i := 0; carried < 0 && i < 100; i++ {
 				rs, _, err := si.do(t, "POST", "/bookings", fmt.Sprintf("c%d", i), strings.NewReader(strings.Repeat("x", it.length)))
 				assert.NilError(t, err)
 				assert.Equal(t, rs.StatusCode, 200)
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -73,6 +73,7 @@
 		Rank:        int(rq.GetRank()),
 		Kind:        host.Kind(rq.GetKind()),
 		Nested:      rq.GetNested(),
+		Brief:       rq.GetBrief(),
 		Deadline:    now.Add(time.Duration(rq.GetRemainingUs()) * time.Microsecond),
 	}
 	if body != nil {
@@ -112,8 +113,8 @@
 // logRefused writes why an attempt got no slot, and what the gate held then.
 func (ga *Gate) logRefused(rq *wire.Request, re host.Refuse) {
 	ev := ga.cfg.Log.Warn()
-	if !ev.Enabled() {
-		return
+	if !ev.Enabled() || re.Reason == host.ReasonBusy {
+		return // a busy gate is asked by the way; the answer's line has its attempts
 	}
 	me := ga.Measures()
 	ev.Str("event", "gate_refused").
