--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -91,10 +91,8 @@
 		linkBox:    make(chan node.Event, inboxSize),
 		reports:    make(chan chan<- *datacentre.Report),
 		stop:       make(chan struct{}),
-		dependencies: dependencies{
-			log: log,
-		},
 	}
+	ct.dependencies.log = log
 	ct.jobCtx, ct.endJobs = context.WithCancel(context.Background())
 	ct.member = datacentre.New(datacentre.Config{
 		Mesh:           se.Mesh.Name,
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -24,8 +24,9 @@
 	// abandoned says that nobody wants the reply.
 	abandoned atomic.Bool
 	reply     upstream.Reply
-	// ended is how the attempt ended.
+	// ended is how the attempt ended, and took how long it lasted.
 	ended call.Result
+	took  time.Duration
 	// done is closed when the reply is there.
 	done chan struct{}
 }
@@ -52,6 +53,7 @@
 	now := time.Now()
 	re := at.result(now)
 	at.ended = re
+	at.took = now.Sub(begun)
 	ob := call.Observation{
 		Result:       re,
 		Latency:      now.Sub(begun),
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -99,7 +99,7 @@
 		an = call.Answer{
 			Result: call.Result{
 				Outcome: call.OutcomeUnknown,
-				Reason:  call.ReasonCallerGone,
+				Reason:  ex.session.whyGone(),
 			},
 		}
 		ex.http.SetConnectionClose()
--- a/io/caller/log.go
+++ b/io/caller/log.go
@@ -77,7 +77,11 @@
 	}
 	ev.Str("outcome", string(at.ended.Outcome)).
 		Int("status", at.ended.Status).
-		Str("reason", string(at.ended.Reason))
+		Str("reason", string(at.ended.Reason)).
+		Int64("took_ms", at.took.Milliseconds())
+	if at.reply.Detail != "" {
+		ev.Str("detail", at.reply.Detail)
+	}
 }
 
 func (ex *exchange) routine(an call.Answer, now time.Time) bool {
@@ -85,6 +89,17 @@
 		(ex.objective.IsZero() || !now.After(ex.objective))
 }
 
+// logCut writes that an answer did not get to its caller as a whole.
+func (ex *exchange) logCut(err error) {
+	ex.server.cfg.Log.Warn().
+		Err(err).
+		Str("event", "answer_cut").
+		Str("request", ex.request).
+		Str("call", string(ex.name)).
+		Int64("deadline_left_ms", time.Until(ex.deadline).Milliseconds()).
+		Msg("answer was cut while it was sent to the caller")
+}
+
 // refuseEarly refuses a request that gets no attempt at all, and writes why.
 func (sv *Server) refuseEarly(ctx *fasthttp.RequestCtx, status int, re call.Result) {
 	sv.cfg.Log.Warn().
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -41,6 +41,8 @@
 	last bool
 	// broken says that nothing more can be written.
 	broken bool
+	// aborted says that this node has ended the connection before its answers.
+	aborted bool
 }
 
 // turn is one request and its answer.
@@ -295,13 +297,14 @@
 		by = tu.exchange.deadline
 	}
 	_ = se.conn.SetWriteDeadline(by.Add(answerWithin))
-	if err := rs.Write(se.writer); err != nil {
-		return false
+	err := rs.Write(se.writer)
+	if err == nil {
+		err = se.writer.Flush()
 	}
-	if err := se.writer.Flush(); err != nil {
-		return false
+	if err != nil && tu.exchange != nil {
+		tu.exchange.logCut(err)
 	}
-	return !final
+	return err == nil && !final
 }
 
 // shut ends the connection once the answers under way are written; an idle one
@@ -320,9 +323,23 @@
 func (se *session) abort() {
 	se.mu.Lock()
 	defer se.mu.Unlock()
+	se.aborted = true
 	se.abandon()
 }
 
+// whyGone says why nobody gets the answer to a request of the connection.
+func (se *session) whyGone() host.Reason {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if se.aborted {
+		return ReasonShutdown
+	}
+	return call.ReasonCallerGone
+}
+
+// ReasonShutdown ends calls that are under way when a node that drains must end.
+const ReasonShutdown host.Reason = "shutdown"
+
 // contexts are used again once their answers are written.
 var contexts = sync.Pool{New: func() any { return &fasthttp.RequestCtx{} }}
 
--- a/io/node/lanes_serve.go
+++ b/io/node/lanes_serve.go
@@ -57,7 +57,9 @@
 	if errors.As(err, &limit) {
 		return upstream.Refuse(ReasonLaneLimit, true)
 	}
-	return upstream.Refuse(call.ReasonLinkDial, true)
+	re := upstream.Refuse(call.ReasonLinkDial, true)
+	re.Detail = err.Error()
+	return re
 }
 
 func (pa *passage) run() upstream.Reply {
@@ -68,11 +70,11 @@
 		},
 	})
 	if err != nil {
-		return pa.lost()
+		return pa.lost(err)
 	}
 	fr, err := pa.next()
 	if err != nil {
-		return pa.lost()
+		return pa.lost(err)
 	}
 	switch ki := fr.GetKind().(type) {
 	case *wire.Frame_Refusal:
@@ -81,9 +83,14 @@
 	case *wire.Frame_Response:
 		return pa.respond(ki.Response)
 	}
-	return pa.lost()
+	return pa.lost(&UnexpectedFrameError{})
 }
 
+// UnexpectedFrameError reports a frame on a lane that answers no request.
+type UnexpectedFrameError struct{}
+
+func (er *UnexpectedFrameError) Error() string { return "a frame came that answers no request" }
+
 func (pa *passage) respond(rs *wire.Response) upstream.Reply {
 	if rs.GetComplete() {
 		pa.end(true)
@@ -149,13 +156,16 @@
 }
 
 // lost leaves the lane; its ingress may ask what became of the attempt.
-func (pa *passage) lost() upstream.Reply {
+func (pa *passage) lost(cause error) upstream.Reply {
 	pa.end(false)
 	if err := pa.ctx.Err(); err != nil {
 		return refuseContext(err)
 	}
 	pa.lanes.forget(pa.address)
-	return upstream.Reply{Lost: true}
+	return upstream.Reply{
+		Lost:   true,
+		Detail: cause.Error(),
+	}
 }
 
 func refuseContext(err error) upstream.Reply {
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -133,6 +133,28 @@
 		Msg("attempt was refused by the gate")
 }
 
+// slowAttempt is how long an upstream may take before the end of an attempt gets a
+// line of its own; most calls are answered several times faster.
+const slowAttempt = time.Second
+
+// logEnded writes how the upstream ended an attempt that took long or did not run
+// to its end: the ingress may know no more than that it had no answer.
+func (ga *Gate) logEnded(rq *wire.Request, en Ending, took time.Duration) {
+	if en.Outcome == host.OutcomeRan && took < slowAttempt {
+		return
+	}
+	ga.cfg.Log.Warn().
+		Str("event", "gate_ended").
+		Str("request", rq.GetRequestId()).
+		Str("attempt", rq.GetAttempt()).
+		Str("service", rq.GetService()).
+		Str("outcome", string(en.Outcome)).
+		Int32("status", en.Response.GetStatus()).
+		Str("reason", string(en.Reason)).
+		Int64("took_ms", took.Milliseconds()).
+		Msg("upstream took long over an attempt, or did not end it")
+}
+
 // admit feeds the arrival; it returns what the gate decides at once, if anything.
 func (ga *Gate) admit(at host.Attempt, ad *admission, now time.Time) host.Action {
 	ga.mu.Lock()
@@ -186,9 +208,11 @@
 }
 
 func (ga *Gate) dispatch(ctx context.Context, ad *admission, di host.Dispatch, rq *wire.Request, body io.ReadCloser) Reply {
+	dispatched := time.Now()
 	watch := Watch{
 		Started: func() { ga.step(host.Started{ID: di.ID}) },
 		Ended: func(en Ending) {
+			ga.logEnded(rq, en, time.Since(dispatched))
 			ga.ended(di.ID, rq.GetIdempotent(), en)
 			ga.forget(di.ID, ad)
 			ad.cancel()
--- a/io/upstream/reply.go
+++ b/io/upstream/reply.go
@@ -18,6 +18,8 @@
 	// Lost says that the lane of the attempt ended or went silent after the
 	// attempt was written to it, in whole or in part; the others are nil then.
 	Lost bool
+	// Detail is what failed on the way to the gate, for logs; empty when nothing did.
+	Detail string
 }
 
 // Refuse builds a reply without a response.
