--- a/io/caller/bench_test.go
+++ b/io/caller/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -86,6 +87,8 @@
 // returns the URL of the latter.
 func startGate(b *testing.B, i int) (datacentre.Upstream, string) {
 	b.Helper()
+	cl := upstream.NewClient()
+	b.Cleanup(cl.Close)
 	ga := upstream.NewGate(upstream.GateConfig{
 		Core: host.Config{
 			Incarnation:  7,
@@ -95,12 +98,13 @@
 		},
 		LapseAfter: time.Hour,
 		Changed:    func(host.Announcement) {},
-		Client:     upstream.NewClient(),
+		Client:     cl,
 	})
 	an, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
-	go func() { _ = upstream.NewListener(ga, upstream.OwnAnnouncements{}).Serve(an) }()
-	b.Cleanup(func() { _ = an.Close() })
+	al := upstream.NewListener(ga, upstream.OwnAnnouncements{})
+	go func() { _ = al.Serve(an) }()
+	b.Cleanup(func() { _ = al.Shutdown() })
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
 	ln := node.NewListener(li, node.ListenerConfig{
@@ -161,7 +165,7 @@
 	assert.NilError(b, err)
 	pa.ingress = li.Addr().String()
 	go func() { _ = sv.Serve(li) }()
-	b.Cleanup(func() { _ = li.Close() })
+	b.Cleanup(func() { _ = sv.Shutdown(context.Background()) })
 }
 
 // load is what a round of calls showed.
@@ -392,7 +396,7 @@
 	for i := range 2 {
 		li, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(b, err)
-		sv := &http.Server{Handler: layerHandler(next, reached)}
+		sv := &http.Server{Handler: layerHandler(benchClient(b), next, reached)}
 		go func() { _ = sv.Serve(li) }()
 		b.Cleanup(func() { _ = sv.Close() })
 		up, announceTo := startGate(b, i)
@@ -409,21 +413,39 @@
 	b.Helper()
 	body := fmt.Sprintf(`{"service":"lookup","address":%q,"slots":100,"connections":120,"state":"ready"}`, address)
 	ti := time.NewTicker(announceEvery)
-	b.Cleanup(ti.Stop)
-	go func() {
+	cl := benchClient(b)
+	stop := make(chan struct{})
+	var done sync.WaitGroup
+	b.Cleanup(func() {
+		close(stop)
+		done.Wait()
+		ti.Stop()
+	})
+	done.Go(func() {
 		for {
-			rs, err := http.Post(to+"/announce", "application/json", strings.NewReader(body))
+			rs, err := cl.Post(to+"/announce", "application/json", strings.NewReader(body))
 			if err != nil {
 				return
 			}
 			_ = rs.Body.Close()
-			<-ti.C
+			select {
+			case <-ti.C:
+			case <-stop:
+				return
+			}
 		}
-	}()
+	})
+}
+
+// benchClient is a client whose connections end with the benchmark.
+func benchClient(b *testing.B) *http.Client {
+	b.Helper()
+	tr := &http.Transport{MaxIdleConnsPerHost: 100}
+	b.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr}
 }
 
-func layerHandler(next string, reached *atomic.Int64) http.HandlerFunc {
-	cl := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+func layerHandler(cl *http.Client, next string, reached *atomic.Int64) http.HandlerFunc {
 	return func(wr http.ResponseWriter, rq *http.Request) {
 		if next == "" {
 			reached.Add(1)
