--- a/io/platform/standin/server.go
+++ b/io/platform/standin/server.go
@@ -33,6 +33,8 @@
 	LateWrites int `json:"late_writes"`
 	// LateByMS is how late they are, in milliseconds.
 	LateByMS int64 `json:"late_by_ms"`
+	// RefuseEvery answers each request whose number is a multiple of it with 429; 0 for none.
+	RefuseEvery int64 `json:"refuse_every"`
 	// FailAfterEffect answers that many writes with an error after they took effect.
 	FailAfterEffect int `json:"fail_after_effect"`
 }
@@ -96,8 +98,10 @@
 	faults  Faults
 	tallies [kinds]tally
 	stored  int
-	late    sync.WaitGroup
-	http    *fasthttp.Server
+	// requests counts all requests.
+	requests int64
+	late     sync.WaitGroup
+	http     *fasthttp.Server
 }
 
 // New builds an empty stand-in.
@@ -169,12 +173,18 @@
 		fa := sv.faults
 		sv.tallies[ki].add(time.Now())
 		full := sv.stored > maxStored
+		sv.requests++
+		refused := fa.RefuseEvery > 0 && sv.requests%fa.RefuseEvery == 0
 		sv.mu.Unlock()
 		time.Sleep(fa.delay())
 		if fa.Down {
 			ctx.Error("down", fasthttp.StatusServiceUnavailable)
 			return
 		}
+		if refused {
+			ctx.Error("too many", fasthttp.StatusTooManyRequests)
+			return
+		}
 		if full && !ctx.IsGet() {
 			ctx.Error("full", fasthttp.StatusServiceUnavailable)
 			return
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -106,6 +106,9 @@
 	{name: "platform fails after effect", begin: func(se *series) func() {
 		return se.platform(platformstandin.Faults{FailAfterEffect: 1 + se.rnd.IntN(3)})
 	}},
+	{name: "platform refuses some", begin: func(se *series) func() {
+		return se.platform(platformstandin.Faults{RefuseEvery: int64(2 + se.rnd.IntN(3))})
+	}},
 	{name: "platform out of reach", begin: func(se *series) func() {
 		px := se.mesh.PlatformProxies[dataCentres[se.rnd.IntN(len(dataCentres))]]
 		px.Stop()
