--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -172,8 +172,13 @@
 		wait(se.books.Call(ingresses[worker%len(ingresses)], "POST", path, worker%3*9_000))
 	})
 	reads := se.reads.Load(callersEach*len(ingresses), func(worker int) {
-		path := fmt.Sprintf("/results?work=%dms&bytes=%d", 1+worker*5%40, worker*4_000)
-		wait(se.reads.Call(ingresses[worker%len(ingresses)], "GET", path, 0))
+		size := (1 + worker) * 4_000
+		path := fmt.Sprintf("/results?work=%dms&bytes=%d", 1+worker*5%40, size)
+		te := se.reads.Call(ingresses[worker%len(ingresses)], "GET", path, 0)
+		if te.Outcome == "ran" && te.Status == 200 {
+			assert.Check(se.t, te.Bytes == size, "seed %d: %s got %d bytes of %d", se.seed, te.Call, te.Bytes, size)
+		}
+		wait(te)
 	})
 	return func() {
 		books()
--- a/testkit/callers.go
+++ b/testkit/callers.go
@@ -28,6 +28,8 @@
 	Reason  string
 	Status  int
 	Err     error
+	// Bytes is the length of a whole answer's body.
+	Bytes int
 	// Own says that the answer is whole and carries the call's id.
 	Own bool
 }
@@ -98,6 +100,7 @@
 	if err == nil {
 		te.Outcome = rs.Header.Get("Lynxfold-Outcome")
 		te.Reason = rs.Header.Get("Lynxfold-Reason")
+		te.Bytes = len(data)
 		te.Own = isOwn(te.Call, data)
 	}
 	return ca.add(te)
