fix: answer the calls that outlast a node's time to drain, before it ends

Requests that come while a node drains are due 0.3 s before its end, which the gates hear too, so that one that can't be done by then is refused as not run. Those that began before are given up at that time, and their callers told what is known: not run, or unknown. The test cuts both connections without the change.

Ruled out: a lost link or gate (the request's host alone had planned work).

--- a/cmd/process/drain.go
+++ b/cmd/process/drain.go
@@ -21,7 +21,7 @@
 	pr.control.health.draining.Store(true)
 	ctx, cancel := context.WithTimeout(pr.aborted, pr.settings.Caller.DrainWithin)
 	defer cancel()
-	pr.caller.Drain()
+	pr.caller.Drain(begun.Add(pr.settings.Caller.DrainWithin))
 	wait(ctx, pr.settings.Caller.LingerFor)
 	pr.control.Emit(datacentre.Leave{})
 	pr.gate.Drain(time.Now().Add(leaveSpread))
--- a/io/caller/begin.go
+++ b/io/caller/begin.go
@@ -76,7 +76,7 @@
 // schedule sets when the answer is due: at the contract's deadline, or the
 // caller's own if that is sooner. The objective counts from when the caller
 // first asked; a call that is part of another has less time left for another
-// reason.
+// reason. A node that drains has no more time than until its end.
 func (sv *Server) schedule(ex *exchange, now time.Time) {
 	te := ex.target.Terms
 	timeout := te.Timeout()
@@ -85,6 +85,9 @@
 		timeout = min(timeout, own)
 	}
 	ex.deadline = now.Add(timeout)
+	if by := sv.answerBy.Load(); by != nil && by.Before(ex.deadline) {
+		ex.deadline = *by
+	}
 	if te.ObjectiveMS == 0 {
 		return
 	}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -74,6 +74,8 @@
 	settings atomic.Pointer[Limits]
 	// draining says that callers are to use other nodes.
 	draining atomic.Bool
+	// answerBy is when calls that begin while the node drains are answered; nil before.
+	answerBy atomic.Pointer[time.Time]
 	retries  *budgets
 	hedges   *budgets
 	writes   *writeBudget
@@ -143,13 +145,22 @@
 	}
 }
 
-// Drain has callers' connections closed after their next answer.
-func (sv *Server) Drain() { sv.draining.Store(true) }
+// Drain has callers' connections closed after their next answer. Requests that come
+// from now on are answered a moment before the node ends.
+func (sv *Server) Drain(ends time.Time) {
+	by := ends.Add(-lastWords)
+	sv.answerBy.Store(&by)
+	sv.draining.Store(true)
+}
+
+// lastWords is kept between the deadline of calls that begin while the node drains
+// and its end, so that their answers, also refusals, still reach their callers.
+const lastWords = 300 * time.Millisecond
 
 // Shutdown takes no new connections, closes idle ones, and returns when all
 // calls are answered, or when the context ends.
 func (sv *Server) Shutdown(ctx context.Context) error {
-	sv.Drain()
+	sv.draining.Store(true)
 	if err := sv.sessions.shut(ctx); err != nil {
 		return err
 	}
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -59,6 +59,7 @@
 	upstreams []*standin.Server
 	gates     map[string]*upstream.Gate
 	lost      func(address string, rq *wire.Request) bool
+	server    *Server
 }
 
 // startSite starts upstreams; the first is on the listener's own host.
@@ -95,6 +96,7 @@
 		cfg.MaxConnections = 100
 	}
 	sv := New(cfg)
+	si.server = sv
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	si.address = li.Addr().String()
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -327,6 +327,17 @@
 	se.abandon()
 }
 
+// giveUp cancels the calls under way, whose callers are told what is known of them.
+func (se *session) giveUp() {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	for _, tu := range se.queue {
+		if tu.exchange != nil && !tu.exchange.target.Terms.Keyed {
+			tu.exchange.cancel()
+		}
+	}
+}
+
 // whyGone says why nobody gets the answer to a request of the connection.
 func (se *session) whyGone() host.Reason {
 	se.mu.Lock()
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -159,3 +159,31 @@
 	_, err = io.Copy(io.Discard, rd)
 	assert.NilError(t, err, "the idle connection is closed")
 }
+
+// TestDrainAnswersBeforeTheEnd answers calls that outlast the time to drain a moment
+// before it is over: one that was under way before, and one that begins meanwhile.
+func TestDrainAnswersBeforeTheEnd(t *testing.T) {
+	si := startSite(t, Config{}, standin.Config{})
+	var conns []*bufio.Reader
+	call := func(path string) {
+		nc, rd := si.dial(t)
+		_, err := fmt.Fprintf(nc, "POST %s?work=30s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", path)
+		assert.NilError(t, err)
+		conns = append(conns, rd)
+	}
+	call("/bookings/before")
+	eventually(t, "the first runs", func() bool { return len(si.ledger()) == 1 })
+	ends := time.Now().Add(2 * time.Second)
+	si.server.Drain(ends)
+	call("/bookings/meanwhile")
+	eventually(t, "both run", func() bool { return len(si.ledger()) == 2 })
+	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	defer cancel()
+	assert.NilError(t, si.server.Shutdown(ctx))
+	for _, rd := range conns {
+		rs, err := http.ReadResponse(rd, nil)
+		assert.NilError(t, err)
+		assert.Assert(t, rs.StatusCode == 502 || rs.StatusCode == 504, "%d", rs.StatusCode)
+		assert.Equal(t, rs.Header.Get(HeaderOutcome), "unknown")
+	}
+}
--- a/io/caller/sessions.go
+++ b/io/caller/sessions.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 )
 
 // sessions are the open connections of callers and the listener that they come from.
@@ -45,8 +46,17 @@
 	ss.done.Done()
 }
 
+// giveUp has the calls that are left answered with what is known of them.
+func (ss *sessions) giveUp() {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	for se := range ss.open {
+		se.giveUp()
+	}
+}
+
 // shut closes the listener and the idle connections, and waits for the others.
-// Those that are left when the context ends are cut.
+// Those that are left are given up a moment before the context ends, and cut when it does.
 func (ss *sessions) shut(ctx context.Context) error {
 	ss.mu.Lock()
 	ss.ended = true
@@ -62,6 +72,17 @@
 		ss.done.Wait()
 		close(done)
 	}()
+	if ends, ok := ctx.Deadline(); ok {
+		ti := time.NewTimer(time.Until(ends.Add(-lastWords)))
+		defer ti.Stop()
+		select {
+		case <-done:
+			return nil
+		case <-ctx.Done():
+		case <-ti.C:
+			ss.giveUp()
+		}
+	}
 	select {
 	case <-done:
 		return nil
