--- a/core/contract/validate.go
+++ b/core/contract/validate.go
@@ -4,14 +4,22 @@
 	"fmt"
 	"regexp"
 	"strings"
+	"time"
 )
 
 // Bounds on documents.
+// What the terms of a document may say at most.
 const (
-	maxTimeoutMS   = 10 * 60 * 1000
+	// MaxTimeout is the longest time that a call may take.
+	MaxTimeout = 10 * time.Minute
+	// MaxRetries is the highest number of further attempts.
+	MaxRetries = 5
+)
+
+const (
+	maxTimeoutMS   = int64(MaxTimeout / time.Millisecond)
 	maxIdleMS      = 24 * 60 * 60 * 1000
 	maxLimitBytes  = 1 << 40
-	maxRetries     = 5
 	maxItems       = 20_000
 	maxDescription = 1_000
 	maxRank        = 100
@@ -117,8 +125,8 @@
 	if te.TimeoutMS <= 0 || te.TimeoutMS > maxTimeoutMS {
 		ch.add(path+".timeout_ms", FaultImpossibleDeadline, "%d: use 1 to %d", te.TimeoutMS, maxTimeoutMS)
 	}
-	if te.Retries < 0 || te.Retries > maxRetries {
-		ch.add(path+".retries", FaultOutOfRange, "%d: use 0 to %d", te.Retries, maxRetries)
+	if te.Retries < 0 || te.Retries > MaxRetries {
+		ch.add(path+".retries", FaultOutOfRange, "%d: use 0 to %d", te.Retries, MaxRetries)
 	}
 	if te.HedgeAfterMS < 0 || (te.HedgeAfterMS > 0 && te.HedgeAfterMS >= te.TimeoutMS) {
 		ch.add(path+".hedge_after_ms", FaultImpossibleDeadline, "%d: use less than timeout_ms", te.HedgeAfterMS)
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -20,14 +20,12 @@
 	// AnnounceLag bounds the age of an announcement's in_flight. A gate lets
 	// nothing in until it is that old, as its former incarnation may have.
 	AnnounceLag time.Duration
-	// LongestCall bounds the timeouts of calls; it is 10 minutes when not set.
+	// LongestCall bounds the timeouts of calls; it is the longest that a contract
+	// may have when not set.
 	LongestCall time.Duration
 	Ledger      LedgerConfig
 }
 
-// defaultLongestCall is the longest timeout that a contract may have.
-const defaultLongestCall = 10 * time.Minute
-
 // Gate is the only way to the upstream on its host. It is driven by one
 // goroutine at a time.
 type Gate struct {
@@ -60,7 +58,7 @@
 // NewGate builds a gate that knows no upstream yet.
 func NewGate(cfg Config) *Gate {
 	if cfg.LongestCall <= 0 {
-		cfg.LongestCall = defaultLongestCall
+		cfg.LongestCall = contract.MaxTimeout
 	}
 	le := newLedger(cfg.Ledger)
 	return &Gate{
