perf: find the counters of a call without building their names

Answers, durations of attempts and reasons for further attempts built the name of their metric anew each time, and looked it up by that; brief attempts made the last one common. They are found by their labels. Names and values stay. Not measured.

--- a/io/caller/counters.go
+++ b/io/caller/counters.go
@@ -21,6 +21,23 @@
 	attempts *metrics.Counter
 	lanes    *metrics.Counter
 	gone     *metrics.Counter
+	// retries, durations and answers are counted for most calls.
+	retries   *family[call.RetryReason, *metrics.Counter]
+	durations *family[attemptLabels, *metrics.Histogram]
+	answers   *family[answerLabels, *metrics.Counter]
+}
+
+// attemptLabels tell attempts apart.
+type attemptLabels struct {
+	service contract.ServiceName
+	outcome call.Outcome
+}
+
+// answerLabels tell apart what callers are told.
+type answerLabels struct {
+	service contract.ServiceName
+	outcome call.Outcome
+	reason  host.Reason
 }
 
 // NewCounters builds the counters in a set.
@@ -32,6 +49,15 @@
 		attempts: set.GetOrCreateCounter(`lynxfold_attempts_total`),
 		lanes:    set.GetOrCreateCounter(`lynxfold_lanes_lost_total`),
 		gone:     set.GetOrCreateCounter(`lynxfold_callers_gone_total`),
+		retries: newFamily(func(why call.RetryReason) *metrics.Counter {
+			return set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_retries_total{reason=%q}`, why))
+		}),
+		durations: newFamily(func(la attemptLabels) *metrics.Histogram {
+			return set.GetOrCreateHistogram(fmt.Sprintf(`lynxfold_attempt_duration_seconds{service=%q,outcome=%q}`, la.service, la.outcome))
+		}),
+		answers: newFamily(func(la answerLabels) *metrics.Counter {
+			return set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_answers_total{service=%q,outcome=%q,reason=%q}`, la.service, la.outcome, la.reason))
+		}),
 	}
 	for _, ou := range []call.Outcome{call.OutcomeRan, call.OutcomeNotRun, call.OutcomeUnknown} {
 		co.outcomes[ou] = set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_calls_total{outcome=%q}`, ou))
@@ -61,18 +87,18 @@
 func (co *Counters) tried(why call.RetryReason) {
 	co.attempts.Inc()
 	if why != "" {
-		co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_retries_total{reason=%q}`, why)).Inc()
+		co.retries.of(why).Inc()
 	}
 }
 
 // attempted takes in how long an attempt at a service took, by how it ended.
 func (co *Counters) attempted(service contract.ServiceName, ou call.Outcome, took time.Duration) {
-	co.set.GetOrCreateHistogram(fmt.Sprintf(`lynxfold_attempt_duration_seconds{service=%q,outcome=%q}`, service, ou)).Update(took.Seconds())
+	co.durations.of(attemptLabels{service: service, outcome: ou}).Update(took.Seconds())
 }
 
 // served counts what callers of a service were told.
 func (co *Counters) served(service contract.ServiceName, re call.Result) {
-	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_answers_total{service=%q,outcome=%q,reason=%q}`, service, re.Outcome, re.Reason)).Inc()
+	co.answers.of(answerLabels{service: service, outcome: re.Outcome, reason: re.Reason}).Inc()
 }
 
 func (co *Counters) lost() { co.lanes.Inc() }
