--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -40,16 +40,15 @@
 	// dataCentre is this host's own.
 	dataCentre datacentre.Name
 	// reincarnate tells the gate; it is set before the control goroutine starts.
-	reincarnate func(in host.Incarnation)
-	invariants  *invariants
-	log         zerolog.Logger
-	counters    *controlCounters
-	health      health
-	// dependencies and viewAt belong to the control goroutine; viewAt is read by
-	// others, in Unix nanoseconds.
+	reincarnate  func(in host.Incarnation)
+	invariants   *invariants
+	log          zerolog.Logger
+	counters     *controlCounters
+	health       health
 	dependencies dependencies
-	viewAt       atomic.Int64
-	record       *record.Record
+	// viewAt is when the view last changed.
+	viewAt instant
+	record *record.Record
 
 	inbox   chan datacentre.Event
 	linkBox chan node.Event
@@ -205,7 +204,7 @@
 		ct.links.CloseLink(ac.Peer)
 	case datacentre.Publish:
 		ct.view.Store(ac.View)
-		ct.viewAt.Store(time.Now().UnixNano())
+		ct.viewAt.set(time.Now())
 	case datacentre.ReadPlatform:
 		ct.jobs.Go(func() { ct.read(ac) })
 	case datacentre.Introduce:
--- a/cmd/process/counters.go
+++ b/cmd/process/counters.go
@@ -13,20 +13,27 @@
 // controlCounters count what the control goroutine decides.
 type controlCounters struct {
 	set *metrics.Set
-	// inForceAt is when the version in force was put in force, in Unix
-	// nanoseconds; 0 while there is none.
-	inForceAt atomic.Int64
+	// inForceAt is when the version in force was put in force.
+	inForceAt instant
 }
 
 func newControlCounters(set *metrics.Set) *controlCounters {
 	co := &controlCounters{set: set}
-	set.NewGauge(`lynxfold_config_age_seconds`, co.configAge)
+	set.NewGauge(`lynxfold_config_age_seconds`, co.inForceAt.age)
 	return co
 }
 
-// configAge is how long the version in force has been so, in seconds.
-func (co *controlCounters) configAge() float64 {
-	at := co.inForceAt.Load()
+// instant is a time that one goroutine sets and others read.
+type instant struct {
+	// at is in Unix nanoseconds; 0 while it is not set.
+	at atomic.Int64
+}
+
+func (in *instant) set(at time.Time) { in.at.Store(at.UnixNano()) }
+
+// age is how long ago the time was, in seconds; 0 while it is not set.
+func (in *instant) age() float64 {
+	at := in.at.Load()
 	if at == 0 {
 		return 0
 	}
@@ -35,7 +42,7 @@
 
 func (co *controlCounters) note(no datacentre.Note) {
 	if no.Kind == datacentre.NoteVersionInForce {
-		co.inForceAt.Store(no.At.UnixNano())
+		co.inForceAt.set(no.At)
 	}
 	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_control_decisions_total{kind=%q}`, no.Kind)).Inc()
 }
--- a/cmd/process/gauges.go
+++ b/cmd/process/gauges.go
@@ -1,8 +1,6 @@
 package process
 
 import (
-	"time"
-
 	"github.com/VictoriaMetrics/metrics"
 
 	"lynxfold/io/upstream"
@@ -21,17 +19,7 @@
 	} {
 		set.NewGauge(name, func() float64 { return float64(value()) })
 	}
-	set.NewGauge(`lynxfold_view_age_seconds`, func() float64 { return viewAge(ct) })
-}
-
-// viewAge is how long hosts, upstreams and the version in force have not changed
-// as this node sees them, in seconds.
-func viewAge(ct *Control) float64 {
-	at := ct.viewAt.Load()
-	if at == 0 {
-		return 0
-	}
-	return time.Since(time.Unix(0, at)).Seconds()
+	set.NewGauge(`lynxfold_view_age_seconds`, ct.viewAt.age)
 }
 
 func usableUpstreams(ct *Control) int {
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -181,24 +181,22 @@
 }
 
 // remove takes an attempt out of the open ones; it is false when it is not there.
-func (ca *Call) remove(id host.AttemptID) bool {
-	for i := range ca.open {
-		if ca.open[i].id == id {
+func (ca *Call) remove(id host.AttemptID) (trial, bool) {
+	for i, tr := range ca.open {
+		if tr.id == id {
 			ca.open = append(ca.open[:i], ca.open[i+1:]...)
-			return true
+			return tr, true
 		}
 	}
-	return false
+	return trial{}, false
 }
 
 // ended takes the result of an attempt.
 func (ca *Call) ended(id host.AttemptID, re Result, now time.Time) {
-	found := ca.find(id)
-	if found == nil {
+	tr, found := ca.remove(id)
+	if !found {
 		return
 	}
-	tr := *found
-	ca.remove(id)
 	if re.Outcome != OutcomeNotRun {
 		ca.mayHaveRun = true
 	}
--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -24,6 +24,8 @@
 	peers map[host.ID]*peer
 	// distances are round trips to data centres.
 	distances map[datacentre.Name]time.Duration
+	// near is used again by each PickNear, which most calls begin with.
+	near []*peer
 }
 
 // NewChooser builds a chooser for callers in a data centre.
@@ -80,10 +82,7 @@
 	for _, end := range po.ends {
 		var best *peer
 		for _, pe := range po.peers[from:end] {
-			if !pe.usable(tried, now) || pe.utilisation(now) >= spillAbove {
-				continue
-			}
-			if best == nil || pe.score(po, now) < best.score(po, now) {
+			if pe.spare(tried, now) && (best == nil || pe.score(po, now) < best.score(po, now)) {
 				best = pe
 			}
 		}
@@ -110,12 +109,13 @@
 	if po.peers[0].upstream.DataCentre != ch.cfg.DataCentre {
 		return datacentre.Upstream{}, false
 	}
-	var near []*peer
+	near := ch.near[:0]
 	for _, pe := range po.peers[:po.ends[0]] {
-		if pe.usable(tried, now) && pe.utilisation(now) < spillAbove {
+		if pe.spare(tried, now) {
 			near = append(near, pe)
 		}
 	}
+	ch.near = near
 	if len(near) == 0 {
 		return datacentre.Upstream{}, false
 	}
--- a/core/call/peer.go
+++ b/core/call/peer.go
@@ -73,6 +73,11 @@
 	return !now.Before(pe.avoidedTo) && !now.Before(pe.ejectedTo) && !slices.Contains(tried, pe.upstream.Host)
 }
 
+// spare tells whether the upstream may be picked and is not known to be full.
+func (pe *peer) spare(tried []host.ID, now time.Time) bool {
+	return pe.usable(tried, now) && pe.utilisation(now) < spillAbove
+}
+
 // weight is the share of picks that the upstream takes, from 0 to 1.
 func (pe *peer) weight(now time.Time) float64 {
 	if pe.warmFrom.IsZero() {
--- a/io/caller/begin.go
+++ b/io/caller/begin.go
@@ -142,7 +142,6 @@
 func (ex *exchange) refuseUnread(status int, re host.Reason) {
 	ex.server.refuse(ex.http, status, notRun(re))
 	if ex.http.RequestBodyStream() != nil {
-		ex.http.SetConnectionClose()
-		ex.conn.unread.Store(true)
+		ex.conn.leaveUnread(ex.http)
 	}
 }
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"lynxfold/core/call"
 	"lynxfold/core/host"
 )
@@ -81,6 +83,13 @@
 	return co.Conn.Close()
 }
 
+// leaveUnread ends the connection after the answer to a request that is not read
+// to its end; it lingers, so that the answer still arrives.
+func (co *conn) leaveUnread(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose()
+	co.unread.Store(true)
+}
+
 // mayLinger counts one more connection that lingers, within the bound.
 func (ls *listener) mayLinger() bool {
 	if ls.lingering.Add(1) <= maxLingering {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -328,12 +328,11 @@
 	ex.leaveUnread()
 }
 
-// leaveUnread ends the connection after the answer when the body was not read
-// to its end; it lingers, so that the answer still arrives.
+// leaveUnread ends the connection after the answer when the body was not read to
+// its end.
 func (ex *exchange) leaveUnread() {
 	if ex.body != nil && !ex.body.whole() {
-		ex.http.SetConnectionClose()
-		ex.conn.unread.Store(true)
+		ex.conn.leaveUnread(ex.http)
 	}
 }
 
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -163,8 +163,7 @@
 func (se *session) refuseUnread(tu *turn) bool {
 	unread := tu.http.Request.Header.ContentLength() > 0 || tu.http.Request.Header.ContentLength() == -1
 	if unread {
-		tu.http.SetConnectionClose()
-		se.conn.unread.Store(true)
+		se.conn.leaveUnread(tu.http)
 	}
 	se.finish(tu)
 	return !unread
--- a/io/caller/sessions.go
+++ b/io/caller/sessions.go
@@ -73,15 +73,8 @@
 		close(done)
 	}()
 	if ends, ok := ctx.Deadline(); ok {
-		ti := time.NewTimer(time.Until(ends.Add(-lastWords)))
+		ti := time.AfterFunc(time.Until(ends.Add(-lastWords)), ss.giveUp)
 		defer ti.Stop()
-		select {
-		case <-done:
-			return nil
-		case <-ctx.Done():
-		case <-ti.C:
-			ss.giveUp()
-		}
 	}
 	select {
 	case <-done:
--- a/testkit/faults.go
+++ b/testkit/faults.go
@@ -11,9 +11,14 @@
 // Speak ends a Silence. Connections that were silent stay lost, as bytes of
 // theirs are missing.
 func (ho *Host) Speak() {
+	ho.restartWithout("silent-upstream", "silent-downstream")
+}
+
+// restartWithout restarts the host's proxy without some of its toxics.
+func (ho *Host) restartWithout(toxics ...string) {
 	ho.Proxy.Stop()
-	for _, stream := range []string{"upstream", "downstream"} {
-		assert.NilError(ho.mesh.T, ho.Proxy.Toxics.RemoveToxic(ho.mesh.T.Context(), "silent-"+stream))
+	for _, name := range toxics {
+		assert.NilError(ho.mesh.T, ho.Proxy.Toxics.RemoveToxic(ho.mesh.T.Context(), name))
 	}
 	assert.NilError(ho.mesh.T, ho.Proxy.Start())
 }
@@ -54,11 +59,7 @@
 func (ho *Host) SilenceOneWay(direction string) (end func()) {
 	name := "silent-" + direction
 	addToxic(ho.mesh.T, ho.Proxy, name, "timeout", direction, map[string]int64{"timeout": 0})
-	return func() {
-		ho.Proxy.Stop()
-		assert.NilError(ho.mesh.T, ho.Proxy.Toxics.RemoveToxic(ho.mesh.T.Context(), name))
-		assert.NilError(ho.mesh.T, ho.Proxy.Start())
-	}
+	return func() { ho.restartWithout(name) }
 }
 
 // Delay makes everything take longer to the host, until the returned function is called.
