feat: report how much of a platform response arrived before the timeout

A failed read said only "i/o timeout": a store that does not answer and a link too narrow for the answer looked the same. The error now has the number of bytes received, and the request counts as `timeout` instead of `broken`. No decision changes.

--- a/io/platform/transport.go
+++ b/io/platform/transport.go
@@ -62,6 +62,28 @@
 type trackedConn struct {
 	net.Conn
 	transport *Transport
+	// receivedBytes is the number of bytes received since the last write.
+	receivedBytes int64
+}
+
+// Write sends part of a request.
+func (tc *trackedConn) Write(buf []byte) (int, error) {
+	tc.receivedBytes = 0
+	return tc.Conn.Write(buf)
+}
+
+// Read reads part of a response. It fails with a StalledError when the deadline passes.
+func (tc *trackedConn) Read(buf []byte) (int, error) {
+	n, err := tc.Conn.Read(buf)
+	tc.receivedBytes += int64(n)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		err = &StalledError{
+			ReceivedBytes: tc.receivedBytes,
+			Err:           err,
+		}
+	}
+	return n, err
 }
 
 // Close closes the connection and removes it from its transport.
@@ -156,11 +178,14 @@
 
 // failureOutcome returns the outcome of a request without a response.
 func failureOutcome(err error) string {
-	var dial *DialError
+	var (
+		dial    *DialError
+		stalled *StalledError
+	)
 	switch {
 	case errors.As(err, &dial):
 		return "no_connection"
-	case errors.Is(err, fasthttp.ErrTimeout):
+	case errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &stalled):
 		return "timeout"
 	}
 	return "broken"
--- a/io/platform/types.go
+++ b/io/platform/types.go
@@ -83,6 +83,20 @@
 // Unwrap returns the cause.
 func (er *DialError) Unwrap() error { return er.Err }
 
+// StalledError reports a response that did not arrive completely in time.
+type StalledError struct {
+	// ReceivedBytes is the part of the response that arrived, with its header.
+	ReceivedBytes int64
+	Err           error
+}
+
+func (er *StalledError) Error() string {
+	return fmt.Sprintf("response not complete in time, %d bytes received: %v", er.ReceivedBytes, er.Err)
+}
+
+// Unwrap returns the cause.
+func (er *StalledError) Unwrap() error { return er.Err }
+
 // InDoubtError reports a write whose outcome is unknown: it may have been applied, or
 // may still be.
 type InDoubtError struct {
