--- a/io/platform/standin/server.go
+++ b/io/platform/standin/server.go
@@ -40,6 +40,14 @@
 	// FailAfterEffect is how many of the next transactions are applied but get a response
 	// with status 500.
 	FailAfterEffect int `json:"fail_after_effect"`
+	// UnreadablePrefix makes reads of the rows whose keys begin with it fail with 503;
+	// empty means none.
+	UnreadablePrefix platform.Key `json:"unreadable_prefix"`
+}
+
+// unreadable reports whether reads of the rows at a key, or with a key prefix, fail.
+func (fa Faults) unreadable(key platform.Key) bool {
+	return fa.UnreadablePrefix != "" && strings.HasPrefix(string(key), string(fa.UnreadablePrefix))
 }
 
 func (fa Faults) delay() time.Duration {
@@ -202,9 +210,14 @@
 }
 
 func (sv *Server) read(ctx *fasthttp.RequestCtx) {
+	key := platform.Key(pathValue(ctx, "key"))
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	row, ok := sv.rows[platform.Key(pathValue(ctx, "key"))]
+	if sv.faults.unreadable(key) {
+		ctx.Error("down", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	row, ok := sv.rows[key]
 	if !ok {
 		ctx.Error("no such row", fasthttp.StatusNotFound)
 		return
@@ -227,6 +240,10 @@
 	}
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
+	if sv.faults.unreadable(platform.Key(args.Peek("prefix"))) {
+		ctx.Error("down", fasthttp.StatusServiceUnavailable)
+		return
+	}
 	rows := sv.listLocked(platform.Key(args.Peek("prefix")), platform.Key(args.Peek("after")), limit)
 	writeJSON(ctx, fasthttp.StatusOK, struct {
 		Rows []platform.Row `json:"rows"`
--- a/io/platform/transport_test.go
+++ b/io/platform/transport_test.go
@@ -103,3 +103,15 @@
 	assert.Assert(t, errors.As(err, &stalled), "%v", err)
 	assert.Assert(t, stalled.ReceivedBytes >= 3000 && stalled.ReceivedBytes < 4000, "%d bytes", stalled.ReceivedBytes)
 }
+
+func TestResponseSlowerThanTimeoutIsReadWhileItArrives(t *testing.T) {
+	cr := chunkedResponse{
+		chunkBytes: 10_000,
+		chunks:     20,
+		sentChunks: 20,
+		pause:      50 * time.Millisecond,
+	}
+	length, err := get(context.Background(), newTransport(t, 300*time.Millisecond), startChunkServer(t, cr))
+	assert.NilError(t, err)
+	assert.Equal(t, length, 200_000)
+}
--- a/testkit/faults.go
+++ b/testkit/faults.go
@@ -69,3 +69,11 @@
 		assert.NilError(ho.mesh.T, ho.Proxy.Toxics.RemoveToxic(ho.mesh.T.Context(), "delay"))
 	}
 }
+
+// LimitPlatformBandwidth limits each connection from the platform to the hosts to a rate
+// in kilobytes a second.
+func (me *Mesh) LimitPlatformBandwidth(kilobytesPerSecond int64) {
+	for _, px := range me.PlatformProxies {
+		addToxic(me.T, px, "narrow", "bandwidth", "downstream", map[string]int64{"rate": kilobytesPerSecond})
+	}
+}
