fix: read a platform response for as long as it keeps arriving

Callers saw 94 in 100 requests refused, for good, after all hosts of a mesh had restarted. Cause: the timeout of a request to the platform held for the whole response. A host whose link carries less than the configuration in that time gave up, began again at the first byte and never got it.

The timeout now holds for the start of the response and then for each further part; a response must be complete in 30 s or by the caller's deadline. A connection that goes silent is found as soon as before.

--- a/io/ini/keys.go
+++ b/io/ini/keys.go
@@ -302,7 +302,7 @@
 		},
 		{
 			section: "platform", name: "timeout", defaultText: "2s", remedy: remedyDuration,
-			help: "Timeout of a request to the platform.",
+			help: "Timeout for the start of a response of the platform, and for each further part of it.",
 			set:  durationSetter(func(se *Settings) *time.Duration { return &se.Platform.Timeout }),
 		},
 		{
--- a/io/platform/transport.go
+++ b/io/platform/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -19,11 +20,16 @@
 	maxConnsPerServer = 16
 	// idleConnTimeout is how long an unused connection is kept open.
 	idleConnTimeout = 10 * time.Second
+	// maxResponseTime limits the time in which a response that keeps arriving must be
+	// complete.
+	maxResponseTime = 30 * time.Second
 )
 
 // Transport sends HTTP requests to the platform. It never retries a request and
 // never reuses a connection on which a request has failed.
 type Transport struct {
+	// timeout limits the wait for the header of a response, and then for each further
+	// part of it: how long a whole response takes depends on the link.
 	timeout time.Duration
 	http    *fasthttp.Client
 	// onRequestDone is called at the end of each request; it may be nil.
@@ -34,7 +40,8 @@
 	closed bool
 }
 
-// NewTransport returns a transport with a timeout for each request. onRequestDone is
+// NewTransport returns a transport with a timeout for the wait for a response and for
+// each further part of it. onRequestDone is
 // called at the end of each request with its method and its outcome: the HTTP status,
 // or why there was no response. It may be nil.
 func NewTransport(timeout time.Duration, onRequestDone func(method, outcome string)) *Transport {
@@ -134,7 +141,7 @@
 	// Header holds pairs of name and value.
 	Header [][2]string
 	// LongPollWait is how long the platform may delay the response to a long poll; it is
-	// added to the timeout.
+	// added to the timeout for the response's header.
 	LongPollWait time.Duration
 }
 
@@ -145,10 +152,12 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &DialError{Address: rq.URL, Err: err}
 	}
-	deadline := time.Now().Add(tr.timeout + rq.LongPollWait)
-	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(deadline) {
-		deadline = ctxDeadline
+	now := time.Now()
+	completeBy := now.Add(rq.LongPollWait + maxResponseTime)
+	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(completeBy) {
+		completeBy = ctxDeadline
 	}
+	headerBy := earlier(now.Add(tr.timeout+rq.LongPollWait), completeBy)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -161,7 +170,12 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(rq.Body)
 	}
-	if err := tr.http.DoDeadline(req, resp, deadline); err != nil {
+	resp.StreamBody = true
+	err := tr.http.DoDeadline(req, resp, headerBy)
+	if err == nil {
+		err = tr.readBody(resp, completeBy)
+	}
+	if err != nil {
 		fasthttp.ReleaseResponse(resp)
 		tr.notifyDone(rq.Method, failureOutcome(err))
 		return nil, err
@@ -170,6 +184,70 @@
 	return resp, nil
 }
 
+// readBody reads the body of a response into memory. Each part of it must arrive within
+// the timeout, and all of it by completeBy.
+func (tr *Transport) readBody(resp *fasthttp.Response, completeBy time.Time) error {
+	if resp.BodyStream() == nil {
+		return nil
+	}
+	data, err := io.ReadAll(io.LimitReader(&bodyReader{
+		Reader:     resp.BodyStream(),
+		transport:  tr,
+		conn:       tr.connOf(resp),
+		completeBy: completeBy,
+	}, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		err = fasthttp.ErrBodyTooLarge
+	}
+	// Closing the stream returns the connection to the pool, unless part of the body is
+	// unread.
+	if closeErr := resp.CloseBodyStream(); err == nil {
+		err = closeErr
+	}
+	resp.SetBodyRaw(data)
+	return err
+}
+
+// connOf returns the connection on which a response arrives; nil after Close.
+func (tr *Transport) connOf(resp *fasthttp.Response) *trackedConn {
+	local, remote := resp.LocalAddr().String(), resp.RemoteAddr().String()
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for tc := range tr.conns {
+		if tc.LocalAddr().String() == local && tc.RemoteAddr().String() == remote {
+			return tc
+		}
+	}
+	return nil
+}
+
+// bodyReader reads a response's body and extends the read deadline of the connection
+// before each part.
+type bodyReader struct {
+	io.Reader
+	transport  *Transport
+	conn       *trackedConn
+	completeBy time.Time
+}
+
+// Read implements io.Reader.
+func (br *bodyReader) Read(buf []byte) (int, error) {
+	if br.conn == nil {
+		return 0, net.ErrClosed
+	}
+	if err := br.conn.SetReadDeadline(earlier(time.Now().Add(br.transport.timeout), br.completeBy)); err != nil {
+		return 0, err
+	}
+	return br.Reader.Read(buf)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (tr *Transport) notifyDone(method, outcome string) {
 	if tr.onRequestDone != nil {
 		tr.onRequestDone(method, outcome)
