fix: read contacts apart from the configuration

Callers were refused as no_candidate by the few hosts that had a configuration after all had restarted: the upstreams beside the other 67 were unknown. Cause: one read of the platform brought versions and contacts, and a read that failed for the versions threw the contacts away, or did not ask for them.

Contacts are now asked for first, and are an event of their own: hosts that wait for a configuration link up, are known with their upstreams, and can get it from neighbours. Likewise contacts that can't be read no longer discard versions that could.

--- a/cmd/process/jobs.go
+++ b/cmd/process/jobs.go
@@ -38,10 +38,14 @@
 func (ct *Control) readPlatform(ac datacentre.ReadPlatform) {
 	ctx, cancel := context.WithTimeout(ct.jobCtx, jobTimeout)
 	defer cancel()
-	ev, err := ct.readVersions(ctx, ac)
-	if err == nil && ac.Introductions {
-		ev.Contacts, err = ct.platform.Introductions.Read(ctx, ct.dataCentre)
+	if ac.Introductions {
+		contacts, err := ct.platform.Introductions.Read(ctx, ct.dataCentre)
+		ct.Emit(datacentre.IntroductionsRead{
+			Contacts: contacts,
+			Err:      err,
+		})
 	}
+	ev, err := ct.readVersions(ctx, ac)
 	ct.counters.countPlatformRead(err)
 	ev.Err = err
 	ct.Emit(ev)
--- a/core/datacentre/events.go
+++ b/core/datacentre/events.go
@@ -62,9 +62,17 @@
 	Deltas []*contract.Delta
 	// Snapshot is the full document; set when the deltas do not reach back far enough.
 	Snapshot *contract.Snapshot
+	// Err is set when the platform could not be read.
+	Err error
+}
+
+// IntroductionsRead delivers the contacts that a ReadPlatform action asked for. It comes
+// before the PlatformRead, which may take long or fail: a node without a version can
+// join the mesh, and its gate serves others.
+type IntroductionsRead struct {
 	// Contacts are the link addresses from the introduction rows.
 	Contacts []string
-	// Err is set when the platform could not be read.
+	// Err is set when the rows could not be read.
 	Err error
 }
 
@@ -85,6 +93,7 @@
 func (LocalUpstream) isEvent()       {}
 func (VersionAccepted) isEvent()     {}
 func (PlatformRead) isEvent()        {}
+func (IntroductionsRead) isEvent()   {}
 func (IntroductionWritten) isEvent() {}
 func (Leave) isEvent()               {}
 
@@ -179,6 +188,8 @@
 	NoteActivated          NoteKind = "grounds_taken"
 	NotePlatformReadFailed NoteKind = "platform_read_failed"
 	NoteIntroductionFailed NoteKind = "introduce_failed"
+	// NoteContactsReadFailed means that the introduction rows could not be read.
+	NoteContactsReadFailed NoteKind = "contacts_read_failed"
 	// NoteSeparated: no border host reaches a data centre.
 	NoteSeparated NoteKind = "data_centre_separated"
 	// NoteRejoined: a data centre is no longer separated.
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -177,6 +177,8 @@
 		me.processDelta(ev.Delta, ev.Delta.Encode(), "", now)
 	case PlatformRead:
 		me.handlePlatformRead(ev, now)
+	case IntroductionsRead:
+		me.handleIntroductionsRead(ev, now)
 	case IntroductionWritten:
 		me.handleIntroductionWritten(ev, now)
 	case Leave:
--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -127,9 +127,6 @@
 		return
 	}
 	me.reads.failures = 0
-	for _, ad := range ev.Contacts {
-		me.addContact(ad)
-	}
 	if ev.Snapshot != nil && ev.Snapshot.Version > me.versions.verified.Version {
 		me.reads.cost++
 		me.adoptReadSnapshot(ev.Snapshot, now)
@@ -146,6 +143,17 @@
 	me.writeIntroduction(now)
 }
 
+func (me *Member) handleIntroductionsRead(ev IntroductionsRead, now time.Time) {
+	if ev.Err != nil {
+		me.noteVersion(NoteContactsReadFailed, 0, "", ev.Err, now)
+		return
+	}
+	for _, ad := range ev.Contacts {
+		me.addContact(ad)
+	}
+	me.writeIntroduction(now)
+}
+
 // adoptReadSnapshot adopts a document read from the platform and forwards the
 // difference as a delta.
 func (me *Member) adoptReadSnapshot(sn *contract.Snapshot, now time.Time) {
--- a/core/datacentre/script_test.go
+++ b/core/datacentre/script_test.go
@@ -55,6 +55,7 @@
 		return si.notes(td)
 	case "platform":
 		si.platformDown = td.HasArg("down")
+		si.configurationUnreadable = td.HasArg("configuration_unreadable")
 	case "partition":
 		si.partition(Name(td.CmdArgs[0].Key), Name(td.CmdArgs[1].Key))
 	case "heal":
--- a/core/datacentre/simulation_test.go
+++ b/core/datacentre/simulation_test.go
@@ -67,6 +67,8 @@
 	deltas       []*contract.Delta
 	contacts     map[Name][]string
 	platformDown bool
+	// configurationUnreadable makes only the reads of versions fail.
+	configurationUnreadable bool
 	// platformDelay is added to the latency of the platform's answers.
 	platformDelay time.Duration
 	reads         int
@@ -508,7 +510,7 @@
 		si.reads++
 	}
 	process := ho.process
-	reply := func(ev PlatformRead) {
+	reply := func(ev Event) {
 		si.after(si.latency()+si.platformDelay+time.Millisecond, func() {
 			if ho.process == process {
 				si.step(ho, ev)
@@ -519,12 +521,18 @@
 		reply(PlatformRead{Err: errDown})
 		return
 	}
-	var ev PlatformRead
 	if ac.Introductions {
+		var contacts []string
 		for _, name := range slices.Sorted(maps.Keys(si.contacts)) {
-			ev.Contacts = append(ev.Contacts, si.contacts[name]...)
+			contacts = append(contacts, si.contacts[name]...)
 		}
+		reply(IntroductionsRead{Contacts: contacts})
 	}
+	if si.configurationUnreadable {
+		reply(PlatformRead{Err: errDown})
+		return
+	}
+	var ev PlatformRead
 	top := si.accepted[len(si.accepted)-1]
 	switch {
 	case top.Version <= ac.After:
