--- a/testkit/calls_test.go
+++ b/testkit/calls_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -27,9 +28,11 @@
     {"name": "book", "timeout_ms": 8000, "retries": 2},
     {"name": "scan", "timeout_ms": 30000, "class": "bulk"},
     {"name": "certify", "timeout_ms": 8000, "retries": 2, "keyed": true},
+    {"name": "check", "idempotent": true, "timeout_ms": 600},
     {"name": "read", "idempotent": true, "timeout_ms": 8000, "retries": 2}
   ],
   "routes": [
+    {"name": "checks", "path_prefix": "/checks", "service": "booking", "contract": "check"},
     {"name": "bookings", "path_prefix": "/bookings", "service": "booking", "contract": "book"},
     {"name": "scans", "path_prefix": "/scans", "service": "booking", "contract": "scan"},
     {"name": "certificates", "path_prefix": "/certificates", "service": "booking", "contract": "certify"},
@@ -373,3 +376,29 @@
 	})
 	waitForRunningCalls(t, ca)
 }
+
+// TestCallDelayedOnTheLinkBeyondItsDeadlineDoesNotRun delays what the ingress sends to
+// the gates by more than the calls' timeout, once there are connections between them.
+func TestCallDelayedOnTheLinkBeyondItsDeadlineDoesNotRun(t *testing.T) {
+	me, ca := startBookingMesh(t)
+	const workers = 12
+	warm := ca.StartLoad(workers, func(int) { ca.Call(ingressID, "GET", "/checks?work=20ms", 0) })
+	time.Sleep(time.Second)
+	warm()
+	const delay = 1500 * time.Millisecond
+	for _, id := range []string{"curing-room-1", "curing-room-2"} {
+		me.Hosts[id].AddLatency(delay)
+	}
+	late := testkit.NewCallersWithPrefix(me, "late")
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() { late.Call(ingressID, "GET", "/checks", 0) })
+	}
+	wg.Wait()
+	time.Sleep(2 * delay)
+	runs := me.Runs()
+	for _, cr := range late.Results() {
+		assert.Check(t, cr.Outcome != "ran", "%+v", cr)
+		assert.Check(t, len(runs[cr.CallID]) == 0, "%s ran after its deadline", cr.CallID)
+	}
+}
