fix: take the time on the link off a request's deadline

Cause: a request states the time that it has left, and the gate counted that from the moment at which it read the request. On a full link of 5 Mbit/s requests were under way for about 1 s, the cancel right behind them; calls of upstreams with 0.6 s ran after their deadline. The time to open a connection was not counted either.

The ingress now states when it sent a request, on a clock that never steps and counts suspension; the gate compares that with the fastest recent request of the same process and takes the difference off deadline and objective. A request without a send time, of an older node, is treated as before. lynxfold_request_delay_seconds shows the delays.

--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -330,7 +330,12 @@
 	})
 }
 
-func newCallServer(ga *upstream.Gate) *node.CallServer { return node.NewCallServer(ga) }
+func newCallServer(ga *upstream.Gate, set *metrics.Set) *node.CallServer {
+	delays := set.GetOrCreateHistogram(`lynxfold_request_delay_seconds`)
+	cs := node.NewCallServer(ga)
+	cs.ObserveDelay = func(delay time.Duration) { delays.Update(delay.Seconds()) }
+	return cs
+}
 
 func newListener(
 	se *ini.Settings,
--- a/io/node/call_exchange.go
+++ b/io/node/call_exchange.go
@@ -39,10 +39,13 @@
 // request contains it; otherwise it is read only when the gate asks for it, and then
 // closed before the attempt ends.
 func (cp *CallPool) Send(ctx context.Context, address string, rq *wire.Request, body io.ReadCloser) upstream.Reply {
+	begun := time.Now()
 	cc, err := cp.acquire(ctx, address)
 	if err != nil {
 		return refuseDial(err)
 	}
+	subtractTime(rq, time.Since(begun))
+	rq.SentUs = sinceBoot().Microseconds()
 	ex := &exchange{
 		pool:    cp,
 		ctx:     ctx,
--- a/io/node/call_server.go
+++ b/io/node/call_server.go
@@ -25,8 +25,13 @@
 
 // CallServer is the server side of calls from other nodes: it passes them to a gate.
 type CallServer struct {
+	// ObserveDelay is called with the delay of each request on the way here. It may be
+	// nil, and is set before Serve is called.
+	ObserveDelay func(delay time.Duration)
+
 	gate        Gate
 	activeCalls atomic.Int64
+	transits    transits
 	// baseCtx is the parent of the context of each call.
 	baseCtx context.Context
 	cancel  context.CancelFunc
@@ -239,6 +244,7 @@
 // serveRequest runs one request and sends the answer.
 func (sc *serverConn) serveRequest(ac *activeCall, rq *wire.Request, body io.ReadCloser) {
 	defer ac.cancel()
+	sc.subtractDelay(rq)
 	sc.setWriteDeadline(rq.GetRemainingUs())
 	hb := sc.startHeartbeat(ac)
 	re := sc.gate.Serve(ac.ctx, rq, body)
@@ -259,6 +265,16 @@
 	_ = re.Body.Close()
 }
 
+// subtractDelay takes the time for which a request was delayed on the way off the time
+// that it has left.
+func (sc *serverConn) subtractDelay(rq *wire.Request) {
+	delay := sc.transits.delay(rq, sinceBoot())
+	subtractTime(rq, delay)
+	if sc.ObserveDelay != nil {
+		sc.ObserveDelay(delay)
+	}
+}
+
 // setWriteDeadline allows writes until heartbeatTimeout after the call's deadline.
 func (sc *serverConn) setWriteDeadline(remainingUs int64) {
 	remaining := time.Duration(remainingUs) * time.Microsecond
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -540,3 +540,30 @@
 	}
 	waitForNoConns(t, ln)
 }
+
+// TestTimeToOpenConnectionIsTakenOffRequest lets the gate's greeting come late: the
+// request that waits for it has less time left when it is sent.
+func TestTimeToOpenConnectionIsTakenOffRequest(t *testing.T) {
+	const delay = 200 * time.Millisecond
+	remaining := make(chan time.Duration, 1)
+	cs := NewCallServer(&stubGate{
+		serve: func(_ context.Context, rq *wire.Request, _ io.ReadCloser) upstream.Reply {
+			remaining <- time.Duration(rq.GetRemainingUs()) * time.Microsecond
+			return completeReply("")
+		},
+	})
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ls := NewListener(li, ListenerConfig{
+		Calls: func(co *Conn) {
+			time.Sleep(delay)
+			cs.Serve(co)
+		},
+		Control: func(*Conn) {},
+		Refused: func(*RefusedError) {},
+	})
+	go func() { _ = ls.Serve() }()
+	t.Cleanup(ls.Close)
+	newCallPool(t).Send(testContext(t), li.Addr().String(), requestOf("a.1.1.1", 0), nil)
+	assert.Assert(t, <-remaining <= testTimeout-delay)
+}
