--- /dev/null
+++ b/core/datacentre/large_change_test.go
@@ -0,0 +1,71 @@
+package datacentre
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/host"
+	"lynxfold/core/wire"
+)
+
+// addedRoutes is the number of routes that a large change adds.
+const addedRoutes = 1300
+
+// largeChange is how a mesh distributed a version with many new routes.
+type largeChange struct {
+	// deltaBytes is the size of the change as JSON.
+	deltaBytes int
+	// contents and contentBytes count the messages with the change's content.
+	contents, contentBytes int
+}
+
+// spreadLargeChange lets a host accept a large change and runs until it is active on all
+// hosts.
+func spreadLargeChange(t *testing.T, si *simulation) largeChange {
+	t.Helper()
+	ho := si.hosts[si.hostIDs[0]]
+	base := ho.view.Config
+	doc := nextVersion(base, si.rnd).Document.Clone()
+	doc.Services = append(doc.Services, contract.Service{Name: "lookup"})
+	for i := range addedRoutes {
+		doc.Routes = append(doc.Routes, contract.Route{
+			Name:       contract.RouteName(fmt.Sprintf("added-%x", si.rnd.Uint32())),
+			Host:       fmt.Sprintf("host-%d.example", i%20),
+			PathPrefix: fmt.Sprintf("/%x/", si.rnd.Uint64()),
+			Service:    "lookup",
+			Contract:   doc.Contracts[0].Name,
+		})
+	}
+	next, err := contract.Compile(base.Version+1, doc)
+	assert.NilError(t, err)
+	de := contract.Diff(base, next)
+	lc := largeChange{deltaBytes: len(de.Encode())}
+	si.onSend = func(_, _ host.ID, size int, ms *wire.Control) {
+		if ms.GetUpdate() != nil || ms.GetWhole() != nil {
+			lc.contents++
+			lc.contentBytes += size
+		}
+	}
+	si.accepted = append(si.accepted, next)
+	si.deltas = append(si.deltas, de)
+	si.step(ho, VersionAccepted{Delta: de})
+	si.converge(10 * time.Second)
+	assert.Equal(t, len(si.violations), 0, "%q", si.violations)
+	return lc
+}
+
+func TestLargeChangeIsSentAboutOnceToEachHost(t *testing.T) {
+	si := joinedMesh(t, 86, 4)
+	lc := spreadLargeChange(t, si)
+	assert.Assert(t, lc.contents < 2*len(si.hostIDs), "%d messages with the content for %d hosts", lc.contents, len(si.hostIDs))
+}
+
+func TestLargeChangeIsCompressed(t *testing.T) {
+	si := joinedMesh(t, 86, 4)
+	lc := spreadLargeChange(t, si)
+	assert.Assert(t, lc.contentBytes < lc.contents*lc.deltaBytes/2, "%d messages of %d bytes in all, the change has %d bytes", lc.contents, lc.contentBytes, lc.deltaBytes)
+}
