fix: compress long deltas between nodes

A change of 1,300 routes is 162 KB of JSON, and went in that form over every link, while whole documents went compressed. Deltas of 1 KB or more are now compressed once, where they enter the mesh, and forwarded as received. Nodes say in their hello that they read them; older ones get the JSON form.

--- a/core/datacentre/limits.go
+++ b/core/datacentre/limits.go
@@ -38,6 +38,8 @@
 	// that missed some.
 	maxRecentDeltas     = 256
 	maxRecentDeltaBytes = 512 << 10
+	// minPackedBytes is the size from which a delta is compressed.
+	minPackedBytes = 1 << 10
 	// maxPendingDeltas limits the deltas that arrived before their base.
 	maxPendingDeltas = 64
 	// maxRefusedVersions limits the remembered versions that do not compile.
--- a/core/datacentre/links.go
+++ b/core/datacentre/links.go
@@ -16,6 +16,8 @@
 	id host.ID
 	// dialled is set if this node opened the link.
 	dialled bool
+	// acceptsPacked is set if the peer reads compressed deltas.
+	acceptsPacked bool
 	// closing is set once either end has announced that it closes the link.
 	closing bool
 	// version is the highest version that the peer is known to have.
@@ -185,6 +187,8 @@
 		dialled:   ev.Address != "",
 		version:   contract.Version(ev.Hello.GetVersion()),
 		activated: ev.Hello.GetSettled(),
+
+		acceptsPacked: ev.Hello.GetAcceptsPacked(),
 	}
 	me.links[id] = pe
 	delete(me.redialDeadlines, id)
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -152,6 +152,8 @@
 		Members:     me.recordsDigest,
 		Settled:     me.activated(),
 		MemberCount: uint32(me.liveHosts),
+
+		AcceptsPacked: true,
 	}
 }
 
@@ -174,7 +176,7 @@
 	case LocalUpstream:
 		me.handleLocalUpstream(ev, now)
 	case VersionAccepted:
-		me.processDelta(ev.Delta, ev.Delta.Encode(), "", now)
+		me.processDelta(encodeDelta(ev.Delta), "", now)
 	case PlatformRead:
 		me.handlePlatformRead(ev, now)
 	case IntroductionsRead:
--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -135,7 +135,7 @@
 		me.reads.cost++
 	}
 	for _, de := range ev.Deltas {
-		me.processDelta(de, de.Encode(), "", now)
+		me.processDelta(encodeDelta(de), "", now)
 	}
 	me.startup.platformRead = me.startup.platformRead || me.readComplete(ev)
 	me.reads.unconditional = !me.readComplete(ev)
@@ -159,7 +159,7 @@
 func (me *Member) adoptReadSnapshot(sn *contract.Snapshot, now time.Time) {
 	if me.versions.verified.Version > 0 {
 		de := contract.Diff(me.versions.verified, sn)
-		me.processDelta(de, de.Encode(), "", now)
+		me.processDelta(encodeDelta(de), "", now)
 	}
 	if me.versions.verified.Version < sn.Version {
 		me.adoptSnapshot(sn, "", now)
--- a/core/datacentre/simulation_test.go
+++ b/core/datacentre/simulation_test.go
@@ -442,7 +442,11 @@
 	}
 	switch ki := cp.GetKind().(type) {
 	case *wire.Control_Update:
-		ki.Update.Delta = damage(ki.Update.GetDelta())
+		if ki.Update.PackedDelta != nil {
+			ki.Update.PackedDelta = damage(ki.Update.GetPackedDelta())
+		} else {
+			ki.Update.Delta = damage(ki.Update.GetDelta())
+		}
 	case *wire.Control_Whole:
 		ki.Whole.Document = damage(ki.Whole.GetDocument())
 	}
--- a/core/datacentre/version_order_test.go
+++ b/core/datacentre/version_order_test.go
@@ -37,11 +37,11 @@
 	for name, feed := range map[string]func(me *Member){
 		"late delta": func(me *Member) {
 			de := contract.Diff(all[0], all[1])
-			me.processDelta(de, de.Encode(), "", now)
+			me.processDelta(encodeDelta(de), "", now)
 		},
 		"duplicate delta": func(me *Member) {
 			de := contract.Diff(all[1], all[2])
-			me.processDelta(de, de.Encode(), "", now)
+			me.processDelta(encodeDelta(de), "", now)
 		},
 		"late document":      func(me *Member) { me.handleSnapshot(snapshotMessage(all[1]), "", now) },
 		"duplicate document": func(me *Member) { me.handleSnapshot(snapshotMessage(all[2]), "", now) },
--- a/core/datacentre/versions.go
+++ b/core/datacentre/versions.go
@@ -28,10 +28,51 @@
 	compressed compressedDocument
 }
 
-// encodedDelta is a delta with its encoded form.
+// encodedDelta is a delta with its JSON form.
 type encodedDelta struct {
 	delta *contract.Delta
 	raw   []byte
+	// packed is raw compressed; nil for short deltas.
+	packed []byte
+}
+
+// encodeDelta returns a delta with its JSON form.
+func encodeDelta(de *contract.Delta) encodedDelta {
+	return encodedDelta{
+		delta: de,
+		raw:   de.Encode(),
+	}
+}
+
+// decodeUpdate parses the delta of an update. It fails with a contract.SyntaxError.
+func decodeUpdate(up *wire.Update) (encodedDelta, error) {
+	ed := encodedDelta{
+		raw:    up.GetDelta(),
+		packed: up.GetPackedDelta(),
+	}
+	var err error
+	if ed.packed != nil {
+		if ed.raw, err = contract.UnpackDelta(ed.packed); err != nil {
+			return encodedDelta{}, err
+		}
+	}
+	ed.delta, err = contract.ParseDelta(ed.raw)
+	return ed, err
+}
+
+// pack compresses a long delta unless it was received compressed.
+func (ed *encodedDelta) pack() {
+	if ed.packed == nil && len(ed.raw) >= minPackedBytes {
+		ed.packed = contract.PackDelta(ed.raw)
+	}
+}
+
+// size is the size of the delta in an update for a peer that accepts packed ones.
+func (ed *encodedDelta) size() int {
+	if ed.packed != nil {
+		return len(ed.packed)
+	}
+	return len(ed.raw)
 }
 
 // compressedDocument caches the compressed document of a version.
@@ -93,12 +134,12 @@
 		me.recordPeerVersion(from, ve)
 		return
 	}
-	de, err := contract.ParseDelta(up.GetDelta())
+	ed, err := decodeUpdate(up)
 	if err != nil {
 		me.rejectContent(from, ve, err, now)
 		return
 	}
-	me.processDelta(de, up.GetDelta(), from, now)
+	me.processDelta(ed, from, now)
 }
 
 // recordPeerVersion records that a peer has a version.
@@ -114,15 +155,12 @@
 // processDelta applies a delta if it follows on from the verified version, and stores
 // it as pending and schedules a pull if its base is missing. Deltas that are old or
 // known not to compile are ignored.
-func (me *Member) processDelta(de *contract.Delta, raw []byte, from host.ID, now time.Time) {
+func (me *Member) processDelta(ed encodedDelta, from host.ID, now time.Time) {
 	vs := &me.versions
+	de := ed.delta
 	if vs.refuses(de.Result, de.Digest) || de.Result <= vs.verified.Version {
 		return
 	}
-	ed := encodedDelta{
-		delta: de,
-		raw:   raw,
-	}
 	if de.Base != vs.verified.Version {
 		if de.Base > vs.verified.Version && len(vs.pending) < maxPendingDeltas {
 			vs.pending[de.Base] = ed
@@ -141,13 +179,14 @@
 	}
 	if next, ok := vs.pending[vs.verified.Version]; ok {
 		delete(vs.pending, vs.verified.Version)
-		me.processDelta(next.delta, next.raw, "", now)
+		me.processDelta(next, "", now)
 	}
 }
 
 // applyDelta verifies the result of a delta and forwards the delta. A delta with an
 // invalid result is refused here and forwarded too.
 func (me *Member) applyDelta(ed encodedDelta, from host.ID, now time.Time) bool {
+	ed.pack()
 	sn, err := ed.delta.Apply(me.versions.verified)
 	var invalid *contract.ValidationError
 	switch {
@@ -238,18 +277,13 @@
 // have the version from then on.
 func (me *Member) sendUpdate(id host.ID, ed encodedDelta) {
 	me.raisePeerFloor(id, ed.delta.Result)
-	me.send(id, updateMessage(ed))
-}
-
-func updateMessage(ed encodedDelta) *wire.Control {
-	return &wire.Control{
-		Kind: &wire.Control_Update{
-			Update: &wire.Update{
-				Version: uint64(ed.delta.Result),
-				Delta:   ed.raw,
-			},
-		},
+	up := &wire.Update{Version: uint64(ed.delta.Result)}
+	if pe := me.links[id]; ed.packed != nil && pe != nil && pe.acceptsPacked {
+		up.PackedDelta = ed.packed
+	} else {
+		up.Delta = ed.raw
 	}
+	me.send(id, &wire.Control{Kind: &wire.Control_Update{Update: up}})
 }
 
 // handleNotice processes the versions and the digest of a peer's notice.
@@ -356,7 +390,7 @@
 	}
 	size := 0
 	for _, ed := range me.versions.recentDeltas[first:] {
-		size += len(ed.raw)
+		size += ed.size()
 	}
 	if size > len(me.compressedSnapshot()) {
 		me.sendSnapshot(qp.peer)
