fix: let neighbours pull a large delta instead of sending it over every link

Callers' requests and cancels were under way for about a second while the configuration grew by 1,300 routes: every host sent the whole change to each of its ten or so neighbours, which had it already or got it from all sides at once, over links of 5 Mbit/s.

A delta of more than 8 KB, compressed, is now announced by a notice that asks to pull it. A host waits up to 0.2 s at random, so that the first to have it serve the others, and pulls from one neighbour. Small deltas are sent as before. An older node pulls after its usual delay.

--- a/core/datacentre/large_change_test.go
+++ b/core/datacentre/large_change_test.go
@@ -21,6 +21,8 @@
 	deltaBytes int
 	// contents and contentBytes count the messages with the change's content.
 	contents, contentBytes int
+	// took is the time until it is active on all hosts.
+	took time.Duration
 }
 
 // spreadLargeChange lets a host accept a large change and runs until it is active on all
@@ -52,8 +54,10 @@
 	}
 	si.accepted = append(si.accepted, next)
 	si.deltas = append(si.deltas, de)
+	startedAt := si.now
 	si.step(ho, VersionAccepted{Delta: de})
 	si.converge(10 * time.Second)
+	lc.took = si.now.Sub(startedAt)
 	assert.Equal(t, len(si.violations), 0, "%q", si.violations)
 	return lc
 }
@@ -62,6 +66,8 @@
 	si := joinedMesh(t, 86, 4)
 	lc := spreadLargeChange(t, si)
 	assert.Assert(t, lc.contents < 2*len(si.hostIDs), "%d messages with the content for %d hosts", lc.contents, len(si.hostIDs))
+	assert.Assert(t, lc.took < 2*time.Second, "active everywhere after %s", lc.took)
+	t.Logf("%d messages, active everywhere after %s", lc.contents, lc.took)
 }
 
 func TestLargeChangeIsCompressed(t *testing.T) {
--- a/core/datacentre/limits.go
+++ b/core/datacentre/limits.go
@@ -38,6 +38,9 @@
 	// that missed some.
 	maxRecentDeltas     = 256
 	maxRecentDeltaBytes = 512 << 10
+	// maxForwardedBytes is the size up to which a delta is forwarded to every neighbour;
+	// larger ones are pulled.
+	maxForwardedBytes = 8 << 10
 	// minPackedBytes is the size from which a delta is compressed.
 	minPackedBytes = 1 << 10
 	// maxPendingDeltas limits the deltas that arrived before their base.
@@ -91,6 +94,9 @@
 	// pullDelay is how long to wait for a delta to arrive by itself before a version
 	// known to a peer is pulled.
 	pullDelay = 200 * time.Millisecond
+	// maxOnRequestDelay bounds the random delay before a version is pulled that the peer
+	// does not send by itself. It lets the first hosts to have it serve the others.
+	maxOnRequestDelay = 200 * time.Millisecond
 	// pullTimeout is how long the answer to a pull may take.
 	pullTimeout = time.Second
 	// pullBackoff is how long a peer is not pulled from after a timeout or bad
--- a/core/datacentre/versions.go
+++ b/core/datacentre/versions.go
@@ -192,7 +192,7 @@
 	switch {
 	case errors.As(err, &invalid):
 		me.refuseVersion(ed.delta.Result, ed.delta.Digest, from, err, now)
-		me.forwardDelta(ed, from)
+		me.forwardDelta(ed, from, now)
 		return false
 	case err != nil:
 		me.rejectContent(from, ed.delta.Result, err, now)
@@ -203,7 +203,7 @@
 	}
 	me.recordPeerVersion(from, sn.Version)
 	me.cacheDelta(ed)
-	me.forwardDelta(ed, from)
+	me.forwardDelta(ed, from, now)
 	return true
 }
 
@@ -264,15 +264,30 @@
 	}
 }
 
-// forwardDelta sends a delta to every linked peer that lacks it, except one.
-func (me *Member) forwardDelta(ed encodedDelta, except host.ID) {
+// forwardDelta sends a delta to every linked peer that lacks it, except one. A large one
+// is only announced: each peer has several neighbours, and pulls it from one of them. A
+// node that refuses the delta can't answer pulls for it and forwards it in any case.
+func (me *Member) forwardDelta(ed encodedDelta, except host.ID, now time.Time) {
 	for _, id := range me.peers() {
-		if id != except && me.links[id].version < ed.delta.Result {
+		switch {
+		case id == except || me.links[id].version >= ed.delta.Result:
+		case ed.size() > maxForwardedBytes && me.versions.verified.Version >= ed.delta.Result:
+			me.announceVersion(id, ed.delta.Result, now)
+		default:
 			me.sendUpdate(id, ed)
 		}
 	}
 }
 
+// announceVersion tells a peer that it can pull a version from here.
+func (me *Member) announceVersion(id host.ID, ve contract.Version, now time.Time) {
+	ms := me.noticeMessage()
+	ms.GetNotice().Version = uint64(ve)
+	ms.GetNotice().OnRequest = true
+	me.links[id].noticeSentAt = now
+	me.send(id, ms)
+}
+
 // sendUpdate sends a delta to a peer and raises the peer's floor, since the peer may
 // have the version from then on.
 func (me *Member) sendUpdate(id host.ID, ed encodedDelta) {
@@ -296,7 +311,11 @@
 		me.sendNotice(pe.id, now)
 	}
 	if pe.version > me.versions.verified.Version {
-		me.schedulePull(now.Add(pullDelay))
+		delay := pullDelay
+		if no.GetOnRequest() {
+			delay = me.jitter(maxOnRequestDelay)
+		}
+		me.schedulePull(now.Add(delay))
 	}
 	me.antiEntropyAfterNotice(pe, no, now)
 }
