fix: keep the introduction rows when all hosts restart

A host that has just started knows nobody, takes itself for the first reader of its data centre and replaces the row of up to 30 contacts by one that lists only itself; all hosts do so at once, and those that start a little later find one contact a data centre.

A node now leaves rows that are there alone for 5 s after its start; where there are none it writes at once, as the first start of a mesh needs it.

--- a/core/datacentre/limits.go
+++ b/core/datacentre/limits.go
@@ -107,6 +107,9 @@
 	// rediscoveryInterval is how often all hosts of the fleet together dial each dead
 	// host.
 	rediscoveryInterval = 5 * time.Second
+	// introductionDelay is how long after its start a node does not overwrite
+	// introduction rows.
+	introductionDelay = 5 * time.Second
 	// introductionRefreshInterval is the time between two writes of an unchanged
 	// introduction row.
 	introductionRefreshInterval = 10 * time.Minute
--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -44,6 +44,8 @@
 	// introducedAddresses its content as last written.
 	introductionAt      time.Time
 	introducedAddresses []string
+	// noIntroductions is set when the latest read found no introduction row.
+	noIntroductions bool
 }
 
 // isReader reports whether this node is one of its data centre's readers.
@@ -148,6 +150,7 @@
 		me.noteVersion(NoteContactsReadFailed, 0, "", ev.Err, now)
 		return
 	}
+	me.reads.noIntroductions = len(ev.Contacts) == 0
 	for _, ad := range ev.Contacts {
 		me.addContact(ad)
 	}
@@ -187,8 +190,12 @@
 }
 
 // writeIntroduction writes the data centre's introduction row if this node is the
-// first of its readers and the row has changed or is due for a refresh.
+// first of its readers and the row has changed or is due for a refresh. A node that has
+// just started knows few hosts, and leaves the rows that are there as they are.
 func (me *Member) writeIntroduction(now time.Time) {
+	if !me.reads.noIntroductions && now.Before(me.cfg.StartedAt.Add(introductionDelay)) {
+		return
+	}
 	readers := me.readers(me.cfg.DataCentre)
 	if len(readers) == 0 || readers[0] != me.cfg.Host || now.Before(me.reads.introductionAt) {
 		return
--- a/core/datacentre/simulation_test.go
+++ b/core/datacentre/simulation_test.go
@@ -63,10 +63,12 @@
 	openedAt   map[[2]host.ID]time.Time
 	partitions map[[2]Name]bool
 
-	accepted     []*contract.Snapshot
-	deltas       []*contract.Delta
-	contacts     map[Name][]string
-	platformDown bool
+	accepted []*contract.Snapshot
+	deltas   []*contract.Delta
+	contacts map[Name][]string
+	// introductionWrites counts the writes of introduction rows.
+	introductionWrites int
+	platformDown       bool
 	// configurationUnreadable makes only the reads of versions fail.
 	configurationUnreadable bool
 	// platformDelay is added to the latency of the platform's answers.
@@ -302,6 +304,7 @@
 			si.after(time.Millisecond, func() { si.step(ho, IntroductionWritten{Err: errDown}) })
 			return
 		}
+		si.introductionWrites++
 		si.contacts[ac.DataCentre] = ac.Addresses
 	case RaiseIncarnation:
 		ho.gateIncarnation = ac.Incarnation
