fix: send no request to the upstream once its caller has left

Cause: a gate that dispatches an attempt while its caller leaves picks one of two ready events, and the client sent the request on an open connection before it looked at the context. Found by reading every way in which work outlives its caller, after the incident of calls whose callers left.

The client looks at the context once it has a connection, and says that nothing ran.

Before: TestRequestWhoseCallerHasLeftIsNotSent sent the first request; now none of 100.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -104,6 +104,12 @@
 		hooks.OnEnd(Result{Outcome: host.OutcomeNotRun, Reason: re})
 		return RefusalReply(re, true)
 	}
+	if err := ctx.Err(); err != nil {
+		cl.release(co, true)
+		re := notSentReason(ctx, err)
+		hooks.OnEnd(Result{Outcome: host.OutcomeNotRun, Reason: re})
+		return RefusalReply(re, true)
+	}
 	ex := &exchange{
 		client:           cl,
 		ctx:              ctx,
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -418,3 +418,33 @@
 	cl.Do(testContext(t), Destination{Address: li.Addr().String()}, newRequest("POST"), nil, hooks)
 	assert.DeepEqual(t, events, []string{"not_run"})
 }
+
+// TestRequestWhoseCallerHasLeftIsNotSent uses an open connection, on which a request can
+// be sent at once.
+func TestRequestWhoseCallerHasLeftIsNotSent(t *testing.T) {
+	sc := startScriptedUpstream(t, func(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
+		for {
+			if _, ok := sc.readRequest(rd); !ok {
+				return
+			}
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	cl := newClient(t)
+	rq := newRequest("GET")
+	rq.Idempotent = true
+	gone, cancel := context.WithCancel(testContext(t))
+	cancel()
+	const rounds = 100
+	for range rounds {
+		_, _, rs, err := do(t, cl, sc, rq, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, rs.Outcome, host.OutcomeRan)
+		var ended Result
+		cl.Do(gone, Destination{Address: sc.address}, rq, nil, Hooks{OnEnd: func(rs Result) { ended = rs }})
+		assert.Equal(t, ended.Outcome, host.OutcomeNotRun)
+		assert.Equal(t, ended.Reason, host.ReasonCancelled)
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, sc.requests.Load(), int64(rounds))
+}
