fix: send no call to a gate once its caller has left

Cause: the request and its cancel were written by two goroutines. When the context had ended while a connection was opened, the cancel could go first; the gate ignores it, takes the request, and the lost connection stops only calls that may be repeated.

A call whose context has ended is refused as not run and its connection kept. A cancel is only written after the request, and a request only before the cancel.

--- a/io/node/call_exchange.go
+++ b/io/node/call_exchange.go
@@ -28,6 +28,9 @@
 	stopCancel func() bool
 	// body is nil when the request frame contains the body, and for queries.
 	body io.ReadCloser
+	// requestSent is set when the request has been written, in whole or in part; the
+	// connection's mutex guards it.
+	requestSent bool
 	// bodySent is closed when the body has been sent or sending it has failed; it is nil
 	// until the gate asks for the body. bodyErr is set before bodySent is closed.
 	bodySent chan struct{}
@@ -44,6 +47,10 @@
 	if err != nil {
 		return refuseDial(err)
 	}
+	if err := ctx.Err(); err != nil {
+		cp.release(address, cc, true)
+		return refuseContext(err, true)
+	}
 	subtractTime(rq, time.Since(begun))
 	rq.SentUs = sinceBoot().Microseconds()
 	ex := &exchange{
@@ -69,12 +76,7 @@
 
 func (ex *exchange) roundTrip() upstream.Reply {
 	ex.cancelOnDone()
-	err := ex.conn.writeFrame(&wire.Frame{
-		Kind: &wire.Frame_Request{
-			Request: ex.request,
-		},
-	})
-	if err != nil {
+	if err := ex.sendRequest(); err != nil {
 		return ex.connLost(err)
 	}
 	fr, err := ex.nextFrame()
@@ -96,6 +98,21 @@
 
 func (er *UnexpectedFrameError) Error() string { return "unexpected frame in answer to a request" }
 
+// sendRequest writes the request frame. It fails when the exchange was cancelled first.
+func (ex *exchange) sendRequest() error {
+	ex.conn.mu.Lock()
+	defer ex.conn.mu.Unlock()
+	if err := ex.ctx.Err(); err != nil {
+		return err
+	}
+	ex.requestSent = true
+	return ex.conn.writeFrameLocked(&wire.Frame{
+		Kind: &wire.Frame_Request{
+			Request: ex.request,
+		},
+	})
+}
+
 func (ex *exchange) startResponse(rs *wire.Response) upstream.Reply {
 	if rs.GetComplete() {
 		ex.finish(true)
@@ -134,15 +151,19 @@
 	}()
 }
 
-// cancel sends a Cancel frame and closes the connection.
+// cancel sends a Cancel frame if the request was sent, and closes the connection.
 func (ex *exchange) cancel() {
-	// Without the frame, the gate takes the closed connection for a network failure.
 	_ = ex.conn.co.SetWriteDeadline(time.Now().Add(heartbeatInterval))
-	_ = ex.conn.writeFrame(&wire.Frame{
-		Kind: &wire.Frame_Cancel{
-			Cancel: &wire.Cancel{},
-		},
-	})
+	ex.conn.mu.Lock()
+	if ex.requestSent {
+		// Without the frame, the gate takes the closed connection for a network failure.
+		_ = ex.conn.writeFrameLocked(&wire.Frame{
+			Kind: &wire.Frame_Cancel{
+				Cancel: &wire.Cancel{},
+			},
+		})
+	}
+	ex.conn.mu.Unlock()
 	ex.conn.close()
 }
 
@@ -166,7 +187,7 @@
 func (ex *exchange) connLost(cause error) upstream.Reply {
 	ex.finish(false)
 	if err := ex.ctx.Err(); err != nil {
-		return refuseContext(err)
+		return refuseContext(err, !ex.requestSent)
 	}
 	ex.pool.closeIdle(ex.address)
 	return upstream.Reply{
@@ -175,11 +196,13 @@
 	}
 }
 
-func refuseContext(err error) upstream.Reply {
+// refuseContext refuses a call whose context has ended. notRun is set when its request
+// was not sent.
+func refuseContext(err error, notRun bool) upstream.Reply {
 	if errors.Is(err, context.DeadlineExceeded) {
-		return upstream.RefusalReply(host.ReasonDeadline, false)
+		return upstream.RefusalReply(host.ReasonDeadline, notRun)
 	}
-	return upstream.RefusalReply(host.ReasonCancelled, false)
+	return upstream.RefusalReply(host.ReasonCancelled, notRun)
 }
 
 // responseBody reads the body of a response from its connection.
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -567,3 +567,29 @@
 	newCallPool(t).Send(testContext(t), li.Addr().String(), requestOf("a.1.1.1", 0), nil)
 	assert.Assert(t, <-remaining <= testTimeout-delay)
 }
+
+// TestCallWhoseCallerHasLeftIsNotSent uses an open connection, on which a call can be
+// sent at once.
+func TestCallWhoseCallerHasLeftIsNotSent(t *testing.T) {
+	var served sync.Map
+	address, _ := listen(t, &stubGate{
+		serve: func(_ context.Context, rq *wire.Request, _ io.ReadCloser) upstream.Reply {
+			served.Store(rq.GetAttempt(), true)
+			return completeReply("")
+		},
+	})
+	cp := newCallPool(t)
+	gone, cancel := context.WithCancel(testContext(t))
+	cancel()
+	for i := range 100 {
+		cp.Send(testContext(t), address, requestOf(fmt.Sprintf("a.1.%d.1", i), 0), nil)
+		re := cp.Send(gone, address, requestOf(fmt.Sprintf("a.1.%d.2", i), 0), nil)
+		assert.Equal(t, re.Refusal.GetReason(), string(host.ReasonCancelled))
+		assert.Equal(t, re.Refusal.GetNotRun(), true)
+	}
+	time.Sleep(50 * time.Millisecond)
+	served.Range(func(attempt, _ any) bool {
+		assert.Check(t, strings.HasSuffix(attempt.(string), ".1"), "%s was sent", attempt)
+		return true
+	})
+}
