fix: notice that a caller leaves while nothing reads its connection

A caller that left while its upload was queued was not noticed until a slot was free: the body was still unread, and the close is behind it. The gate then took the slot, asked for the body and began a request that could not end. The same holds for a request that waits behind another on its connection.

Such connections are now checked ten times a second by poll, which sees a close behind unread bytes.

Before: TestCallerGoneWhileUploadIsQueued failed, the upload left the queue after 5 s with the slot; now it leaves it while the slot is in use.

--- a/io/caller/exchange_start.go
+++ b/io/caller/exchange_start.go
@@ -57,11 +57,7 @@
 // awaitBody waits until a streamed body has been read or the request is answered.
 // It returns false if the connection can't be used for another request.
 func (se *session) awaitBody(ex *exchange, pr *pendingRequest) bool {
-	select {
-	case <-ex.streamedBody.done:
-	case <-pr.answered:
-	}
-	return ex.streamedBody.complete()
+	return se.awaitUnlessGone(ex.streamedBody.done, pr.answered) && ex.streamedBody.complete()
 }
 
 // chooseSplitTarget chooses a service of a split route by weight.
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -646,3 +646,20 @@
 		})
 	}
 }
+
+// TestCallerGoneWhileUploadIsQueued checks that the gate drops a queued upload whose
+// caller disconnects, also when all of its body has been sent.
+func TestCallerGoneWhileUploadIsQueued(t *testing.T) {
+	fx := startFixture(t, Config{}, standin.Config{Slots: 1})
+	busy, _ := fx.dial(t)
+	_, err := io.WriteString(busy, "GET /results?work=5s HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	eventually(t, "the slot is in use", func() bool { return fx.gates["host-0"].Running() == 1 })
+	nc, _ := fx.dial(t)
+	_, err = io.WriteString(nc, "POST /scans HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("x", 100_000))
+	assert.NilError(t, err)
+	eventually(t, "the upload is queued", func() bool { return fx.gates["host-0"].Stats().Queued == 1 })
+	assert.NilError(t, nc.Close())
+	eventually(t, "the upload has left the queue", func() bool { return fx.gates["host-0"].Stats().Queued == 0 })
+	assert.Equal(t, fx.gates["host-0"].Running(), 1, "the upload left the queue only when the slot was free")
+}
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -12,11 +12,15 @@
 
 	"lynxfold/core/call"
 	"lynxfold/core/host"
+	"lynxfold/io/tcp"
 )
 
 const (
 	// maxPipelined limits the unanswered requests of a connection.
 	maxPipelined = 32
+	// goneCheckInterval is how often a connection that nothing reads is checked for
+	// the caller's disconnection.
+	goneCheckInterval = 100 * time.Millisecond
 	// writeBufferBytes is the size of a connection's write buffer.
 	writeBufferBytes = 4 << 10
 )
@@ -211,7 +215,32 @@
 			return true
 		}
 		se.mu.Unlock()
-		<-before
+		if !se.awaitUnlessGone(before, nil) {
+			return false
+		}
+	}
+}
+
+// awaitUnlessGone waits until one of two channels is closed; either may be nil. Nothing
+// reads the connection meanwhile, so it checks whether the caller has disconnected: it
+// then cancels the pending calls, except keyed ones, and returns false.
+func (se *session) awaitUnlessGone(first, second <-chan struct{}) bool {
+	ti := time.NewTicker(goneCheckInterval)
+	defer ti.Stop()
+	for {
+		select {
+		case <-first:
+			return true
+		case <-second:
+			return true
+		case <-ti.C:
+		}
+		if tcp.PeerClosed(se.conn.Conn) {
+			se.mu.Lock()
+			se.markBroken()
+			se.mu.Unlock()
+			return false
+		}
 	}
 }
 
