fix: spread the return of callers that a starting node refuses

After a restart of all hosts each node refuses every caller as no_configuration, at once, and told all of them to come back after exactly 1 s. Other refusals add up to half of the delay at random, so that callers that are refused together do not return together; this one does now too: 1 to 1.5 s.

Before: TestCallersRefusedWithoutConfigurationReturnSpread failed, all delays were the same; now they differ by more than 0.25 s.

--- a/io/caller/header_check.go
+++ b/io/caller/header_check.go
@@ -18,7 +18,8 @@
 	vi := sv.cfg.View()
 	if vi.Config.Version == 0 {
 		re := notRunResult(ReasonNoConfiguration)
-		re.RetryAfter = time.Now().Add(minRetryAfter)
+		now := time.Now()
+		re.RetryAfter = call.JitterRetryAfter(now, now, minRetryAfter, sv.jitter())
 		sv.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, re)
 		return fasthttp.StatusServiceUnavailable, nil
 	}
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -14,8 +14,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"lynxfold/core/call"
 	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/io/upstream/standin"
@@ -93,6 +95,11 @@
 
 // serveView starts a server with a view without upstreams and connects to it.
 func serveView(t *testing.T, sn *contract.Snapshot) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	return serveViewWith(t, sn, NativeProtocol{})
+}
+
+func serveViewWith(t *testing.T, sn *contract.Snapshot, pr Protocol) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	view := &datacentre.View{Config: sn}
 	sv := New(Config{
@@ -103,6 +110,7 @@
 		MaxHeaderBytes: 8 << 10,
 		MaxBodyBytes:   1 << 20,
 		MaxConnections: 10,
+		Protocol:       pr,
 	})
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -127,6 +135,40 @@
 	assert.Equal(t, rs.Header.Get(HeaderReason), string(ReasonNoConfiguration))
 }
 
+// retryAfterRecorder is NativeProtocol and records the time to the next try of each
+// refusal.
+type retryAfterRecorder struct {
+	NativeProtocol
+	delays chan time.Duration
+}
+
+// WriteRefusal implements Protocol.
+func (rr retryAfterRecorder) WriteRefusal(ctx *fasthttp.RequestCtx, status int, re call.Result) {
+	rr.delays <- time.Until(re.RetryAfter)
+	rr.NativeProtocol.WriteRefusal(ctx, status, re)
+}
+
+// TestCallersRefusedWithoutConfigurationReturnSpread checks that callers that a starting
+// node refuses together are not told to come back together.
+func TestCallersRefusedWithoutConfigurationReturnSpread(t *testing.T) {
+	const count = 50
+	rr := retryAfterRecorder{delays: make(chan time.Duration, count)}
+	nc, rd := serveViewWith(t, contract.EmptySnapshot(), rr)
+	least, most := time.Hour, time.Duration(0)
+	for range count {
+		_, err := io.WriteString(nc, "GET /results HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+		rs, err := http.ReadResponse(rd, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, rs.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, rs.StatusCode, http.StatusServiceUnavailable)
+		delay := <-rr.delays
+		least, most = min(least, delay), max(most, delay)
+	}
+	assert.Assert(t, most-least > minRetryAfter/4, "they come back within %s", most-least)
+}
+
 // TestConfigurationLimits checks that the limits of the configuration apply in
 // addition to those of the host.
 func TestConfigurationLimits(t *testing.T) {
