fix: keep a call connection on which a frame is still arriving

An answer of up to 64 KB travels in one frame, and the ingress gave the connection up when the frame was not complete 0.8 s after it began to wait; on a narrow link that several calls share it can take longer. The outcome of a call that had run was then unknown until a query found it.

The timeout now begins anew with each part that arrives.

Before: TestFrameSlowerThanHeartbeatTimeoutIsReadWhileItArrives failed (link lost); now it passes.

--- a/io/node/call_conn.go
+++ b/io/node/call_conn.go
@@ -17,7 +17,7 @@
 	// readerHandoffDelay is how long a call runs before another goroutine starts to read
 	// its connection, so that a Cancel frame is received while the call runs.
 	readerHandoffDelay = 10 * time.Millisecond
-	// heartbeatTimeout is how long a connection may receive no frame during a call.
+	// heartbeatTimeout is how long a connection may receive nothing during a call.
 	heartbeatTimeout = 800 * time.Millisecond
 	// maxKeptBufferBytes limits each buffer that a connection keeps for reuse.
 	maxKeptBufferBytes = 128 << 10
@@ -29,6 +29,8 @@
 	co        *Conn
 	idleUntil time.Time
 	readBuf   []byte
+	// readTimeout limits the wait for each part of a frame; 0 means no limit.
+	readTimeout time.Duration
 
 	mu       sync.Mutex // guards writeBuf and writes to co
 	writeBuf []byte
@@ -67,7 +69,7 @@
 		return nil, err
 	}
 	data := cc.frameBuffer(size)
-	if _, err := io.ReadFull(cc.co.Reader, data); err != nil {
+	if err := cc.readParts(data); err != nil {
 		return nil, err
 	}
 	fr := &wire.Frame{}
@@ -77,6 +79,24 @@
 	return fr, nil
 }
 
+// readParts fills buf. A frame that keeps arriving shows that the connection works, however
+// long it takes: the timeout begins anew with each part.
+func (cc *callConn) readParts(buf []byte) error {
+	for len(buf) > 0 {
+		if cc.readTimeout > 0 && cc.co.Reader.Buffered() == 0 {
+			if err := cc.co.SetReadDeadline(time.Now().Add(cc.readTimeout)); err != nil {
+				return err
+			}
+		}
+		n, err := cc.co.Reader.Read(buf)
+		if err != nil {
+			return err
+		}
+		buf = buf[n:]
+	}
+	return nil
+}
+
 // frameBuffer returns a buffer for one frame; the next frame may reuse it.
 func (cc *callConn) frameBuffer(size int) []byte {
 	if size > maxKeptBufferBytes {
@@ -88,8 +108,8 @@
 	return cc.readBuf[:size]
 }
 
-// readNonHeartbeat returns the next frame that is not a heartbeat; it fails when no
-// frame arrives within heartbeatTimeout.
+// readNonHeartbeat returns the next frame that is not a heartbeat; it fails when nothing
+// arrives for heartbeatTimeout.
 func (cc *callConn) readNonHeartbeat() (*wire.Frame, error) {
 	for {
 		fr, err := cc.readFrameWithin(heartbeatTimeout)
@@ -99,8 +119,9 @@
 	}
 }
 
-// readFrameWithin returns the next frame; it fails when none arrives within the timeout.
+// readFrameWithin returns the next frame; it fails when nothing arrives for the timeout.
 func (cc *callConn) readFrameWithin(timeout time.Duration) (*wire.Frame, error) {
+	cc.readTimeout = timeout
 	if err := cc.co.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, err
 	}
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -593,3 +593,37 @@
 		return true
 	})
 }
+
+// TestFrameSlowerThanHeartbeatTimeoutIsReadWhileItArrives lets an answer arrive in pieces
+// over a time longer than heartbeatTimeout, with shorter pauses between them.
+func TestFrameSlowerThanHeartbeatTimeoutIsReadWhileItArrives(t *testing.T) {
+	const pieces = 6
+	body := strings.Repeat("x", 60_000)
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ls := NewListener(li, ListenerConfig{
+		Calls: func(co *Conn) {
+			cc := &callConn{co: co}
+			_ = cc.writeFrame(&wire.Frame{})
+			if _, err := cc.readFrame(); err != nil {
+				return
+			}
+			out, err := appendMessage(nil, replyFrame(completeReply(body)))
+			if err != nil {
+				return
+			}
+			for i := range pieces {
+				time.Sleep(heartbeatTimeout / 3)
+				_, _ = co.Write(out[i*len(out)/pieces : (i+1)*len(out)/pieces])
+			}
+			_, _ = cc.readFrame()
+		},
+		Control: func(*Conn) {},
+		Refused: func(*RefusedError) {},
+	})
+	go func() { _ = ls.Serve() }()
+	t.Cleanup(ls.Close)
+	re := newCallPool(t).Send(testContext(t), li.Addr().String(), requestOf("a.1.1.1", 0), nil)
+	assert.Equal(t, re.LinkLost, false, "%s", re.Detail)
+	assert.Equal(t, len(re.Response.GetBody()), len(body))
+}
