--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,8 @@
 	bookings *testkit.Callers
 	reads    *testkit.Callers
 	version  uint64
+	// ingressIDs are the hosts that callers use.
+	ingressIDs []string
 }
 
 func newSoakRun(t *testing.T, seed uint64) *soakRun {
@@ -94,6 +96,8 @@
 		mesh:     me,
 		bookings: testkit.NewCallersWithPrefix(me, "booking"),
 		reads:    testkit.NewCallersWithPrefix(me, "read"),
+
+		ingressIDs: ingressIDs,
 	}
 	sr.bookings.EnableKeepAlive()
 	sr.reads.EnableKeepAlive()
@@ -129,7 +133,7 @@
 		}
 		return highest > 0 && sr.mesh.AllAtVersion(highest, hostIDs...)
 	})
-	for _, id := range ingressIDs {
+	for _, id := range sr.ingressIDs {
 		testkit.Eventually(sr.t, waitTimeout, "calls run at "+id, func() bool {
 			return sr.bookings.Call(id, "POST", "/bookings", 10).Outcome == "ran"
 		})
@@ -169,14 +173,14 @@
 			time.Sleep(20 * time.Millisecond) // the node does not listen
 		}
 	}
-	bookings := sr.bookings.StartLoad(callersPerIngress*len(ingressIDs), func(worker int) {
+	bookings := sr.bookings.StartLoad(callersPerIngress*len(sr.ingressIDs), func(worker int) {
 		path := fmt.Sprintf("/bookings?work=%dms", 1+worker*7%40)
-		wait(sr.bookings.Call(ingressIDs[worker%len(ingressIDs)], "POST", path, worker%3*9_000))
+		wait(sr.bookings.Call(sr.ingressIDs[worker%len(sr.ingressIDs)], "POST", path, worker%3*9_000))
 	})
-	reads := sr.reads.StartLoad(callersPerIngress*len(ingressIDs), func(worker int) {
+	reads := sr.reads.StartLoad(callersPerIngress*len(sr.ingressIDs), func(worker int) {
 		size := (1 + worker) * 4_000
 		path := fmt.Sprintf("/results?work=%dms&bytes=%d", 1+worker*5%40, size)
-		cr := sr.reads.Call(ingressIDs[worker%len(ingressIDs)], "GET", path, 0)
+		cr := sr.reads.Call(sr.ingressIDs[worker%len(sr.ingressIDs)], "GET", path, 0)
 		if cr.Outcome == "ran" && cr.Status == 200 {
 			assert.Check(sr.t, cr.BodyBytes == size, "seed %d: %s got %d bytes of %d", sr.seed, cr.CallID, cr.BodyBytes, size)
 		}
--- a/testkit/faults.go
+++ b/testkit/faults.go
@@ -77,3 +77,10 @@
 		addToxic(me.T, px, "narrow", "bandwidth", "downstream", map[string]int64{"rate": kilobytesPerSecond})
 	}
 }
+
+// PlatformBandwidthUnlimited ends LimitPlatformBandwidth.
+func (me *Mesh) PlatformBandwidthUnlimited() {
+	for _, px := range me.PlatformProxies {
+		assert.NilError(me.T, px.Toxics.RemoveToxic(me.T.Context(), "narrow"))
+	}
+}
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -16,6 +16,7 @@
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/log"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
@@ -135,6 +136,7 @@
 // StartMesh starts a mesh and stops it when the test ends.
 func StartMesh(t testing.TB, cfg MeshConfig) *Mesh {
 	t.Helper()
+	log.Logger = nopLog() // toxics log each interrupted write to it
 	me := &Mesh{
 		T:        t,
 		Platform: platformstandin.New(),
