fix: drop the rest of a body when its caller has left

The connection is now reset while the body is being sent; a call whose body is incomplete can't run.

Before: TestRestOfBodyIsDroppedWhenCallerHasLeft failed, 3.9 MB followed the cancel; now it passes.

--- a/io/node/call_conn.go
+++ b/io/node/call_conn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -168,6 +169,14 @@
 // close closes the TCP connection immediately, without a TLS close alert.
 func (cc *callConn) close() { _ = cc.co.raw.Close() }
 
+// reset closes the TCP connection and discards what the peer has not received yet.
+func (cc *callConn) reset() {
+	if tc, ok := cc.co.raw.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	cc.close()
+}
+
 // TruncatedError reports a body that ended before it was complete.
 type TruncatedError struct{}
 
--- a/io/node/call_exchange.go
+++ b/io/node/call_exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,8 @@
 	// until the gate asks for the body. bodyErr is set before bodySent is closed.
 	bodySent chan struct{}
 	bodyErr  error
+	// sendingBody is set while the body is being sent.
+	sendingBody atomic.Bool
 }
 
 // Send sends one attempt to the gate at an address and returns when a refusal or the
@@ -145,14 +148,22 @@
 		return
 	}
 	ex.bodySent = make(chan struct{})
+	ex.sendingBody.Store(true)
 	go func() {
 		defer close(ex.bodySent)
 		ex.bodyErr = ex.conn.sendBody(ex.body)
+		ex.sendingBody.Store(false)
 	}()
 }
 
-// cancel sends a Cancel frame if the request was sent, and closes the connection.
+// cancel sends a Cancel frame if the request was sent, and closes the connection. While
+// the body is being sent, it resets the connection instead: the rest of the body would
+// delay the frame, and without it the call can't run.
 func (ex *exchange) cancel() {
+	if ex.sendingBody.Load() {
+		ex.conn.reset()
+		return
+	}
 	_ = ex.conn.co.SetWriteDeadline(time.Now().Add(heartbeatInterval))
 	ex.conn.mu.Lock()
 	if ex.requestSent {
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -627,3 +628,46 @@
 	assert.Equal(t, re.LinkLost, false, "%s", re.Detail)
 	assert.Equal(t, len(re.Response.GetBody()), len(body))
 }
+
+// TestRestOfBodyIsDroppedWhenCallerHasLeft cancels an upload while the gate does not read:
+// what the gate has not taken yet must not follow.
+func TestRestOfBodyIsDroppedWhenCallerHasLeft(t *testing.T) {
+	const length = 32 << 20
+	ctx, cancel := context.WithCancel(testContext(t))
+	ended := make(chan error, 1)
+	received := int64(0)
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ls := NewListener(li, ListenerConfig{
+		Calls: func(co *Conn) {
+			cc := &callConn{co: co}
+			_ = cc.writeFrame(&wire.Frame{})
+			if _, err := cc.readFrame(); err != nil {
+				return
+			}
+			_ = cc.writeFrame(&wire.Frame{Kind: &wire.Frame_Continue{Continue: &wire.Continue{}}})
+			time.Sleep(100 * time.Millisecond) // the ingress fills the buffers of the connection
+			cancel()
+			time.Sleep(2 * heartbeatInterval)
+			n, err := io.Copy(io.Discard, co)
+			received = n
+			ended <- err
+		},
+		Control: func(*Conn) {},
+		Refused: func(*RefusedError) {},
+	})
+	go func() { _ = ls.Serve() }()
+	t.Cleanup(ls.Close)
+	body := io.NopCloser(io.LimitReader(zeros{}, length))
+	re := newCallPool(t).Send(ctx, li.Addr().String(), requestOf("a.1.1.1", length), body)
+	assert.Equal(t, re.Refusal.GetReason(), string(host.ReasonCancelled))
+	assert.Assert(t, errors.Is(<-ended, syscall.ECONNRESET), "the rest of the body followed, %d bytes", received)
+}
+
+// zeros is an endless reader of zeros.
+type zeros struct{}
+
+func (zeros) Read(buf []byte) (int, error) {
+	clear(buf)
+	return len(buf), nil
+}
