test: distribute a large change among nodes of two releases

Every other host ignores the new fields of hello, update and notice. The version is active on all 40 hosts, and so is a small change after it.

--- a/core/datacentre/large_change_test.go
+++ b/core/datacentre/large_change_test.go
@@ -75,3 +75,24 @@
 	lc := spreadLargeChange(t, si)
 	assert.Assert(t, lc.contentBytes < lc.contents*lc.deltaBytes/2, "%d messages of %d bytes in all, the change has %d bytes", lc.contents, lc.contentBytes, lc.deltaBytes)
 }
+
+// TestLargeChangeReachesOlderNodes runs every other host as one of an earlier release.
+func TestLargeChangeReachesOlderNodes(t *testing.T) {
+	si := newSimulation(simulationConfig{
+		seed:           11,
+		hosts:          40,
+		centres:        4,
+		readsPerSecond: 40,
+	})
+	si.older = map[host.ID]bool{}
+	for i, id := range si.hostIDs {
+		si.older[id] = i%2 == 1
+	}
+	si.startJoined()
+	si.converge(5 * time.Minute)
+	spreadLargeChange(t, si)
+	small := si.accept(si.hostIDs[1], false)
+	assert.Assert(t, small)
+	si.converge(10 * time.Second)
+	assert.Equal(t, len(si.violations), 0, "%q", si.violations)
+}
--- a/core/datacentre/simulation_test.go
+++ b/core/datacentre/simulation_test.go
@@ -66,6 +66,8 @@
 	accepted []*contract.Snapshot
 	deltas   []*contract.Delta
 	contacts map[Name][]string
+	// older holds the hosts that ignore fields which an earlier release does not know.
+	older map[host.ID]bool
 	// introductionWrites counts the writes of introduction rows.
 	introductionWrites int
 	platformDown       bool
@@ -376,12 +378,34 @@
 		si.serial++
 		si.links[ke] = si.serial
 		si.openedAt[ke] = si.now
-		mine, theirs := ho.member.Hello(), peer.member.Hello()
+		mine, theirs := si.hello(ho), si.hello(peer)
 		si.step(ho, LinkOpened{Peer: to, Hello: theirs, Address: address})
 		si.step(peer, LinkOpened{Peer: ho.id, Hello: mine})
 	})
 }
 
+// hello returns a host's hello. That of an older host says nothing of compressed deltas.
+func (si *simulation) hello(ho *hostState) *wire.Hello {
+	he := ho.member.Hello()
+	he.AcceptsPacked = he.AcceptsPacked && !si.older[ho.id]
+	return he
+}
+
+// asReadBy returns a message as a host reads it: an older one ignores newer fields.
+func (si *simulation) asReadBy(id host.ID, ms *wire.Control) *wire.Control {
+	if !si.older[id] || ms.GetUpdate() == nil && ms.GetNotice() == nil {
+		return ms
+	}
+	ms = proto.CloneOf(ms)
+	switch ki := ms.GetKind().(type) {
+	case *wire.Control_Update:
+		ki.Update.PackedDelta = nil
+	case *wire.Control_Notice:
+		ki.Notice.OnRequest = false
+	}
+	return ms
+}
+
 // closeLink closes a link after a delay and reports this to both ends.
 func (si *simulation) closeLink(a, b host.ID, delay time.Duration) {
 	ke := pair(a, b)
@@ -425,7 +449,7 @@
 	for range times {
 		si.after(si.latency(), func() {
 			if si.links[ke] == serial && si.reachable(ho.id, ac.Peer) {
-				si.step(si.hosts[ac.Peer], MessageReceived{Peer: ho.id, Message: ms})
+				si.step(si.hosts[ac.Peer], MessageReceived{Peer: ho.id, Message: si.asReadBy(ac.Peer, ms)})
 			}
 		})
 	}
