--- a/core/datacentre/links.go
+++ b/core/datacentre/links.go
@@ -183,11 +183,10 @@
 		me.endIsolation(now)
 	}
 	pe := &peer{
-		id:        id,
-		dialled:   ev.Address != "",
-		version:   contract.Version(ev.Hello.GetVersion()),
-		activated: ev.Hello.GetSettled(),
-
+		id:            id,
+		dialled:       ev.Address != "",
+		version:       contract.Version(ev.Hello.GetVersion()),
+		activated:     ev.Hello.GetSettled(),
 		acceptsPacked: ev.Hello.GetAcceptsPacked(),
 	}
 	me.links[id] = pe
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -145,14 +145,13 @@
 // Hello returns this node's first message on a new link.
 func (me *Member) Hello() *wire.Hello {
 	return &wire.Hello{
-		Mesh:        me.cfg.Mesh,
-		Host:        proto.CloneOf(me.self),
-		Version:     uint64(me.versions.verified.Version),
-		Digest:      string(me.versions.verified.Digest),
-		Members:     me.recordsDigest,
-		Settled:     me.activated(),
-		MemberCount: uint32(me.liveHosts),
-
+		Mesh:          me.cfg.Mesh,
+		Host:          proto.CloneOf(me.self),
+		Version:       uint64(me.versions.verified.Version),
+		Digest:        string(me.versions.verified.Digest),
+		Members:       me.recordsDigest,
+		Settled:       me.activated(),
+		MemberCount:   uint32(me.liveHosts),
 		AcceptsPacked: true,
 	}
 }
--- a/core/datacentre/versions.go
+++ b/core/datacentre/versions.go
@@ -288,8 +288,8 @@
 	me.send(id, ms)
 }
 
-// sendUpdate sends a delta to a peer and raises the peer's floor, since the peer may
-// have the version from then on.
+// sendUpdate sends a delta to a peer, compressed if it is long and the peer reads that,
+// and raises the peer's floor, since the peer may have the version from then on.
 func (me *Member) sendUpdate(id host.ID, ed encodedDelta) {
 	me.raisePeerFloor(id, ed.delta.Result)
 	up := &wire.Update{Version: uint64(ed.delta.Result)}
@@ -298,7 +298,11 @@
 	} else {
 		up.Delta = ed.raw
 	}
-	me.send(id, &wire.Control{Kind: &wire.Control_Update{Update: up}})
+	me.send(id, &wire.Control{
+		Kind: &wire.Control_Update{
+			Update: up,
+		},
+	})
 }
 
 // handleNotice processes the versions and the digest of a peer's notice.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,13 +90,12 @@
 	}
 	me := testkit.StartMesh(t, cfg)
 	sr := &soakRun{
-		t:        t,
-		seed:     seed,
-		rnd:      rand.New(rand.NewPCG(seed, 1)),
-		mesh:     me,
-		bookings: testkit.NewCallersWithPrefix(me, "booking"),
-		reads:    testkit.NewCallersWithPrefix(me, "read"),
-
+		t:          t,
+		seed:       seed,
+		rnd:        rand.New(rand.NewPCG(seed, 1)),
+		mesh:       me,
+		bookings:   testkit.NewCallersWithPrefix(me, "booking"),
+		reads:      testkit.NewCallersWithPrefix(me, "read"),
 		ingressIDs: ingressIDs,
 	}
 	sr.bookings.EnableKeepAlive()
