fix: give a long request to the platform the time to be sent

A document that an operator accepts on a host whose link does not carry it within the timeout could never be stored.

The time to send is now allowed at 64 KB a second; 30 s remain the limit of all.

Before: TestRequestSlowerThanTimeoutIsSent failed (fasthttp: timeout); now it passes.

--- a/io/platform/transport.go
+++ b/io/platform/transport.go
@@ -20,6 +20,8 @@
 	maxConnsPerServer = 16
 	// idleConnTimeout is how long an unused connection is kept open.
 	idleConnTimeout = 10 * time.Second
+	// minSendBytesPerSecond is the rate at which a request must be sent at least.
+	minSendBytesPerSecond = 64 << 10
 	// maxResponseTime limits the time in which a response that keeps arriving must be
 	// complete.
 	maxResponseTime = 30 * time.Second
@@ -28,8 +30,8 @@
 // Transport sends HTTP requests to the platform. It never retries a request and
 // never reuses a connection on which a request has failed.
 type Transport struct {
-	// timeout limits the wait for the header of a response, and then for each further
-	// part of it: how long a whole response takes depends on the link.
+	// timeout limits the wait for the header of a response once the request is sent, and
+	// then for each further part of it: how long all of it takes depends on the link.
 	timeout time.Duration
 	http    *fasthttp.Client
 	// onRequestDone is called at the end of each request; it may be nil.
@@ -41,9 +43,8 @@
 }
 
 // NewTransport returns a transport with a timeout for the wait for a response and for
-// each further part of it. onRequestDone is
-// called at the end of each request with its method and its outcome: the HTTP status,
-// or why there was no response. It may be nil.
+// each further part of it. onRequestDone is called at the end of each request with its
+// method and its outcome: the HTTP status, or why there was no response. It may be nil.
 func NewTransport(timeout time.Duration, onRequestDone func(method, outcome string)) *Transport {
 	tr := &Transport{
 		timeout:       timeout,
@@ -157,7 +158,7 @@
 	if ctxDeadline, ok := ctx.Deadline(); ok && ctxDeadline.Before(completeBy) {
 		completeBy = ctxDeadline
 	}
-	headerBy := earlier(now.Add(tr.timeout+rq.LongPollWait), completeBy)
+	headerBy := earlier(now.Add(tr.timeout+rq.LongPollWait+maxSendTime(rq.Body)), completeBy)
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -184,6 +185,12 @@
 	return resp, nil
 }
 
+// maxSendTime returns how long the body of a request may take to be sent, which depends
+// on the link.
+func maxSendTime(body []byte) time.Duration {
+	return time.Duration(len(body)) * time.Second / minSendBytesPerSecond
+}
+
 // readBody reads the body of a response into memory. Each part of it must arrive within
 // the timeout, and all of it by completeBy.
 func (tr *Transport) readBody(resp *fasthttp.Response, completeBy time.Time) error {
--- a/io/platform/transport_test.go
+++ b/io/platform/transport_test.go
@@ -172,3 +172,42 @@
 	}
 	assert.Equal(t, cs.conns.Load(), int64(1))
 }
+
+// TestRequestSlowerThanTimeoutIsSent lets the server take a long request slowly.
+func TestRequestSlowerThanTimeoutIsSent(t *testing.T) {
+	const (
+		length    = 24 << 20
+		partBytes = 2 << 20
+	)
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		co, err := li.Accept()
+		if err != nil {
+			return
+		}
+		defer co.Close()
+		req, err := http.ReadRequest(bufio.NewReader(co))
+		if err != nil {
+			return
+		}
+		for err == nil {
+			time.Sleep(50 * time.Millisecond)
+			_, err = io.CopyN(io.Discard, req.Body, partBytes)
+		}
+		_, _ = io.WriteString(co, "HTTP/1.1 201 Created\r\ncontent-length: 0\r\n\r\n")
+	})
+	t.Cleanup(func() {
+		_ = li.Close()
+		wg.Wait()
+	})
+	resp, err := newTransport(t, 200*time.Millisecond).Do(context.Background(), platform.Request{
+		Method: http.MethodPut,
+		URL:    "http://" + li.Addr().String(),
+		Body:   make([]byte, length),
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode(), http.StatusCreated)
+	fasthttp.ReleaseResponse(resp)
+}
