--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -646,6 +646,10 @@
 				return
 			}
 			_ = cc.writeFrame(&wire.Frame{Kind: &wire.Frame_Continue{Continue: &wire.Continue{}}})
+			if _, err := co.Reader.Peek(1); err != nil {
+				ended <- err
+				return
+			}
 			time.Sleep(100 * time.Millisecond) // the ingress fills the buffers of the connection
 			cancel()
 			time.Sleep(2 * heartbeatInterval)
