fix: let a killed stand-in upstream answer nothing

Cause: the stand-in, killed while it was set to be unresponsive, returned from the waiting handlers before it closed the connections, and the HTTP library wrote its default answer, 200 without a body. The nodes did what they should.

--- a/io/upstream/standin/serve.go
+++ b/io/upstream/standin/serve.go
@@ -52,6 +52,9 @@
 	defer sv.running.Add(-1)
 	if sv.unresponsive.Load() {
 		sv.waitForDisconnect(ctx)
+		// Without this the HTTP library would answer 200 when the server stops first.
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
 		return
 	}
 	if running > int64(sv.cfg.Slots) {
