refactor: share the scaffolding of the new tests with that of the old

The listener for raw call connections, the upstream that answers each request and the start of a soak run stood twice. The checks are the same.

--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -60,6 +60,22 @@
 	return li.Addr().String(), ls
 }
 
+// listenCalls starts a listener that passes call connections to a function of the test,
+// and returns its address.
+func listenCalls(t *testing.T, calls func(co *Conn)) string {
+	t.Helper()
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ls := NewListener(li, ListenerConfig{
+		Calls:   calls,
+		Control: func(*Conn) {},
+		Refused: func(*RefusedError) {},
+	})
+	go func() { _ = ls.Serve() }()
+	t.Cleanup(ls.Close)
+	return li.Addr().String()
+}
+
 func newCallPool(t *testing.T) *CallPool {
 	cp := NewCallPool(&Dialer{Timeout: time.Second})
 	t.Cleanup(cp.Close)
@@ -553,19 +569,11 @@
 			return completeReply("")
 		},
 	})
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	ls := NewListener(li, ListenerConfig{
-		Calls: func(co *Conn) {
-			time.Sleep(delay)
-			cs.Serve(co)
-		},
-		Control: func(*Conn) {},
-		Refused: func(*RefusedError) {},
+	address := listenCalls(t, func(co *Conn) {
+		time.Sleep(delay)
+		cs.Serve(co)
 	})
-	go func() { _ = ls.Serve() }()
-	t.Cleanup(ls.Close)
-	newCallPool(t).Send(testContext(t), li.Addr().String(), requestOf("a.1.1.1", 0), nil)
+	newCallPool(t).Send(testContext(t), address, requestOf("a.1.1.1", 0), nil)
 	assert.Assert(t, <-remaining <= testTimeout-delay)
 }
 
@@ -600,31 +608,23 @@
 func TestFrameSlowerThanHeartbeatTimeoutIsReadWhileItArrives(t *testing.T) {
 	const pieces = 6
 	body := strings.Repeat("x", 60_000)
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	ls := NewListener(li, ListenerConfig{
-		Calls: func(co *Conn) {
-			cc := &callConn{co: co}
-			_ = cc.writeFrame(&wire.Frame{})
-			if _, err := cc.readFrame(); err != nil {
-				return
-			}
-			out, err := appendMessage(nil, replyFrame(completeReply(body)))
-			if err != nil {
-				return
-			}
-			for i := range pieces {
-				time.Sleep(heartbeatTimeout / 3)
-				_, _ = co.Write(out[i*len(out)/pieces : (i+1)*len(out)/pieces])
-			}
-			_, _ = cc.readFrame()
-		},
-		Control: func(*Conn) {},
-		Refused: func(*RefusedError) {},
+	address := listenCalls(t, func(co *Conn) {
+		cc := &callConn{co: co}
+		_ = cc.writeFrame(&wire.Frame{})
+		if _, err := cc.readFrame(); err != nil {
+			return
+		}
+		out, err := appendMessage(nil, replyFrame(completeReply(body)))
+		if err != nil {
+			return
+		}
+		for i := range pieces {
+			time.Sleep(heartbeatTimeout / 3)
+			_, _ = co.Write(out[i*len(out)/pieces : (i+1)*len(out)/pieces])
+		}
+		_, _ = cc.readFrame()
 	})
-	go func() { _ = ls.Serve() }()
-	t.Cleanup(ls.Close)
-	re := newCallPool(t).Send(testContext(t), li.Addr().String(), requestOf("a.1.1.1", 0), nil)
+	re := newCallPool(t).Send(testContext(t), address, requestOf("a.1.1.1", 0), nil)
 	assert.Equal(t, re.LinkLost, false, "%s", re.Detail)
 	assert.Equal(t, len(re.Response.GetBody()), len(body))
 }
@@ -636,34 +636,26 @@
 	ctx, cancel := context.WithCancel(testContext(t))
 	ended := make(chan error, 1)
 	received := int64(0)
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	ls := NewListener(li, ListenerConfig{
-		Calls: func(co *Conn) {
-			cc := &callConn{co: co}
-			_ = cc.writeFrame(&wire.Frame{})
-			if _, err := cc.readFrame(); err != nil {
-				return
-			}
-			_ = cc.writeFrame(&wire.Frame{Kind: &wire.Frame_Continue{Continue: &wire.Continue{}}})
-			if _, err := co.Reader.Peek(1); err != nil {
-				ended <- err
-				return
-			}
-			time.Sleep(100 * time.Millisecond) // the ingress fills the buffers of the connection
-			cancel()
-			time.Sleep(2 * heartbeatInterval)
-			n, err := io.Copy(io.Discard, co)
-			received = n
+	address := listenCalls(t, func(co *Conn) {
+		cc := &callConn{co: co}
+		_ = cc.writeFrame(&wire.Frame{})
+		if _, err := cc.readFrame(); err != nil {
+			return
+		}
+		_ = cc.writeFrame(&wire.Frame{Kind: &wire.Frame_Continue{Continue: &wire.Continue{}}})
+		if _, err := co.Reader.Peek(1); err != nil {
 			ended <- err
-		},
-		Control: func(*Conn) {},
-		Refused: func(*RefusedError) {},
+			return
+		}
+		time.Sleep(100 * time.Millisecond) // the ingress fills the buffers of the connection
+		cancel()
+		time.Sleep(2 * heartbeatInterval)
+		n, err := io.Copy(io.Discard, co)
+		received = n
+		ended <- err
 	})
-	go func() { _ = ls.Serve() }()
-	t.Cleanup(ls.Close)
 	body := io.NopCloser(io.LimitReader(zeros{}, length))
-	re := newCallPool(t).Send(ctx, li.Addr().String(), requestOf("a.1.1.1", length), body)
+	re := newCallPool(t).Send(ctx, address, requestOf("a.1.1.1", length), body)
 	assert.Equal(t, re.Refusal.GetReason(), string(host.ReasonCancelled))
 	assert.Assert(t, errors.Is(<-ended, syscall.ECONNRESET), "the rest of the body followed, %d bytes", received)
 }
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -56,6 +56,16 @@
 	return sc
 }
 
+// answerOK answers each request of a connection.
+func answerOK(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
+	for {
+		if _, ok := sc.readRequest(rd); !ok {
+			return
+		}
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
 // readRequest reads a request and counts it.
 func (sc *scriptedUpstream) readRequest(rd *bufio.Reader) (*http.Request, bool) {
 	rq, err := http.ReadRequest(rd)
@@ -163,14 +173,7 @@
 // TestIdleConnectionReuse checks that idempotent requests reuse idle connections
 // up to maxIdleTime, and others only shortly after the last use.
 func TestIdleConnectionReuse(t *testing.T) {
-	sc := startScriptedUpstream(t, func(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
-		for {
-			if _, ok := sc.readRequest(rd); !ok {
-				return
-			}
-			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		}
-	})
+	sc := startScriptedUpstream(t, answerOK)
 	cl := newClient(t)
 	idempotent := newRequest("GET")
 	idempotent.Idempotent = true
@@ -422,14 +425,7 @@
 // TestRequestWhoseCallerHasLeftIsNotSent uses an open connection, on which a request can
 // be sent at once.
 func TestRequestWhoseCallerHasLeftIsNotSent(t *testing.T) {
-	sc := startScriptedUpstream(t, func(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
-		for {
-			if _, ok := sc.readRequest(rd); !ok {
-				return
-			}
-			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-		}
-	})
+	sc := startScriptedUpstream(t, answerOK)
 	cl := newClient(t)
 	rq := newRequest("GET")
 	rq.Idempotent = true
--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -39,29 +39,29 @@
 // restartRounds are the ways in which all hosts stop, in order.
 var restartRounds = []struct {
 	name string
-	stop func(rs *soakRun)
+	stop func(sr *soakRun)
 }{
 	{name: "all killed", stop: killAll},
-	{name: "all terminated", stop: func(rs *soakRun) {
-		rs.signalAll(syscall.SIGTERM)
-		time.Sleep(time.Duration(500+rs.rnd.IntN(1500)) * time.Millisecond)
-		killAll(rs)
+	{name: "all terminated", stop: func(sr *soakRun) {
+		sr.signalAll(syscall.SIGTERM)
+		time.Sleep(time.Duration(500+sr.rnd.IntN(1500)) * time.Millisecond)
+		killAll(sr)
 	}},
-	{name: "killed again while starting", stop: func(rs *soakRun) {
-		killAll(rs)
-		rs.startAll()
-		time.Sleep(time.Duration(100+rs.rnd.IntN(900)) * time.Millisecond)
-		killAll(rs)
+	{name: "killed again while starting", stop: func(sr *soakRun) {
+		killAll(sr)
+		sr.startAll()
+		time.Sleep(time.Duration(100+sr.rnd.IntN(900)) * time.Millisecond)
+		killAll(sr)
 	}},
-	{name: "killed during a change", stop: func(rs *soakRun) {
-		rs.acceptRestartVersion()
-		time.Sleep(time.Duration(rs.rnd.IntN(300)) * time.Millisecond)
-		killAll(rs)
+	{name: "killed during a change", stop: func(sr *soakRun) {
+		sr.acceptRestartVersion()
+		time.Sleep(time.Duration(sr.rnd.IntN(300)) * time.Millisecond)
+		killAll(sr)
 	}},
 }
 
-func killAll(rs *soakRun) {
-	for _, ho := range rs.mesh.Hosts {
+func killAll(sr *soakRun) {
+	for _, ho := range sr.mesh.Hosts {
 		ho.Kill()
 	}
 }
@@ -139,23 +139,14 @@
 			},
 		})
 	}
-	me := testkit.StartMesh(t, cfg)
-	sr := &soakRun{
-		t:        t,
-		seed:     seed,
-		rnd:      rand.New(rand.NewPCG(seed, 1)),
-		mesh:     me,
-		bookings: testkit.NewCallersWithPrefix(me, "booking"),
-		reads:    testkit.NewCallersWithPrefix(me, "read"),
-	}
+	var ids []string
 	for _, hs := range cfg.Hosts[:min(restartIngresses, len(cfg.Hosts))] {
-		sr.ingressIDs = append(sr.ingressIDs, hs.ID)
+		ids = append(ids, hs.ID)
 	}
-	sr.bookings.EnableKeepAlive()
-	sr.reads.EnableKeepAlive()
+	sr := newRun(t, seed, cfg, ids)
 	testkit.Eventually(t, waitTimeout, "a version is accepted", sr.acceptRestartVersion)
-	testkit.Eventually(t, waitTimeout, "version 1 is in force everywhere", func() bool { return me.AllAtVersion(1) })
-	me.LimitPlatformBandwidth(restartBandwidthKBPerSecond)
+	testkit.Eventually(t, waitTimeout, "version 1 is in force everywhere", func() bool { return sr.mesh.AllAtVersion(1) })
+	sr.mesh.LimitPlatformBandwidth(restartBandwidthKBPerSecond)
 	return sr
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,6 +88,14 @@
 		}
 		cfg.Hosts = append(cfg.Hosts, hs)
 	}
+	sr := newRun(t, seed, cfg, ingressIDs)
+	testkit.Eventually(t, waitTimeout, "a version is accepted", func() bool { return sr.acceptNextVersion(hostIDs[0]) })
+	sr.waitUntilStable()
+	return sr
+}
+
+// newRun starts a mesh, with callers that use the given hosts and keep their connections.
+func newRun(t *testing.T, seed uint64, cfg testkit.MeshConfig, ingressIDs []string) *soakRun {
 	me := testkit.StartMesh(t, cfg)
 	sr := &soakRun{
 		t:          t,
@@ -100,8 +108,6 @@
 	}
 	sr.bookings.EnableKeepAlive()
 	sr.reads.EnableKeepAlive()
-	testkit.Eventually(t, waitTimeout, "a version is accepted", func() bool { return sr.acceptNextVersion(hostIDs[0]) })
-	sr.waitUntilStable()
 	return sr
 }
 
