fix: give each fault of the soak its own random source

Each fault now has a source derived from the seed and its place in the schedule; the schedule of a seed is as before.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -16,53 +16,53 @@
 	name string
 	// needsUpstream restricts the fault to hosts with an upstream.
 	needsUpstream bool
-	begin         func(sr *soakRun, ho *testkit.Host) (end func())
+	begin         func(sr *soakRun, ho *testkit.Host, rnd *rand.Rand) (end func())
 }
 
 // hostFaults are the faults that affect a single host.
 var hostFaults = []fault{
-	{name: "link down", begin: func(_ *soakRun, ho *testkit.Host) func() {
+	{name: "link down", begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.StopProxy()
 		return ho.StartProxy
 	}},
-	{name: "link proxy restarted", begin: func(_ *soakRun, ho *testkit.Host) func() {
+	{name: "link proxy restarted", begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.RestartProxy()
 		return func() {}
 	}},
-	{name: "link blackholed", begin: func(_ *soakRun, ho *testkit.Host) func() {
+	{name: "link blackholed", begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.Blackhole()
 		return ho.EndBlackhole
 	}},
-	{name: "link blackholed in one direction", begin: func(sr *soakRun, ho *testkit.Host) func() {
-		return ho.BlackholeDirection([]string{"upstream", "downstream"}[sr.rnd.IntN(2)])
+	{name: "link blackholed in one direction", begin: func(_ *soakRun, ho *testkit.Host, rnd *rand.Rand) func() {
+		return ho.BlackholeDirection([]string{"upstream", "downstream"}[rnd.IntN(2)])
 	}},
-	{name: "link slow", begin: func(sr *soakRun, ho *testkit.Host) func() {
-		return ho.AddLatency(time.Duration(20+sr.rnd.IntN(300)) * time.Millisecond)
+	{name: "link slow", begin: func(_ *soakRun, ho *testkit.Host, rnd *rand.Rand) func() {
+		return ho.AddLatency(time.Duration(20+rnd.IntN(300)) * time.Millisecond)
 	}},
-	{name: "node killed", begin: func(_ *soakRun, ho *testkit.Host) func() {
+	{name: "node killed", begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.Kill()
 		return ho.Start
 	}},
-	{name: "node terminated", begin: func(sr *soakRun, ho *testkit.Host) func() {
+	{name: "node terminated", begin: func(sr *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.Signal(syscall.SIGTERM)
 		return func() {
 			assert.Check(sr.t, ho.WaitExit(waitTimeout), "node did not exit after SIGTERM")
 			ho.Start()
 		}
 	}},
-	{name: "node paused", begin: func(_ *soakRun, ho *testkit.Host) func() {
+	{name: "node paused", begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.Signal(syscall.SIGSTOP)
 		return func() { ho.Signal(syscall.SIGCONT) }
 	}},
-	{name: "settings reloaded", begin: func(_ *soakRun, ho *testkit.Host) func() {
+	{name: "settings reloaded", begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.Signal(syscall.SIGHUP)
 		return func() {}
 	}},
-	{name: "upstream killed", needsUpstream: true, begin: func(_ *soakRun, ho *testkit.Host) func() {
+	{name: "upstream killed", needsUpstream: true, begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.KillUpstream()
 		return ho.StartUpstream
 	}},
-	{name: "upstream unresponsive", needsUpstream: true, begin: func(_ *soakRun, ho *testkit.Host) func() {
+	{name: "upstream unresponsive", needsUpstream: true, begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.Upstream.SetUnresponsive(true)
 		return func() { ho.Upstream.SetUnresponsive(false) }
 	}},
@@ -75,7 +75,7 @@
 
 // beginDrain drains the upstream. The returned function checks that it gets no calls
 // after the grace period, and replaces it.
-func beginDrain(sr *soakRun, ho *testkit.Host) func() {
+func beginDrain(sr *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 	ho.Upstream.Drain()
 	startedAt := time.Now()
 	return func() {
@@ -91,28 +91,28 @@
 // platformFaults affect the platform or one data centre's connection to it.
 var platformFaults = []struct {
 	name  string
-	begin func(sr *soakRun) (end func())
+	begin func(sr *soakRun, rnd *rand.Rand) (end func())
 }{
-	{name: "platform down", begin: func(sr *soakRun) func() {
+	{name: "platform down", begin: func(sr *soakRun, _ *rand.Rand) func() {
 		return sr.setPlatformFaults(platformstandin.Faults{Down: true})
 	}},
-	{name: "platform slow", begin: func(sr *soakRun) func() {
-		return sr.setPlatformFaults(platformstandin.Faults{DelayMS: int64(sr.rnd.IntN(1500)), JitterMS: 300})
+	{name: "platform slow", begin: func(sr *soakRun, rnd *rand.Rand) func() {
+		return sr.setPlatformFaults(platformstandin.Faults{DelayMS: int64(rnd.IntN(1500)), JitterMS: 300})
 	}},
-	{name: "platform loses answers", begin: func(sr *soakRun) func() {
-		return sr.setPlatformFaults(platformstandin.Faults{LoseReplies: 1 + sr.rnd.IntN(4)})
+	{name: "platform loses answers", begin: func(sr *soakRun, rnd *rand.Rand) func() {
+		return sr.setPlatformFaults(platformstandin.Faults{LoseReplies: 1 + rnd.IntN(4)})
 	}},
-	{name: "platform applies writes late", begin: func(sr *soakRun) func() {
-		return sr.setPlatformFaults(platformstandin.Faults{LateWrites: 1 + sr.rnd.IntN(2), LateByMS: 700})
+	{name: "platform applies writes late", begin: func(sr *soakRun, rnd *rand.Rand) func() {
+		return sr.setPlatformFaults(platformstandin.Faults{LateWrites: 1 + rnd.IntN(2), LateByMS: 700})
 	}},
-	{name: "platform fails after applying a write", begin: func(sr *soakRun) func() {
-		return sr.setPlatformFaults(platformstandin.Faults{FailAfterEffect: 1 + sr.rnd.IntN(3)})
+	{name: "platform fails after applying a write", begin: func(sr *soakRun, rnd *rand.Rand) func() {
+		return sr.setPlatformFaults(platformstandin.Faults{FailAfterEffect: 1 + rnd.IntN(3)})
 	}},
-	{name: "platform refuses some requests", begin: func(sr *soakRun) func() {
-		return sr.setPlatformFaults(platformstandin.Faults{RefuseEvery: int64(2 + sr.rnd.IntN(3))})
+	{name: "platform refuses some requests", begin: func(sr *soakRun, rnd *rand.Rand) func() {
+		return sr.setPlatformFaults(platformstandin.Faults{RefuseEvery: int64(2 + rnd.IntN(3))})
 	}},
-	{name: "platform unreachable from one data centre", begin: func(sr *soakRun) func() {
-		px := sr.mesh.PlatformProxies[dataCentres[sr.rnd.IntN(len(dataCentres))]]
+	{name: "platform unreachable from one data centre", begin: func(sr *soakRun, rnd *rand.Rand) func() {
+		px := sr.mesh.PlatformProxies[dataCentres[rnd.IntN(len(dataCentres))]]
 		px.Stop()
 		return func() { assert.Check(sr.t, px.Start()) }
 	}},
@@ -131,7 +131,9 @@
 	target         string
 	name           string
 	startAt, endAt time.Duration
-	begin          func(sr *soakRun) (end func())
+	// rnd is the fault's own source, as faults of several targets begin at once.
+	rnd   *rand.Rand
+	begin func(sr *soakRun, rnd *rand.Rand) (end func())
 }
 
 // scheduleFaults draws the faults of a run at random. Faults of different targets
@@ -151,7 +153,7 @@
 				name:    fa.name,
 				startAt: at,
 				endAt:   at + duration,
-				begin:   func(sr *soakRun) func() { return fa.begin(sr, ho) },
+				begin:   func(sr *soakRun, rnd *rand.Rand) func() { return fa.begin(sr, ho, rnd) },
 			})
 			at += duration
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -150,15 +150,16 @@
 	var wg sync.WaitGroup
 	startedAt := time.Now()
 	targets := map[string][]scheduledFault{}
-	for _, sf := range faults {
-		targets[sf.target] = append(targets[sf.target], sf)
+	for i := range faults {
+		faults[i].rnd = rand.New(rand.NewPCG(sr.seed, uint64(i)))
+		targets[faults[i].target] = append(targets[faults[i].target], faults[i])
 	}
 	for _, scheduled := range targets {
 		wg.Go(func() {
 			for _, sf := range scheduled {
 				time.Sleep(time.Until(startedAt.Add(sf.startAt)))
 				sr.t.Logf("%5.2f s, for %4.2f s  %s: %s", time.Since(startedAt).Seconds(), (sf.endAt - sf.startAt).Seconds(), sf.target, sf.name)
-				end := sf.begin(sr)
+				end := sf.begin(sr, sf.rnd)
 				time.Sleep(sf.endAt - sf.startAt)
 				end()
 			}
