test: reproduce requests beyond a rate limit and after a leaving notice

The stand-in upstream states a rate limit or that it is leaving in its responses, and records each arrival, health checks included.

--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -10,6 +10,16 @@
 	"lynxfold/core/wire"
 )
 
+// Response headers of lynxfold's native protocol in which an upstream states something
+// about itself.
+const (
+	// HeaderRateLimit is the number of requests per second that the upstream accepts from
+	// all hosts together; a decimal number.
+	HeaderRateLimit = "Lynxfold-Rate-Limit"
+	// HeaderLeaving is 1 if the upstream is leaving.
+	HeaderLeaving = "Lynxfold-Leaving"
+)
+
 // Protocol adds protocol headers to requests and classifies responses.
 type Protocol interface {
 	// SetHeaders adds the protocol's headers to a request for an upstream instance;
--- a/io/upstream/standin/server.go
+++ b/io/upstream/standin/server.go
@@ -43,10 +43,13 @@
 
 	unresponsive atomic.Bool
 
-	mu     sync.Mutex
-	ledger []Run
-	health Health
-	conns  map[net.Conn]bool
+	mu       sync.Mutex
+	ledger   []Run
+	arrivals []time.Time
+	limits   []RateLimitPeriod
+	leaving  bool
+	health   Health
+	conns    map[net.Conn]bool
 }
 
 // Health is the response of the health endpoint. InFlight is only updated with
@@ -100,10 +103,10 @@
 
 func (sv *Server) handler() fasthttp.RequestHandler {
 	ro := router.New()
-	ro.GET("/standin/health", sv.serveHealth)
+	ro.GET("/standin/health", sv.withNotices(sv.serveHealth))
 	ro.GET("/standin/ledger", sv.serveLedger)
 	ro.POST("/standin/drain", func(*fasthttp.RequestCtx) { sv.Drain() })
-	ro.NotFound = sv.serve
+	ro.NotFound = sv.withNotices(sv.serve)
 	ro.HandleMethodNotAllowed = false
 	return ro.Handler
 }
