--- a/cmd/process/probe.go
+++ b/cmd/process/probe.go
@@ -28,10 +28,10 @@
 			sleep(ctx, probeRetryInterval)
 			continue
 		}
-		an, ok := pr.prober.Probe(ctx, se.HealthPath)
-		pr.log.Info().Bool("usable", ok).Str("instance", string(an.Instance)).Msg("upstream probed after the start")
+		re, ok := pr.prober.Probe(ctx, se.HealthPath)
+		pr.log.Info().Bool("usable", ok).Str("instance", string(re.Announcement.Instance)).Msg("upstream probed after the start")
 		if ok && !pr.gate.Announced() {
-			pr.gate.Announce(an)
+			pr.gate.AnnounceProbed(re)
 		}
 		return nil
 	}
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -285,6 +285,8 @@
 		OnAnnouncementChange: ct.emitUpstreamChange,
 		OnInvariantViolation: ct.reportGateViolation,
 		Client:               cl,
+		OnRateLimited:        set.GetOrCreateCounter(`lynxfold_gate_rate_limited_total`).Inc,
+		OnUnreadableLimit:    set.GetOrCreateCounter(`lynxfold_gate_unreadable_limits_total`).Inc,
 		ObserveQueueTime:     func(took time.Duration) { waited.Update(took.Seconds()) },
 		Log:                  log,
 	})
--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -28,6 +28,7 @@
 	// localBuf is reused for the candidates of the local data centre, which most
 	// calls need.
 	localBuf []*upstreamStats
+	notices  notices
 }
 
 // NewChooser returns a Chooser for the callers of one data centre.
@@ -37,6 +38,7 @@
 		pools:     map[contract.ServiceName]*pool{},
 		upstreams: map[host.ID]*upstreamStats{},
 		rtts:      map[datacentre.Name]time.Duration{},
+		notices:   notices{},
 	}
 }
 
@@ -54,6 +56,10 @@
 	Cancelled bool
 	// Bulk says that the call is of class bulk; its latency is ignored.
 	Bulk bool
+	// Notice is what the upstream states about itself, as the gate reported it with a
+	// response. It is valid only if HasNotice is set.
+	Notice    host.PeerNotice
+	HasNotice bool
 }
 
 // Pick returns the better of two random upstreams that were not tried yet. It
@@ -219,8 +225,21 @@
 	}
 }
 
+// Notice returns what earlier responses have stated about an upstream.
+func (ch *Chooser) Notice(up datacentre.Upstream, now time.Time) host.PeerNotice {
+	return ch.notices.of(up.Host, now)
+}
+
+// Noticed records what a response states about the upstream that it came from.
+func (ch *Chooser) Noticed(up datacentre.Upstream, no host.PeerNotice, now time.Time) {
+	ch.notices.record(up.Host, no, now)
+}
+
 // Ended records the end of an attempt and updates the upstream's statistics.
 func (ch *Chooser) Ended(up datacentre.Upstream, ob Observation, now time.Time) {
+	if ob.HasNotice {
+		ch.Noticed(up, ob.Notice, now)
+	}
 	us := ch.upstreams[up.Host]
 	if us == nil {
 		return
--- a/core/call/no_queue_test.go
+++ b/core/call/no_queue_test.go
@@ -225,7 +225,7 @@
 func (ss *sparseSimulation) reply(id host.AttemptID, ga *host.Gate, re call.Result) {
 	sc := ss.calls[id]
 	delete(ss.calls, id)
-	load := ga.LoadPermille()
+	load := ga.LoadPermille(ss.now)
 	ss.schedule(simLatency, func() {
 		sc.node.chooser.Ended(sc.up, call.Observation{
 			Result:       re,
--- /dev/null
+++ b/core/call/notices.go
@@ -0,0 +1,53 @@
+package call
+
+import (
+	"time"
+
+	"lynxfold/core/host"
+)
+
+// noticeKeepTime is how long a notice is kept after it was last heard.
+const noticeKeepTime = 5 * time.Minute
+
+// notices holds what responses have stated about the upstreams that they came from, by
+// host. It outlives the upstreams in the view, because the requests of this node tell it
+// to gates that have lost it in a restart.
+type notices map[host.ID]heardNotice
+
+// heardNotice is a notice and when it was last heard.
+type heardNotice struct {
+	notice  host.PeerNotice
+	heardAt time.Time
+}
+
+// record stores the notice of a response from a host's upstream.
+func (ns notices) record(id host.ID, no host.PeerNotice, now time.Time) {
+	if no == (host.PeerNotice{}) {
+		delete(ns, id)
+		return
+	}
+	if _, found := ns[id]; !found {
+		ns.removeExpired(now)
+	}
+	ns[id] = heardNotice{
+		notice:  no,
+		heardAt: now,
+	}
+}
+
+func (ns notices) removeExpired(now time.Time) {
+	for id, he := range ns {
+		if now.Sub(he.heardAt) >= noticeKeepTime {
+			delete(ns, id)
+		}
+	}
+}
+
+// of returns what is known of the upstream of a host.
+func (ns notices) of(id host.ID, now time.Time) host.PeerNotice {
+	he := ns[id]
+	if now.Sub(he.heardAt) >= noticeKeepTime {
+		return host.PeerNotice{}
+	}
+	return he.notice
+}
--- a/core/call/upstream_stats.go
+++ b/core/call/upstream_stats.go
@@ -53,6 +53,9 @@
 	// load is the load that the gate reported at loadAt, relative to its slots.
 	load   float64
 	loadAt time.Time
+	// limitedUntil is when the upstream's rate limit allows another call, as its gate
+	// said with its last refusal.
+	limitedUntil time.Time
 	// slowStartFrom is when a new incarnation was first seen or when an ejection
 	// ends; zero if the weight is not reduced.
 	slowStartFrom       time.Time
@@ -119,9 +122,13 @@
 }
 
 // utilisation returns the share of the slots in use: by the attempts of this node,
-// or by all calls as reported by the gate if that is more. Above 1, calls queue.
+// or by all calls as reported by the gate if that is more. Above 1, calls queue; an
+// upstream whose rate limit allows no call counts as full.
 func (us *upstreamStats) utilisation(now time.Time) float64 {
 	own := float64(us.outstanding) / float64(max(1, us.upstream.Slots))
+	if now.Before(us.limitedUntil) {
+		own = max(own, 1)
+	}
 	return max(own, us.decayedLoad(now))
 }
 
@@ -132,6 +139,9 @@
 	if latency > slowLatencyFactor*max(defaultLatency, po.latency) {
 		return false
 	}
+	if us.limitedUntil.Sub(now) > maxWait {
+		return false
+	}
 	excess := us.utilisation(now) - spilloverUtilisation
 	return excess < 0 || time.Duration(excess*float64(latency)) <= maxWait
 }
@@ -139,7 +149,8 @@
 // score returns the cost of sending an attempt to the upstream: lower is better.
 func (us *upstreamStats) score(po *pool, now time.Time) float64 {
 	slots := float64(max(1, us.upstream.Slots))
-	return (us.utilisation(now) + 1/slots) * us.decayedLatency(po, now).Seconds() * float64(1+us.consecutiveFailures)
+	limitWait := max(0, us.limitedUntil.Sub(now).Seconds())
+	return limitWait + (us.utilisation(now)+1/slots)*us.decayedLatency(po, now).Seconds()*float64(1+us.consecutiveFailures)
 }
 
 // avoidFor returns how long an upstream is avoided after its gate was unavailable.
@@ -170,6 +181,10 @@
 		us.load = float64(ob.LoadPermille) / 1000
 		us.loadAt = now
 	}
+	us.limitedUntil = time.Time{}
+	if ob.Result.RateLimited {
+		us.limitedUntil = ob.Result.RetryAfter
+	}
 	if GateUnavailable(ob.Result) {
 		us.avoidedUntil = now.Add(avoidFor(ob.Result.Reason))
 		return
--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -24,6 +24,7 @@
 		ga.emit(RefuseArrival{ID: at.ID, Reason: ReasonForgotten})
 		return
 	}
+	ga.adoptNotice(at.Notice, now)
 	en := ga.ledger.add(at, or)
 	ga.setDue(en, now)
 	if re := ga.refusalReason(en, now); re != ReasonNone {
@@ -80,7 +81,7 @@
 	if !now.Before(at.Deadline) {
 		return ReasonDeadline
 	}
-	if ga.hasFreeSlot(at) {
+	if ga.hasFreeSlot(at, now) {
 		return ReasonNone
 	}
 	if ga.draining() {
@@ -94,7 +95,10 @@
 	if ga.queue.count(at.Class) >= min(ga.cfg.QueuePerSlot*ga.concurrencyLimit(), ga.ledger.cfg.MaxEntries/4-1) {
 		return ReasonQueueFull
 	}
-	wait := ga.estimateWait(en)
+	if ga.limitWait(en, now) > en.limitPatience() {
+		return ReasonQueueFull
+	}
+	wait := ga.estimateWait(en, now)
 	if now.Add(wait + ga.estimateFor(at).low).After(at.Deadline) {
 		return ReasonDeadline
 	}
@@ -127,23 +131,30 @@
 
 func (ga *Gate) refuse(en *entry, re Reason, now time.Time) {
 	ga.emit(Refuse{
-		ID:         en.attempt.ID,
-		Reason:     re,
-		RetryAfter: ga.retryAt(re, en, now),
+		ID:          en.attempt.ID,
+		Reason:      re,
+		RetryAfter:  ga.retryAt(re, en, now),
+		RateLimited: ga.isRateLimited(en, re, now),
 	})
 	ga.endAttempt(en, stateRefused, re, 0, now)
 }
 
+// isCapacityReason reports whether an attempt was refused because the upstream has no
+// room for it in time.
+func isCapacityReason(re Reason) bool {
+	return re == ReasonQueueFull || re == ReasonDeadline || re == ReasonBusy
+}
+
 // retryAt returns when a retry at this gate makes sense; zero means at once, at another
 // gate.
 func (ga *Gate) retryAt(re Reason, en *entry, now time.Time) time.Time {
-	switch re {
-	case ReasonQueueFull, ReasonDeadline, ReasonBusy:
-		if wait := ga.estimateWait(en); wait > 0 {
+	switch {
+	case isCapacityReason(re):
+		if wait := ga.estimateWait(en, now); wait > 0 {
 			return now.Add(wait)
 		}
 		return now.Add(ga.cfg.DefaultRetryAfter)
-	case ReasonNoUpstream, ReasonDraining, ReasonSettling:
+	case re == ReasonNoUpstream, re == ReasonDraining, re == ReasonSettling:
 		return now.Add(ga.cfg.DefaultRetryAfter)
 	}
 	return time.Time{}
--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -48,9 +48,9 @@
 // demandWindow is the window of the moving average of the lookup demand, in samples.
 const demandWindow = 64
 
-// hasFreeSlot reports whether an arriving attempt gets a slot at once. Queued bulk that
-// may not take a slot does not count as ahead of a lookup.
-func (ga *Gate) hasFreeSlot(at Attempt) bool {
+// hasFreeSlot reports whether an arriving attempt gets a slot at once and the rate limit
+// allows it. Queued bulk that may not take a slot does not count as ahead of a lookup.
+func (ga *Gate) hasFreeSlot(at Attempt, now time.Time) bool {
 	if at.Class == contract.ClassBulk && at.BodyBytes != 0 && ga.transfers.full() {
 		return false
 	}
@@ -58,7 +58,7 @@
 	if at.Class != contract.ClassBulk && len(ga.queue.bulk) > 0 && !ga.bulkAllowed(ga.queue.bulk[0].attempt.Rank) {
 		ahead = len(ga.queue.lookups)
 	}
-	return ga.freeSlots() > ahead
+	return ga.freeSlots() > ahead && ga.limiter.allows(ahead+1, now)
 }
 
 // recordLookupDemand samples the number of concurrent lookups by rank when a lookup
@@ -84,9 +84,15 @@
 	}
 }
 
-// estimateWait estimates how long a new attempt waits until a slot is free and its body
-// may be received.
-func (ga *Gate) estimateWait(en *entry) time.Duration {
+// estimateWait estimates how long a new attempt waits until a slot is free, the rate
+// limit allows it and its body may be received.
+func (ga *Gate) estimateWait(en *entry, now time.Time) time.Duration {
+	return max(ga.slotWait(en), ga.limitWait(en, now))
+}
+
+// slotWait estimates how long a new attempt waits until a slot is free and its body may
+// be received.
+func (ga *Gate) slotWait(en *entry) time.Duration {
 	work := ga.estimateFor(en.attempt).mean
 	bodies := 0
 	ga.queue.visitAhead(en, func(it *entry) {
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -6,9 +6,10 @@
 	"lynxfold/core/contract"
 )
 
-// dispatchQueued dispatches queued attempts while slots are free.
+// dispatchQueued dispatches queued attempts while slots are free and the rate limit
+// allows it.
 func (ga *Gate) dispatchQueued(now time.Time) {
-	for ga.freeSlots() > 0 && ga.queue.len() > 0 && ga.UnavailableReason(now) == ReasonNone {
+	for ga.freeSlots() > 0 && ga.queue.len() > 0 && ga.limiter.allows(1, now) && ga.UnavailableReason(now) == ReasonNone {
 		en := ga.queue.pop(ga.bulkAllowed)
 		if en == nil {
 			return
@@ -40,6 +41,8 @@
 		return InvariantDispatchedOnce
 	case active > int(ga.upstream.Slots) || ga.upstream.Connections > 0 && active > ga.upstream.Connections:
 		return InvariantSlots
+	case !ga.limiter.allows(1, now):
+		return InvariantRateLimit
 	case !cutoff.IsZero() && !now.Before(cutoff):
 		return InvariantDrain
 	}
@@ -70,6 +73,7 @@
 	en.state = stateRunning
 	en.dispatched = now
 	ga.running[en.attempt.ID] = en
+	ga.limiter.take(now)
 	if en.attempt.Class == contract.ClassBulk {
 		ga.runningBulk++
 	}
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -59,6 +59,13 @@
 	ExpiresAt time.Time
 }
 
+// Noticed reports what the header of a response states about the upstream.
+type Noticed struct {
+	// SentAt is when the request of the response was sent.
+	SentAt time.Time
+	Notice Notice
+}
+
 // UpstreamLost reports that connections to the upstream fail, so that it counts as gone
 // until its next announcement.
 type UpstreamLost struct{}
@@ -97,6 +104,7 @@
 func (Arrived) isEvent()           {}
 func (Started) isEvent()           {}
 func (BodyReceived) isEvent()      {}
+func (Noticed) isEvent()           {}
 func (Ended) isEvent()             {}
 func (Cancelled) isEvent()         {}
 func (IncarnationRaised) isEvent() {}
@@ -120,6 +128,9 @@
 	Reason Reason
 	// RetryAfter is when a retry makes sense; zero means at once, at another gate.
 	RetryAfter time.Time
+	// RateLimited says that the upstream's rate limit left no room for the attempt, not
+	// its slots.
+	RateLimited bool
 }
 
 // RefuseArrival rejects only the arrival that was just reported: the gate has a
@@ -145,6 +156,12 @@
 	Reason Reason
 }
 
+// RateLimitChanged reports a change of the upstream's rate limit.
+type RateLimitChanged struct {
+	Before RateLimit
+	After  RateLimit
+}
+
 // DropAnswer tells the adapter to drop the kept answer of an attempt.
 type DropAnswer struct {
 	ID AttemptID
@@ -160,6 +177,9 @@
 	// InvariantSlots requires that the upstream works on no more calls than it has
 	// slots and connections.
 	InvariantSlots Invariant = "slots"
+	// InvariantRateLimit requires that nothing is dispatched beyond the upstream's rate
+	// limit.
+	InvariantRateLimit Invariant = "rate_limit"
 	// InvariantDrain requires that nothing is dispatched after the grace period of a drain.
 	InvariantDrain Invariant = "drain"
 )
@@ -177,4 +197,5 @@
 func (Interrupt) isAction()         {}
 func (AnswerQuery) isAction()       {}
 func (DropAnswer) isAction()        {}
+func (RateLimitChanged) isAction()  {}
 func (InvariantViolated) isAction() {}
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -54,6 +54,9 @@
 	orphans      orphanTracker
 	transfers    transferLimiter
 	instances    instanceTracker
+	limiter      rateLimiter
+	// processSince is when the upstream's process was first announced.
+	processSince time.Time
 	lookupTime   estimate
 	bulkTime     estimate
 	kindTimes    map[Kind]*estimate
@@ -105,6 +108,8 @@
 		ga.handleCancelled(ev.ID, now)
 	case Announced:
 		ga.handleAnnounced(ev, now)
+	case Noticed:
+		ga.handleNoticed(ev, now)
 	case UpstreamLost:
 		ga.upstreamKnown = false
 		ga.refuseQueued(ReasonNoUpstream, now)
@@ -118,6 +123,7 @@
 		ga.handleTick(now)
 	}
 	ga.dispatchQueued(now)
+	ga.refuseImpatient(now)
 	ga.dropRecords(now)
 	return ga.actions
 }
@@ -157,11 +163,18 @@
 func (ga *Gate) Service() contract.ServiceName { return ga.upstream.Service }
 
 // LoadPermille returns the running, orphaned and queued calls in thousandths of the
-// concurrency limit.
-func (ga *Gate) LoadPermille() uint32 {
+// concurrency limit. While the rate limit allows no further attempt, it is at least the
+// load at which an attempt would wait as long in the queue for a slot.
+func (ga *Gate) LoadPermille(now time.Time) uint32 {
 	limit := ga.concurrencyLimit()
 	if limit <= 0 {
 		return 1000
 	}
-	return uint32(1000 * (len(ga.running) + ga.orphans.count() + ga.queue.len()) / limit)
+	load := uint32(1000 * (len(ga.running) + ga.orphans.count() + ga.queue.len()) / limit)
+	wait := ga.limiter.wait(ga.queue.len()+1, now)
+	if wait == 0 {
+		return load
+	}
+	serviceTime := max(ga.lookupTime.mean, time.Millisecond)
+	return max(load, uint32(1000*(1+wait.Seconds()/serviceTime.Seconds())))
 }
--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 	now       time.Time
 	start     time.Time
 	lastQuery host.QueryID
+	// lastSequence is the number of the last announcement that names its instance.
+	lastSequence uint64
 }
 
 const incarnation = 5
@@ -51,9 +54,12 @@
 	if td.Cmd == "state" {
 		return fmt.Sprintf("running %d orphaned %d queued %d ledger %d kept %d load %d\n",
 			sc.gate.Running(), sc.gate.Orphaned(), sc.gate.Queued(), sc.gate.LedgerEntries(),
-			sc.gate.KeptBytes(), sc.gate.LoadPermille())
+			sc.gate.KeptBytes(), sc.gate.LoadPermille(sc.now))
 	}
 	ev := sc.event(t, td)
+	if an, ok := ev.(host.Announced); ok && !sc.gate.AcceptAnnouncement(an.Announcement, sc.now) {
+		return "rejected\n"
+	}
 	var out strings.Builder
 	for _, ac := range sc.gate.Step(ev, sc.now) {
 		out.WriteString(sc.formatAction(ac))
@@ -140,6 +146,8 @@
 		in := uint64(0)
 		td.ScanArgs(t, "incarnation", &in)
 		return host.IncarnationRaised{Incarnation: host.Incarnation(in)}
+	case "notice":
+		return sc.noticed(t, td)
 	case "drain":
 		after := 0
 		td.MaybeScanArgs(t, "after", &after)
@@ -166,19 +174,70 @@
 		"draining": host.StateDraining,
 		"gone":     host.StateGone,
 	}
+	an := host.Announcement{
+		Service:     "booking",
+		Address:     "127.0.0.1:9",
+		Slots:       host.Slots(slots),
+		Connections: connections,
+		State:       states[state],
+		InFlight:    inFlight,
+	}
+	td.MaybeScanArgs(t, "instance", (*string)(&an.Instance))
+	if an.Instance != "" {
+		started := 0
+		td.MaybeScanArgs(t, "started", &started)
+		an.StartedAt = time.Unix(int64(started), 0)
+		sc.lastSequence++
+		an.Sequence = sc.lastSequence
+	}
 	return host.Announced{
-		Announcement: host.Announcement{
-			Service:     "booking",
-			Address:     "127.0.0.1:9",
-			Slots:       host.Slots(slots),
-			Connections: connections,
-			State:       states[state],
-			InFlight:    inFlight,
-		},
-		ExpiresAt: sc.now.Add(time.Minute),
+		Announcement: an,
+		ExpiresAt:    sc.now.Add(time.Minute),
 	}
 }
 
+// noticed returns what a response states whose request was sent sent-ago milliseconds
+// before.
+func (sc *script) noticed(t *testing.T, td *datadriven.TestData) host.Event {
+	ago := 0
+	td.MaybeScanArgs(t, "sent-ago", &ago)
+	no := host.Notice{
+		RateLimit: scanLimit(t, td),
+	}
+	td.MaybeScanArgs(t, "unreadable", &no.UnreadableLimit)
+	return host.Noticed{
+		SentAt: sc.now.Add(-time.Duration(ago) * time.Millisecond),
+		Notice: no,
+	}
+}
+
+// scanLimit returns the rate limit in the argument limit.
+func scanLimit(t *testing.T, td *datadriven.TestData) host.RateLimit {
+	if !td.HasArg("limit") {
+		return host.RateLimit{}
+	}
+	text := ""
+	td.ScanArgs(t, "limit", &text)
+	rate, err := strconv.ParseFloat(text, 64)
+	assert.NilError(t, err)
+	return host.RateLimit{
+		Limited:   true,
+		PerSecond: host.RequestRate(rate),
+	}
+}
+
+// peerNotice returns what the sender of an attempt knows of the upstream.
+func (sc *script) peerNotice(t *testing.T, td *datadriven.TestData) host.PeerNotice {
+	no := host.PeerNotice{RateLimit: scanLimit(t, td)}
+	an := host.Announcement{}
+	td.MaybeScanArgs(t, "instance", (*string)(&an.Instance))
+	started := 0
+	td.MaybeScanArgs(t, "started", &started)
+	an.StartedAt = time.Unix(int64(started), 0)
+	no.Process = host.ProcessOf(an)
+	return no
+}
+
 func (sc *script) arrived(t *testing.T, td *datadriven.TestData, name string) host.Event {
 	at := host.Attempt{
 		ID:          attemptID(name),
@@ -209,6 +268,8 @@
 	}
 	td.MaybeScanArgs(t, "rank", &at.Rank)
 	at.Nested = td.HasArg("nested")
+	at.NoQueue = td.HasArg("no-queue")
+	at.Notice = sc.peerNotice(t, td)
 	return host.Arrived{Attempt: at}
 }
 
@@ -240,19 +301,32 @@
 		if !ac.RetryAfter.IsZero() {
 			retry = "in " + ac.RetryAfter.Sub(sc.now).String()
 		}
-		return fmt.Sprintf("refuse %s: %s, retry %s\n", shortName(ac.ID), ac.Reason, retry)
+		why := string(ac.Reason)
+		if ac.RateLimited {
+			why += " by the rate limit"
+		}
+		return fmt.Sprintf("refuse %s: %s, retry %s\n", shortName(ac.ID), why, retry)
 	case host.RefuseArrival:
 		return fmt.Sprintf("refuse arrival %s: %s, not run %t\n", shortName(ac.ID), ac.Reason, ac.NotRun)
 	case host.Interrupt:
 		return fmt.Sprintf("interrupt %s\n", shortName(ac.ID))
 	case host.AnswerQuery:
 		return fmt.Sprintf("answer query %d for %s: %s %s\n", ac.Query, shortName(ac.ID), ac.Fate, ac.Reason)
+	case host.RateLimitChanged:
+		return fmt.Sprintf("rate limit %s, was %s\n", formatLimit(ac.After), formatLimit(ac.Before))
 	case host.DropAnswer:
 		return fmt.Sprintf("drop answer %s\n", shortName(ac.ID))
 	}
 	return "unknown action\n"
 }
 
+func formatLimit(li host.RateLimit) string {
+	if !li.Limited {
+		return "none"
+	}
+	return strconv.FormatFloat(float64(li.PerSecond), 'g', -1, 64)
+}
+
 // TestAttemptIDs checks that formatted IDs are parsed back and malformed ones rejected.
 func TestAttemptIDs(t *testing.T) {
 	for _, or := range []host.Origin{
--- /dev/null
+++ b/core/host/notice.go
@@ -0,0 +1,104 @@
+package host
+
+import (
+	"hash/fnv"
+	"strconv"
+	"time"
+)
+
+// Notice is what the header of a response states about the upstream itself.
+type Notice struct {
+	RateLimit RateLimit
+	// UnreadableLimit is the text of a rate limit that is not a number of requests; the
+	// limit stated before stays in force.
+	UnreadableLimit string
+}
+
+// ProcessID identifies an upstream process across the incarnations of its gate; 0 when
+// the upstream does not identify its processes.
+type ProcessID uint64
+
+// PeerNotice is what an ingress knows of an upstream from the responses that it got
+// through the upstream's gate. The zero value is nothing.
+type PeerNotice struct {
+	Process   ProcessID
+	RateLimit RateLimit
+}
+
+// ProcessOf returns the identity of the upstream process that an announcement is from.
+func ProcessOf(an Announcement) ProcessID {
+	if an.Instance == "" || an.StartedAt.IsZero() {
+		return 0
+	}
+	ha := fnv.New64a()
+	_, _ = ha.Write([]byte(an.Instance))
+	_, _ = ha.Write(strconv.AppendInt(nil, an.StartedAt.UnixMilli(), 10))
+	return ProcessID(ha.Sum64())
+}
+
+// trackProcess forgets what the former upstream process stated when an announcement is
+// from another one.
+func (ga *Gate) trackProcess(an Announcement, now time.Time) {
+	if !ga.processSince.IsZero() && ga.sameProcess(an, now) {
+		return
+	}
+	ga.processSince = now
+	ga.limiter = rateLimiter{}
+}
+
+// sameProcess reports whether an announcement is from the process that the last one was
+// from. An upstream that does not identify its processes counts as restarted after it
+// was gone.
+func (ga *Gate) sameProcess(an Announcement, now time.Time) bool {
+	last := ga.upstream
+	if an.Instance != "" || last.Instance != "" {
+		return an.Instance == last.Instance &&
+			(an.StartedAt.IsZero() || last.StartedAt.IsZero() || an.StartedAt.Equal(last.StartedAt))
+	}
+	return ga.upstreamKnown && last.State != StateGone && !now.After(ga.upstreamExpiresAt)
+}
+
+// handleNoticed takes note of what a response states, unless its request went to a
+// former process.
+func (ga *Gate) handleNoticed(ev Noticed, now time.Time) {
+	if ev.SentAt.Before(ga.processSince) {
+		return
+	}
+	if ev.Notice.UnreadableLimit != "" {
+		return
+	}
+	before := ga.limiter.limit
+	ga.limiter.observe(ev.Notice.RateLimit, ev.SentAt, now)
+	ga.reportLimit(before)
+}
+
+// adoptNotice takes over what an ingress knows of the upstream, which a gate may have
+// lost in its restart.
+func (ga *Gate) adoptNotice(no PeerNotice, now time.Time) {
+	if no.Process == 0 || no.Process != ProcessOf(ga.upstream) {
+		return
+	}
+	before := ga.limiter.limit
+	ga.limiter.adopt(no.RateLimit, now)
+	ga.reportLimit(before)
+}
+
+func (ga *Gate) reportLimit(before RateLimit) {
+	if ga.limiter.limit != before {
+		ga.emit(RateLimitChanged{Before: before, After: ga.limiter.limit})
+	}
+}
+
+// PeerNotice returns what responses tell the ingress nodes about the upstream.
+func (ga *Gate) PeerNotice() PeerNotice {
+	return PeerNotice{
+		Process:   ProcessOf(ga.upstream),
+		RateLimit: ga.limiter.limit,
+	}
+}
+
+// Upstream returns the upstream's last announcement.
+func (ga *Gate) Upstream() Announcement { return ga.upstream }
+
+// RateLimit returns the upstream's rate limit.
+func (ga *Gate) RateLimit() RateLimit { return ga.limiter.limit }
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -182,6 +182,8 @@
 	// 0 when the attempt includes its body, and negative when the length is unknown.
 	BodyBytes int64
 	Deadline  time.Time
+	// Notice is what the sender knows of the upstream.
+	Notice PeerNotice
 }
 
 // Kind names a group of attempts with similar service times.
--- a/core/host/upstream.go
+++ b/core/host/upstream.go
@@ -31,6 +31,7 @@
 }
 
 func (ga *Gate) handleAnnounced(ev Announced, now time.Time) {
+	ga.trackProcess(ev.Announcement, now)
 	ga.upstream = ev.Announcement
 	ga.upstreamExpiresAt = ev.ExpiresAt
 	ga.upstreamKnown = true
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -21,6 +21,8 @@
 	action   call.SendAttempt
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// notice is what earlier responses have stated about the upstream.
+	notice host.PeerNotice
 	// abandoned reports that the reply is no longer needed.
 	abandoned atomic.Bool
 	reply     upstream.Reply
@@ -43,7 +45,7 @@
 		cancel:   cancel,
 	}
 	ex.attempts = append(ex.attempts, at)
-	ex.server.attemptStarted(sa.Upstream)
+	at.notice = ex.server.attemptStarted(sa.Upstream)
 	return at
 }
 
@@ -63,6 +65,8 @@
 		LoadPermille: max(at.reply.Response.GetLoadPermille(), at.reply.Refusal.GetLoadPermille()),
 		Cancelled:    at.abandoned.Load(),
 		Bulk:         at.exchange.target.Terms.Class == contract.ClassBulk,
+		Notice:       upstream.PeerNoticeFromWire(at.reply.Response.GetNotice()),
+		HasNotice:    at.reply.Response != nil,
 	}
 	at.exchange.server.attemptEnded(at.action.Upstream, ob, now)
 	at.recordEnd(re)
@@ -97,6 +101,7 @@
 	}
 	rq.Nested = ex.nested
 	rq.Brief = at.action.NoQueue
+	rq.Notice = upstream.PeerNoticeToWire(at.notice)
 	if !ex.objective.IsZero() && !ex.nested {
 		rq.HasObjective = true
 		rq.Returning = ex.returning
@@ -146,9 +151,10 @@
 		}
 	}
 	re := call.Result{
-		Outcome:    call.OutcomeUnknown,
-		Reason:     host.Reason(rp.Refusal.GetReason()),
-		BodyUnread: at.exchange.streamedBody != nil && at.exchange.streamedBody.notStarted(),
+		Outcome:     call.OutcomeUnknown,
+		Reason:      host.Reason(rp.Refusal.GetReason()),
+		RateLimited: rp.Refusal.GetRateLimited(),
+		BodyUnread:  at.exchange.streamedBody != nil && at.exchange.streamedBody.notStarted(),
 	}
 	if rp.Refusal.GetNotRun() {
 		re.Outcome = call.OutcomeNotRun
@@ -177,6 +183,9 @@
 		Response: ve.GetResponse(),
 		Refusal:  ve.GetRefusal(),
 	}
+	if rs := ve.GetResponse(); rs != nil {
+		ex.server.upstreamNoticed(ac.Upstream, rs.GetNotice())
+	}
 	return call.QueryResult{
 		Attempt: ac.Attempt,
 		Fate:    upstream.FateFromWire(ve.GetFate()),
--- a/io/caller/log.go
+++ b/io/caller/log.go
@@ -79,6 +79,9 @@
 		Int("status", at.finalResult.Status).
 		Str("reason", string(at.finalResult.Reason)).
 		Int64("took_ms", at.duration.Milliseconds())
+	if at.finalResult.RateLimited {
+		ev.Bool("rate_limited", true)
+	}
 	if at.reply.Detail != "" {
 		ev.Str("detail", at.reply.Detail)
 	}
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -69,6 +69,9 @@
 	en.Host = at.action.Upstream.Host
 	en.Outcome = string(re.Outcome)
 	en.Reason = string(re.Reason)
+	if re.RateLimited {
+		en.Detail = "the upstream's rate limit left no room"
+	}
 	ex.server.cfg.Recorder.AddCall(en)
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -17,6 +17,8 @@
 	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
+	"lynxfold/core/wire"
+	"lynxfold/io/upstream"
 )
 
 // Config configures a Server.
@@ -212,10 +214,11 @@
 	return sv.maxQueueWait(ex, ex.startedAt)
 }
 
-func (sv *Server) attemptStarted(up datacentre.Upstream) {
+func (sv *Server) attemptStarted(up datacentre.Upstream) host.PeerNotice {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.chooser.Started(up)
+	return sv.chooser.Notice(up, time.Now())
 }
 
 // queueWaitDivisor determines the share of a call's slack that it may spend in a
@@ -237,6 +240,15 @@
 	return slack / queueWaitDivisor
 }
 
+// upstreamNoticed records what a response that a query has found states about its
+// upstream.
+func (sv *Server) upstreamNoticed(up datacentre.Upstream, un *wire.UpstreamNotice) {
+	now := time.Now()
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.chooser.Noticed(up, upstream.PeerNoticeFromWire(un), now)
+}
+
 func (sv *Server) attemptEnded(up datacentre.Upstream, ob call.Observation, now time.Time) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -21,6 +21,11 @@
 	Connections int                  `json:"connections"`
 	State       string               `json:"state"`
 	InFlight    int                  `json:"in_flight"`
+	// Instance, StartedUnixMS and Sequence are optional, but Sequence is needed with
+	// Instance.
+	Instance      host.InstanceID `json:"instance"`
+	StartedUnixMS int64           `json:"started_unix_ms"`
+	Sequence      uint64          `json:"sequence"`
 }
 
 // AnnouncementError reports an invalid announcement.
@@ -116,18 +121,27 @@
 	if body.Connections < 0 || body.InFlight < 0 {
 		return host.Announcement{}, &AnnouncementError{Field: "connections", Detail: "out of range"}
 	}
+	if body.Instance != "" && (body.Sequence == 0 || body.StartedUnixMS <= 0) {
+		return host.Announcement{}, &AnnouncementError{Field: "instance", Detail: "needs sequence and started_unix_ms"}
+	}
 	st, ok := statesByName[body.State]
 	if !ok {
 		return host.Announcement{}, &AnnouncementError{Field: "state", Detail: "use ready, draining or gone"}
 	}
-	return host.Announcement{
+	an := host.Announcement{
 		Service:     body.Service,
 		Address:     body.Address,
 		Slots:       host.Slots(body.Slots),
 		Connections: body.Connections,
 		State:       st,
 		InFlight:    body.InFlight,
-	}, nil
+		Instance:    body.Instance,
+		Sequence:    body.Sequence,
+	}
+	if body.Instance != "" {
+		an.StartedAt = time.UnixMilli(body.StartedUnixMS)
+	}
+	return an, nil
 }
 
 // statesByName maps the state names in announcements to states.
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -85,6 +85,9 @@
 	// request without a streamed body is written, or when the response to one
 	// with a streamed body begins. It may be nil.
 	OnStart func()
+	// OnNotice is called with what the response header states about the upstream. It
+	// may be nil.
+	OnNotice func(no host.Notice)
 	// OnEnd is called when the exchange has ended.
 	OnEnd func(rs Result)
 }
@@ -95,6 +98,12 @@
 	}
 }
 
+func (hk Hooks) noticed(no host.Notice) {
+	if hk.OnNotice != nil {
+		hk.OnNotice(no)
+	}
+}
+
 // Do sends a request and returns when the response header has arrived. A body
 // that was read from is closed before OnEnd is called.
 func (cl *Client) Do(ctx context.Context, to Destination, rq *wire.Request, body io.ReadCloser, hooks Hooks) Reply {
@@ -154,6 +163,9 @@
 	if ex.body != nil {
 		ex.hooks.started()
 	}
+	if rc == ResponseRan || rc == ResponseNotRun {
+		ex.hooks.noticed(ex.client.protocol.Notice(&resp.Header))
+	}
 	switch rc {
 	case ResponseNotRun:
 		return ex.refuseNotRun(resp, ReasonUpstreamRefused)
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -22,6 +22,12 @@
 	OnAnnouncementChange func(an host.Announcement)
 	// OnInvariantViolation is called when an invariant of the gate is violated; it may be nil.
 	OnInvariantViolation func(vi host.InvariantViolated)
+	// OnRateLimited is called for each attempt that the upstream's rate limit left no room
+	// for; it may be nil.
+	OnRateLimited func()
+	// OnUnreadableLimit is called for each response with a rate limit that can't be read;
+	// it may be nil.
+	OnUnreadableLimit func()
 	// ObserveQueueTime is called with the time each dispatched attempt waited for a slot; it may be nil.
 	ObserveQueueTime func(took time.Duration)
 	Client           *Client
@@ -40,6 +46,9 @@
 	lastQueryID           host.QueryID
 	lastAnnouncement      host.Announcement
 	announcementExpiresAt time.Time
+	// wakeAt is when the next wake is due; zero while none is scheduled.
+	wakeAt              time.Time
+	lastUnreadableLimit string
 }
 
 // admission is an attempt that has arrived and has not ended.
@@ -84,6 +93,7 @@
 		at.CallerRetry = rq.GetReturning()
 		at.Objective = now.Add(time.Duration(rq.GetObjectiveUs()) * time.Microsecond)
 	}
+	at.Notice = PeerNoticeFromWire(rq.GetNotice())
 	ctx, cancel := context.WithDeadline(ctx, at.Deadline)
 	ad := &admission{
 		decision: make(chan host.Action, 1),
@@ -105,10 +115,10 @@
 		return ga.refuse(at.ID, ad, ac)
 	case host.RefuseArrival:
 		cancel()
-		return ga.withLoad(RefusalReply(ac.Reason, ac.NotRun))
+		return ga.withGateState(RefusalReply(ac.Reason, ac.NotRun))
 	}
 	cancel()
-	return ga.withLoad(RefusalReply(host.ReasonCancelled, false))
+	return ga.withGateState(RefusalReply(host.ReasonCancelled, false))
 }
 
 // logRefused logs the refusal of an attempt and the gate's occupancy.
@@ -126,6 +136,7 @@
 		Int("slots", int(st.Slots)).
 		Int("running", st.Running).
 		Int("queued", st.Queued).
+		Bool("rate_limited", re.RateLimited).
 		Uint32("rank", rq.GetRank()).
 		Bool("nested", rq.GetNested()).
 		Bool("returning", rq.GetReturning()).
@@ -185,6 +196,7 @@
 	if _, duplicate := decision.(host.RefuseArrival); !duplicate {
 		ga.admissions[at.ID] = ad
 	}
+	ga.scheduleWake()
 	return decision
 }
 
@@ -205,16 +217,21 @@
 func (ga *Gate) refuse(id host.AttemptID, ad *admission, ac host.Refuse) Reply {
 	ga.removeAdmission(id, ad)
 	re := RefusalReply(ac.Reason, true)
+	re.Refusal.RateLimited = ac.RateLimited
+	if ac.RateLimited && ga.cfg.OnRateLimited != nil {
+		ga.cfg.OnRateLimited()
+	}
 	if !ac.RetryAfter.IsZero() {
 		re.Refusal.RetryAfterUs = max(1, time.Until(ac.RetryAfter).Microseconds())
 	}
-	return ga.withLoad(re)
+	return ga.withGateState(re)
 }
 
 func (ga *Gate) dispatch(ctx context.Context, ad *admission, di host.Dispatch, rq *wire.Request, body io.ReadCloser) Reply {
 	dispatchedAt := time.Now()
 	hooks := Hooks{
-		OnStart: func() { ga.step(host.Started{ID: di.ID}) },
+		OnStart:  func() { ga.step(host.Started{ID: di.ID}) },
+		OnNotice: func(no host.Notice) { ga.noticeReceived(no, dispatchedAt) },
 		OnEnd: func(rs Result) {
 			ga.logSlowOrFailed(rq, rs, time.Since(dispatchedAt))
 			ga.recordEnd(di.ID, rq.GetIdempotent(), rs)
@@ -230,13 +247,13 @@
 	if err != nil {
 		re := bodyFailureReason(ctx)
 		hooks.OnEnd(Result{Outcome: host.OutcomeNotRun, Reason: re})
-		return ga.withLoad(RefusalReply(re, true))
+		return ga.withGateState(RefusalReply(re, true))
 	}
 	to := Destination{
 		Address:  di.Address,
 		Instance: di.Instance,
 	}
-	return ga.withLoad(ga.cfg.Client.Do(ctx, to, rq, body, hooks))
+	return ga.withGateState(ga.cfg.Client.Do(ctx, to, rq, body, hooks))
 }
 
 // indicatesUpstreamLost reports whether a reason shows that the upstream instance
@@ -295,13 +312,16 @@
 	}
 }
 
-// withLoad sets the gate's load on a reply and returns it.
-func (ga *Gate) withLoad(re Reply) Reply {
+// withGateState sets the gate's load on a reply, and what the upstream states about
+// itself on a response, and returns the reply.
+func (ga *Gate) withGateState(re Reply) Reply {
 	ga.mu.Lock()
-	lo := ga.core.LoadPermille()
+	lo := ga.core.LoadPermille(time.Now())
+	no := ga.core.PeerNotice()
 	ga.mu.Unlock()
 	if re.Response != nil {
 		re.Response.LoadPermille = lo
+		re.Response.Notice = PeerNoticeToWire(no)
 	}
 	if re.Refusal != nil {
 		re.Refusal.LoadPermille = lo
@@ -319,6 +339,26 @@
 	for _, ac := range ga.core.Step(ev, time.Now()) {
 		ga.execute(ac)
 	}
+	ga.scheduleWake()
+}
+
+// scheduleWake schedules a step for when the rate limit allows the next queued attempt;
+// ga.mu is held.
+func (ga *Gate) scheduleWake() {
+	now := time.Now()
+	at := ga.core.WakeAt(now)
+	if at.IsZero() || !ga.wakeAt.IsZero() && !at.Before(ga.wakeAt) {
+		return
+	}
+	ga.wakeAt = at
+	time.AfterFunc(at.Sub(now), ga.wake)
+}
+
+func (ga *Gate) wake() {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.wakeAt = time.Time{}
+	ga.stepLocked(host.Tick{})
 }
 
 // execute carries out an action of the core gate; ga.mu is held.
@@ -338,6 +378,8 @@
 		}
 	case host.DropAnswer:
 		delete(ga.keptResponses, ac.ID)
+	case host.RateLimitChanged:
+		ga.logRateLimit(ac)
 	case host.InvariantViolated:
 		if ga.cfg.OnInvariantViolation != nil {
 			ga.cfg.OnInvariantViolation(ac)
@@ -352,19 +394,35 @@
 }
 
 // Announce handles an upstream's announcement.
-func (ga *Gate) Announce(an host.Announcement) {
+func (ga *Gate) Announce(an host.Announcement) { ga.announce(an, nil) }
+
+// AnnounceProbed handles the result of a probe.
+func (ga *Gate) AnnounceProbed(re ProbeResult) {
+	ga.reportUnreadable(re.Notice)
+	ga.announce(re.Announcement, &re.Notice)
+}
+
+// announce handles an announcement, and what the response that it was taken from states;
+// nil if it was not taken from one.
+func (ga *Gate) announce(an host.Announcement, no *host.Notice) {
 	ga.mu.Lock()
 	if !ga.core.AcceptAnnouncement(an, time.Now()) {
 		ga.mu.Unlock()
 		return
 	}
 	ga.cfg.Client.SetLimit(an.Connections)
-	ga.cfg.Client.SetDraining(an.State != host.StateReady)
 	ga.announcementExpiresAt = time.Now().Add(ga.cfg.AnnouncementTTL)
 	ga.stepLocked(host.Announced{
 		Announcement: an,
 		ExpiresAt:    ga.announcementExpiresAt,
 	})
+	if no != nil {
+		ga.stepLocked(host.Noticed{
+			SentAt: time.Now(),
+			Notice: *no,
+		})
+	}
+	ga.cfg.Client.SetDraining(an.State != host.StateReady)
 	settling := ga.core.UnavailableReason(time.Now()) == host.ReasonSettling
 	ga.mu.Unlock()
 	// While the gate is settling it admits no calls, so the announcement is not
--- a/io/upstream/probe.go
+++ b/io/upstream/probe.go
@@ -11,18 +11,23 @@
 type Prober interface {
 	// Probe queries the upstream at a path; ok is false when the upstream can't
 	// be used or doesn't support probes.
-	Probe(ctx context.Context, path string) (an host.Announcement, ok bool)
+	Probe(ctx context.Context, path string) (re ProbeResult, ok bool)
 	// Service returns the upstream's service; empty when upstreams are not probed.
 	Service() contract.ServiceName
 }
 
+// ProbeResult is what a probe has revealed of an upstream.
+type ProbeResult struct {
+	Announcement host.Announcement
+	// Notice is what the response states about the upstream.
+	Notice host.Notice
+}
+
 // NoProber is a Prober for upstreams that are not probed.
 type NoProber struct{}
 
 // Probe implements Prober.
-func (NoProber) Probe(context.Context, string) (host.Announcement, bool) {
-	return host.Announcement{}, false
-}
+func (NoProber) Probe(context.Context, string) (ProbeResult, bool) { return ProbeResult{}, false }
 
 // Service implements Prober.
 func (NoProber) Service() contract.ServiceName { return "" }
--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"bytes"
+	"math"
 	"strconv"
 	"time"
 
@@ -27,6 +29,8 @@
 	SetHeaders(he *fasthttp.RequestHeader, instance host.InstanceID, left time.Duration)
 	// Classify classifies a response by its status and header.
 	Classify(rq *wire.Request, status int, he *fasthttp.ResponseHeader) ResponseClass
+	// Notice returns what the header of a response states about the upstream itself.
+	Notice(he *fasthttp.ResponseHeader) host.Notice
 }
 
 // ResponseClass is the classification of a response by its header.
@@ -68,3 +72,34 @@
 func (NativeProtocol) Classify(*wire.Request, int, *fasthttp.ResponseHeader) ResponseClass {
 	return ResponseRan
 }
+
+// Notice implements Protocol.
+func (NativeProtocol) Notice(he *fasthttp.ResponseHeader) host.Notice {
+	return ParseNotice(he.PeekAll(HeaderRateLimit))
+}
+
+// emptyLimit stands for a rate limit without text.
+const emptyLimit = "(empty)"
+
+// ParseNotice parses the values of the headers in which an upstream states something
+// about itself. rateLimits holds each occurrence of the header.
+func ParseNotice(rateLimits [][]byte) host.Notice {
+	no := host.Notice{}
+	if len(rateLimits) == 0 {
+		return no
+	}
+	text := string(bytes.TrimSpace(bytes.Join(rateLimits, []byte(", "))))
+	rate, err := strconv.ParseFloat(text, 64)
+	if text == "" {
+		text = emptyLimit
+	}
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+		no.UnreadableLimit = text
+		return no
+	}
+	no.RateLimit = host.RateLimit{
+		Limited:   true,
+		PerSecond: host.RequestRate(rate),
+	}
+	return no
+}
--- a/io/upstream/query.go
+++ b/io/upstream/query.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"lynxfold/core/host"
 	"lynxfold/core/wire"
 )
@@ -25,11 +27,14 @@
 	switch aq.Fate {
 	case host.FateFinished:
 		ga.mu.Lock()
-		ve.Response = ga.keptResponses[id]
+		ve.Response = proto.CloneOf(ga.keptResponses[id])
+		no := ga.core.PeerNotice()
 		ga.mu.Unlock()
 		if ve.Response == nil {
 			ve.Fate = wire.Fate_FATE_ANSWER_LOST
+			break
 		}
+		ve.Response.Notice = PeerNoticeToWire(no)
 	case host.FateRefused, host.FateBroken, host.FateUnknown, host.FateNeverSeen:
 		ve.Refusal = &wire.Refusal{
 			Reason: string(aq.Reason),
--- a/io/upstream/standin/server.go
+++ b/io/upstream/standin/server.go
@@ -34,6 +34,7 @@
 	cfg       Config
 	http      *fasthttp.Server
 	listener  net.Listener
+	startedAt time.Time
 	coldUntil time.Time
 	running   atomic.Int64
 	draining  atomic.Bool
@@ -48,6 +49,8 @@
 	arrivals []time.Time
 	limits   []RateLimitPeriod
 	leaving  bool
+	// sequence counts the announcements.
+	sequence uint64
 	health   Health
 	conns    map[net.Conn]bool
 }
@@ -71,6 +74,7 @@
 	sv := &Server{
 		cfg:       cfg,
 		listener:  li,
+		startedAt: time.Now(),
 		coldUntil: time.Now().Add(cfg.ColdPeriod),
 		stop:      make(chan struct{}),
 		health:    Health{Status: "ok"},
@@ -194,6 +198,8 @@
 	// The health endpoint shows the count of the last announcement.
 	sv.mu.Lock()
 	sv.health.InFlight = sv.running.Load()
+	sv.sequence++
+	sequence := sv.sequence
 	sv.mu.Unlock()
 	body, err := json.Marshal(struct {
 		Service     string `json:"service"`
@@ -202,6 +208,9 @@
 		Connections int    `json:"connections"`
 		State       string `json:"state"`
 		InFlight    int64  `json:"in_flight"`
+		Instance    string `json:"instance"`
+		Started     int64  `json:"started_unix_ms"`
+		Sequence    uint64 `json:"sequence"`
 	}{
 		Service:     sv.cfg.Service,
 		Address:     sv.Address(),
@@ -209,6 +218,9 @@
 		Connections: 120,
 		State:       state,
 		InFlight:    sv.running.Load(),
+		Instance:    sv.cfg.Name,
+		Started:     sv.startedAt.UnixMilli(),
+		Sequence:    sequence,
 	})
 	if err != nil {
 		return
--- a/testkit/rate_limits.go
+++ b/testkit/rate_limits.go
@@ -1,7 +1,6 @@
 package testkit
 
 import (
-	"fmt"
 	"slices"
 	"strconv"
 	"testing"
@@ -68,6 +67,3 @@
 	}
 	return most
 }
-
-// FormatRate formats a rate limit for Server.SetRateLimit.
-func FormatRate(perSecond float64) string { return fmt.Sprintf("%g", perSecond) }
--- a/testkit/rate_limits_test.go
+++ b/testkit/rate_limits_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -12,58 +15,195 @@
 	"lynxfold/testkit"
 )
 
-// limitedID is the host whose upstream states a rate limit, and roomyID one whose
-// upstream does not.
+// limitedID is the host whose upstream states something about itself; the upstream of
+// roomyID states nothing.
 const (
 	limitedID = "curing-room-1"
 	roomyID   = "curing-room-2"
 )
 
-// limitedLoad returns a load function that makes bookings, reads and uploads at all
-// hosts, at some 100 calls per second and host.
-func limitedLoad(ca *testkit.Callers) func(worker int) {
+// startNoticeMesh starts a mesh all of whose hosts serve calls.
+func startNoticeMesh(t *testing.T) (*testkit.Mesh, *testkit.Callers) {
+	t.Helper()
+	me, ca := startBookingMesh(t)
+	for _, id := range []string{ingressID, limitedID, roomyID} {
+		testkit.Eventually(t, waitTimeout, "calls run at "+id, func() bool {
+			return ca.Call(id, http.MethodPost, "/bookings", 10).Outcome == "ran"
+		})
+	}
+	return me, testkit.NewCallersWithPrefix(me, "measured")
+}
+
+// noticeWorkers is the number of concurrent callers of startNoticeLoad. Together they use
+// about half of one upstream's slots.
+const noticeWorkers = 9
+
+// startNoticeLoad makes reads, bookings and uploads at all hosts, more than the upstream
+// of limitedID accepts while it states a rate limit.
+func startNoticeLoad(me *testkit.Mesh, ca *testkit.Callers) (reads *testkit.Callers, stop func()) {
+	reads = testkit.NewCallersWithPrefix(me, "read")
 	ids := []string{ingressID, limitedID, roomyID}
-	return func(worker int) {
+	return reads, ca.StartLoad(noticeWorkers, func(worker int) {
 		id := ids[worker%len(ids)]
 		switch worker / len(ids) % 3 {
 		case 0:
-			ca.Call(id, http.MethodGet, "/results?work=20ms", 0)
+			reads.Call(id, http.MethodGet, "/results?work=20ms", 0)
 		case 1:
 			ca.Call(id, http.MethodPost, fmt.Sprintf("/bookings?work=%dms", 10+worker), 100)
 		default:
 			ca.Call(id, http.MethodPost, "/scans?work=20ms", 200<<10)
 		}
 		time.Sleep(30 * time.Millisecond)
+	})
+}
+
+// statedFor is how long an upstream states a rate limit: the grace and two windows.
+const statedFor = 11 * time.Second
+
+// checkAllServed checks that every call was served, since another upstream has room.
+func checkAllServed(t *testing.T, ca, reads *testkit.Callers) {
+	t.Helper()
+	ca.CheckOutcomes(t)
+	for _, cr := range append(ca.Results(), reads.Results()...) {
+		assert.Check(t, cr.Status == fasthttp.StatusOK, "%+v", cr)
 	}
 }
 
 // TestUpstreamGetsNoMoreThanItsRateLimit puts more load on a service than one of its
 // upstreams accepts.
 func TestUpstreamGetsNoMoreThanItsRateLimit(t *testing.T) {
-	me, ca := startBookingMesh(t)
-	waitForRunningCalls(t, ca)
-	stop := ca.StartLoad(18, limitedLoad(ca))
-	time.Sleep(500 * time.Millisecond)
+	for name, limits := range map[string][]string{
+		"above one":  {"10"},
+		"below one":  {"0.4"},
+		"zero":       {"0"},
+		"falling":    {"20", "3"},
+		"rising":     {"2", "10"},
+		"unreadable": {"4", "many"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			me, ca := startNoticeMesh(t)
+			reads, stop := startNoticeLoad(me, ca)
+			time.Sleep(500 * time.Millisecond)
+			up := me.Hosts[limitedID].Upstream
+			for _, limit := range limits {
+				up.SetRateLimit(limit)
+				time.Sleep(statedFor)
+			}
+			stop()
+			testkit.CheckRateLimits(t, up)
+			checkAllServed(t, ca, reads)
+		})
+	}
+}
+
+// TestLiftedRateLimitIsForgotten lets an upstream state a limit and then none.
+func TestLiftedRateLimitIsForgotten(t *testing.T) {
+	me, ca := startNoticeMesh(t)
+	_, stop := startNoticeLoad(me, ca)
+	defer stop()
 	up := me.Hosts[limitedID].Upstream
-	up.SetRateLimit(testkit.FormatRate(10))
-	time.Sleep(8 * time.Second)
-	stop()
-	testkit.CheckRateLimits(t, up)
-	ca.CheckOutcomes(t)
-	for _, cr := range ca.Results() {
-		assert.Check(t, cr.Status == fasthttp.StatusOK, "%+v", cr)
+	up.SetRateLimit("2")
+	time.Sleep(time.Second)
+	up.SetRateLimit("")
+	testkit.Eventually(t, waitTimeout, "the upstream gets more than its former limit", func() bool {
+		before := len(up.Arrivals())
+		time.Sleep(500 * time.Millisecond)
+		return len(up.Arrivals())-before >= 10
+	})
+}
+
+// TestRateLimitSurvivesFaults injects faults while an upstream states a limit.
+func TestRateLimitSurvivesFaults(t *testing.T) {
+	for name, fault := range map[string]func(ho *testkit.Host) (end func()){
+		"host restarts": func(ho *testkit.Host) func() {
+			ho.Kill()
+			ho.Start()
+			return func() {}
+		},
+		"host is paused": func(ho *testkit.Host) func() {
+			ho.Signal(syscall.SIGSTOP)
+			return func() { ho.Signal(syscall.SIGCONT) }
+		},
+		"host is cut off": func(ho *testkit.Host) func() {
+			ho.Blackhole()
+			return ho.EndBlackhole
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			me, ca := startNoticeMesh(t)
+			_, stop := startNoticeLoad(me, ca)
+			ho := me.Hosts[limitedID]
+			ho.Upstream.SetRateLimit("1")
+			for range 3 {
+				time.Sleep(3 * time.Second)
+				end := fault(ho)
+				time.Sleep(time.Second)
+				end()
+			}
+			time.Sleep(5 * time.Second)
+			stop()
+			testkit.CheckRateLimits(t, ho.Upstream)
+			ca.CheckOutcomes(t)
+		})
 	}
 }
 
+// TestRestartedUpstreamHasNoRateLimit restarts an upstream under its name: the limit that
+// the former process stated does not hold for the new one.
+func TestRestartedUpstreamHasNoRateLimit(t *testing.T) {
+	me, ca := startNoticeMesh(t)
+	_, stop := startNoticeLoad(me, ca)
+	defer stop()
+	ho := me.Hosts[limitedID]
+	ho.Upstream.SetRateLimit("0")
+	testkit.Eventually(t, waitTimeout, "the gate knows the limit", func() bool {
+		return strings.Contains(ho.Log(), "upstream_limit_changed")
+	})
+	ho.KillUpstream()
+	ho.StartUpstream()
+	testkit.Eventually(t, waitTimeout, "the new upstream gets calls", func() bool {
+		return len(ho.Upstream.Arrivals()) >= 10
+	})
+}
+
+// TestAllUpstreamsLimited leaves the surplus no upstream with room: it is rejected at
+// once, as not run and with the time at which there is room.
+func TestAllUpstreamsLimited(t *testing.T) {
+	me, ca := startNoticeMesh(t)
+	for _, id := range []string{limitedID, roomyID} {
+		me.Hosts[id].Upstream.SetRateLimit("0.1")
+	}
+	for range 2 * 3 {
+		ca.Call(ingressID, http.MethodPost, "/bookings", 10) // each upstream states its limit
+	}
+	for range 5 {
+		begun := time.Now()
+		rs, err := http.Post("http://"+me.Hosts[ingressID].CallerAddress+"/bookings", "text/plain", strings.NewReader("cube 17"))
+		assert.NilError(t, err)
+		assert.NilError(t, rs.Body.Close())
+		assert.Equal(t, rs.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, rs.Header.Get("Lynxfold-Outcome"), "not_run")
+		seconds, err := strconv.Atoi(rs.Header.Get("Retry-After"))
+		assert.NilError(t, err)
+		assert.Check(t, seconds > 1 && seconds <= 20, "Retry-After: %d", seconds)
+		assert.Check(t, time.Since(begun) < 4*time.Second, "rejected only after %s of 8 s", time.Since(begun))
+	}
+	for _, id := range []string{limitedID, roomyID} {
+		testkit.CheckRateLimits(t, me.Hosts[id].Upstream)
+	}
+	ca.CheckOutcomes(t)
+}
+
 // drainSlack is the time beyond the drain grace for a call that was under way.
 const drainSlack = 500 * time.Millisecond
 
 // TestUpstreamThatSaysItLeavesGetsNoCalls lets an upstream state that it is leaving in
 // its responses alone; its announcements go on as ready.
 func TestUpstreamThatSaysItLeavesGetsNoCalls(t *testing.T) {
-	me, ca := startBookingMesh(t)
-	waitForRunningCalls(t, ca)
-	stop := ca.StartLoad(18, limitedLoad(ca))
+	me, ca := startNoticeMesh(t)
+	reads, stop := startNoticeLoad(me, ca)
 	time.Sleep(500 * time.Millisecond)
 	up := me.Hosts[limitedID].Upstream
 	up.SetLeaving()
@@ -72,8 +212,5 @@
 	time.Sleep(time.Second)
 	stop()
 	assert.Equal(t, len(up.Ledger()), after, "the upstream got new calls after the drain grace period")
-	ca.CheckOutcomes(t)
-	for _, cr := range ca.Results() {
-		assert.Check(t, cr.Status == fasthttp.StatusOK, "%+v", cr)
-	}
+	checkAllServed(t, ca, reads)
 }
