fix: drain an upstream whose responses state that it is leaving

Callers' requests reached an upstream for as long as its announcements said ready, also long after its responses had said that it is leaving; nothing read that header either. TestUpstreamThatSaysItLeavesGetsNoCalls gave 160 calls in the second after the drain grace.

The gate now drains the upstream from the first such response as it does for an announcement, before the response is passed on, and no announcement of the same process undoes that. Nodes that passed such a response on keep it in mind, avoid the upstream and tell its gate with their next request how long ago that was: a gate that has restarted, or stood still meanwhile, drains at once (without this, TestRestartedGateHearsThatUpstreamLeaves fails).

--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -233,6 +233,9 @@
 // Noticed records what a response states about the upstream that it came from.
 func (ch *Chooser) Noticed(up datacentre.Upstream, no host.PeerNotice, now time.Time) {
 	ch.notices.record(up.Host, no, now)
+	if us := ch.upstreams[up.Host]; us != nil && !no.LeavingSince.IsZero() {
+		us.avoidedUntil = now.Add(avoidDrainingFor)
+	}
 }
 
 // Ended records the end of an attempt and updates the upstream's statistics.
--- a/core/call/notices.go
+++ b/core/call/notices.go
@@ -6,7 +6,8 @@
 	"lynxfold/core/host"
 )
 
-// noticeKeepTime is how long a notice is kept after it was last heard.
+// noticeKeepTime is how long a notice is kept after it was last heard. An upstream that
+// is leaving is gone long before.
 const noticeKeepTime = 5 * time.Minute
 
 // notices holds what responses have stated about the upstreams that they came from, by
@@ -22,11 +23,15 @@
 
 // record stores the notice of a response from a host's upstream.
 func (ns notices) record(id host.ID, no host.PeerNotice, now time.Time) {
+	known, found := ns[id]
 	if no == (host.PeerNotice{}) {
 		delete(ns, id)
 		return
 	}
-	if _, found := ns[id]; !found {
+	if found && known.notice.Process == no.Process && !known.notice.LeavingSince.IsZero() {
+		no.LeavingSince = known.notice.LeavingSince
+	}
+	if !found {
 		ns.removeExpired(now)
 	}
 	ns[id] = heardNotice{
--- a/core/call/notices_test.go
+++ b/core/call/notices_test.go
@@ -43,8 +43,9 @@
 	cf := newChooserFixture(t, map[datacentre.Name]int{local: 2})
 	up := cf.all[0]
 	stated := host.PeerNotice{
-		Process:   7,
-		RateLimit: host.RateLimit{Limited: true, PerSecond: 3},
+		Process:      7,
+		RateLimit:    host.RateLimit{Limited: true, PerSecond: 3},
+		LeavingSince: cf.now,
 	}
 	cf.chooser.Pick(service, cf.all, nil, cf.now)
 	observe := func(no host.PeerNotice) {
@@ -60,7 +61,12 @@
 	up.Incarnation++
 	assert.Equal(t, cf.chooser.Notice(up, cf.now), stated)
 
-	other := host.PeerNotice{Process: 8, RateLimit: host.RateLimit{Limited: true, PerSecond: 4}}
+	later := stated
+	later.LeavingSince = cf.now.Add(time.Second)
+	observe(later)
+	assert.Equal(t, cf.chooser.Notice(up, cf.now), stated, "the upstream is leaving since it first said so")
+
+	other := host.PeerNotice{Process: 8, LeavingSince: cf.now.Add(time.Second)}
 	observe(other)
 	assert.Equal(t, cf.chooser.Notice(up, cf.now), other)
 	observe(host.PeerNotice{})
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -162,6 +162,9 @@
 	After  RateLimit
 }
 
+// UpstreamLeaving reports that a response has stated that the upstream is leaving.
+type UpstreamLeaving struct{}
+
 // DropAnswer tells the adapter to drop the kept answer of an attempt.
 type DropAnswer struct {
 	ID AttemptID
@@ -198,4 +201,5 @@
 func (AnswerQuery) isAction()       {}
 func (DropAnswer) isAction()        {}
 func (RateLimitChanged) isAction()  {}
+func (UpstreamLeaving) isAction()   {}
 func (InvariantViolated) isAction() {}
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -55,8 +55,10 @@
 	transfers    transferLimiter
 	instances    instanceTracker
 	limiter      rateLimiter
-	// processSince is when the upstream's process was first announced.
+	// processSince is when the upstream's process was first announced, and leavingAt when
+	// one of its responses first stated that it is leaving; zero if none has.
 	processSince time.Time
+	leavingAt    time.Time
 	lookupTime   estimate
 	bulkTime     estimate
 	kindTimes    map[Kind]*estimate
--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -203,6 +203,7 @@
 	td.MaybeScanArgs(t, "sent-ago", &ago)
 	no := host.Notice{
 		RateLimit: scanLimit(t, td),
+		Leaving:   td.HasArg("leaving"),
 	}
 	td.MaybeScanArgs(t, "unreadable", &no.UnreadableLimit)
 	return host.Noticed{
@@ -226,9 +227,15 @@
 	}
 }
 
-// peerNotice returns what the sender of an attempt knows of the upstream.
+// peerNotice returns what the sender of an attempt knows of the upstream: its rate limit,
+// and how many milliseconds ago it heard that the upstream is leaving.
 func (sc *script) peerNotice(t *testing.T, td *datadriven.TestData) host.PeerNotice {
 	no := host.PeerNotice{RateLimit: scanLimit(t, td)}
+	if td.HasArg("leaving-for") {
+		ms := 0
+		td.ScanArgs(t, "leaving-for", &ms)
+		no.LeavingSince = sc.now.Add(-time.Duration(ms) * time.Millisecond)
+	}
 	an := host.Announcement{}
 	td.MaybeScanArgs(t, "instance", (*string)(&an.Instance))
 	started := 0
@@ -314,6 +321,8 @@
 		return fmt.Sprintf("answer query %d for %s: %s %s\n", ac.Query, shortName(ac.ID), ac.Fate, ac.Reason)
 	case host.RateLimitChanged:
 		return fmt.Sprintf("rate limit %s, was %s\n", formatLimit(ac.After), formatLimit(ac.Before))
+	case host.UpstreamLeaving:
+		return "upstream leaves\n"
 	case host.DropAnswer:
 		return fmt.Sprintf("drop answer %s\n", shortName(ac.ID))
 	}
--- a/core/host/instance_tracker.go
+++ b/core/host/instance_tracker.go
@@ -71,6 +71,13 @@
 	return true
 }
 
+// recordDraining records that the current instance drains, if it is the given one.
+func (it *instanceTracker) recordDraining(id InstanceID) {
+	if id != "" && it.instance == id {
+		it.state = max(it.state, StateDraining)
+	}
+}
+
 // lastSequence returns the last recorded sequence number of the instance that sent the
 // announcement; 0 for a new instance.
 func (it *instanceTracker) lastSequence(an Announcement) uint64 {
--- a/core/host/notice.go
+++ b/core/host/notice.go
@@ -12,6 +12,8 @@
 	// UnreadableLimit is the text of a rate limit that is not a number of requests; the
 	// limit stated before stays in force.
 	UnreadableLimit string
+	// Leaving says that the upstream is leaving.
+	Leaving bool
 }
 
 // ProcessID identifies an upstream process across the incarnations of its gate; 0 when
@@ -23,6 +25,9 @@
 type PeerNotice struct {
 	Process   ProcessID
 	RateLimit RateLimit
+	// LeavingSince is when the ingress first heard that the upstream is leaving; zero if
+	// it has not.
+	LeavingSince time.Time
 }
 
 // ProcessOf returns the identity of the upstream process that an announcement is from.
@@ -44,18 +49,22 @@
 	}
 	ga.processSince = now
 	ga.limiter = rateLimiter{}
+	ga.leavingAt = time.Time{}
 }
 
 // sameProcess reports whether an announcement is from the process that the last one was
 // from. An upstream that does not identify its processes counts as restarted after it
-// was gone.
+// was gone, and when it announces itself as ready after it stated that it is leaving.
 func (ga *Gate) sameProcess(an Announcement, now time.Time) bool {
 	last := ga.upstream
 	if an.Instance != "" || last.Instance != "" {
 		return an.Instance == last.Instance &&
 			(an.StartedAt.IsZero() || last.StartedAt.IsZero() || an.StartedAt.Equal(last.StartedAt))
 	}
-	return ga.upstreamKnown && last.State != StateGone && !now.After(ga.upstreamExpiresAt)
+	if !ga.upstreamKnown || last.State == StateGone || now.After(ga.upstreamExpiresAt) {
+		return false
+	}
+	return ga.leavingAt.IsZero() || an.State != StateReady || !now.After(ga.leavingAt.Add(ga.cfg.AnnounceLag))
 }
 
 // handleNoticed takes note of what a response states, unless its request went to a
@@ -64,6 +73,9 @@
 	if ev.SentAt.Before(ga.processSince) {
 		return
 	}
+	if ev.Notice.Leaving {
+		ga.markLeaving(now.Add(ga.cfg.DrainGrace), now)
+	}
 	if ev.Notice.UnreadableLimit != "" {
 		return
 	}
@@ -78,6 +90,9 @@
 	if no.Process == 0 || no.Process != ProcessOf(ga.upstream) {
 		return
 	}
+	if !no.LeavingSince.IsZero() {
+		ga.markLeaving(no.LeavingSince.Add(ga.cfg.DrainGrace), now)
+	}
 	before := ga.limiter.limit
 	ga.limiter.adopt(no.RateLimit, now)
 	ga.reportLimit(before)
@@ -89,15 +104,30 @@
 	}
 }
 
+// markLeaving drains the upstream as if it had announced that it is draining. This can't
+// be undone by an announcement of the same process.
+func (ga *Gate) markLeaving(cutoff, now time.Time) {
+	ga.upstreamCutoff = earlier(ga.upstreamCutoff, cutoff)
+	if !ga.leavingAt.IsZero() {
+		return
+	}
+	ga.leavingAt = now
+	ga.upstream.State = max(ga.upstream.State, StateDraining)
+	ga.instances.recordDraining(ga.upstream.Instance)
+	ga.emit(UpstreamLeaving{})
+}
+
 // PeerNotice returns what responses tell the ingress nodes about the upstream.
 func (ga *Gate) PeerNotice() PeerNotice {
 	return PeerNotice{
-		Process:   ProcessOf(ga.upstream),
-		RateLimit: ga.limiter.limit,
+		Process:      ProcessOf(ga.upstream),
+		RateLimit:    ga.limiter.limit,
+		LeavingSince: ga.leavingAt,
 	}
 }
 
-// Upstream returns the upstream's last announcement.
+// Upstream returns the upstream's last announcement. Its state is draining if the
+// upstream has stated since that it is leaving.
 func (ga *Gate) Upstream() Announcement { return ga.upstream }
 
 // RateLimit returns the upstream's rate limit.
--- a/core/host/upstream.go
+++ b/core/host/upstream.go
@@ -33,12 +33,15 @@
 func (ga *Gate) handleAnnounced(ev Announced, now time.Time) {
 	ga.trackProcess(ev.Announcement, now)
 	ga.upstream = ev.Announcement
+	if !ga.leavingAt.IsZero() {
+		ga.upstream.State = max(ga.upstream.State, StateDraining)
+	}
 	ga.upstreamExpiresAt = ev.ExpiresAt
 	ga.upstreamKnown = true
 	if now.After(ga.startedAt.Add(ga.cfg.AnnounceLag)) || ga.cfg.AnnounceLag <= 0 {
 		ga.orphans.reconcile(ev.Announcement.InFlight, now)
 	}
-	switch ev.Announcement.State {
+	switch ga.upstream.State {
 	case StateReady:
 		ga.upstreamCutoff = time.Time{}
 	case StateDraining:
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -65,7 +65,7 @@
 		LoadPermille: max(at.reply.Response.GetLoadPermille(), at.reply.Refusal.GetLoadPermille()),
 		Cancelled:    at.abandoned.Load(),
 		Bulk:         at.exchange.target.Terms.Class == contract.ClassBulk,
-		Notice:       upstream.PeerNoticeFromWire(at.reply.Response.GetNotice()),
+		Notice:       upstream.PeerNoticeFromWire(at.reply.Response.GetNotice(), now),
 		HasNotice:    at.reply.Response != nil,
 	}
 	at.exchange.server.attemptEnded(at.action.Upstream, ob, now)
@@ -101,7 +101,7 @@
 	}
 	rq.Nested = ex.nested
 	rq.Brief = at.action.NoQueue
-	rq.Notice = upstream.PeerNoticeToWire(at.notice)
+	rq.Notice = upstream.PeerNoticeToWire(at.notice, time.Now())
 	if !ex.objective.IsZero() && !ex.nested {
 		rq.HasObjective = true
 		rq.Returning = ex.returning
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -246,7 +246,7 @@
 	now := time.Now()
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.chooser.Noticed(up, upstream.PeerNoticeFromWire(un), now)
+	sv.chooser.Noticed(up, upstream.PeerNoticeFromWire(un, now), now)
 }
 
 func (sv *Server) attemptEnded(up datacentre.Upstream, ob call.Observation, now time.Time) {
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -47,7 +47,10 @@
 	lastAnnouncement      host.Announcement
 	announcementExpiresAt time.Time
 	// wakeAt is when the next wake is due; zero while none is scheduled.
-	wakeAt              time.Time
+	wakeAt time.Time
+	// leavingUnreported is set between the response that states that the upstream is
+	// leaving and the report of the change.
+	leavingUnreported   bool
 	lastUnreadableLimit string
 }
 
@@ -93,13 +96,16 @@
 		at.CallerRetry = rq.GetReturning()
 		at.Objective = now.Add(time.Duration(rq.GetObjectiveUs()) * time.Microsecond)
 	}
-	at.Notice = PeerNoticeFromWire(rq.GetNotice())
+	at.Notice = PeerNoticeFromWire(rq.GetNotice(), now)
 	ctx, cancel := context.WithDeadline(ctx, at.Deadline)
 	ad := &admission{
 		decision: make(chan host.Action, 1),
 		cancel:   cancel,
 	}
 	ac := ga.admit(at, ad, now)
+	if rq.GetNotice().GetLeaving() {
+		ga.reportLeaving()
+	}
 	if ac == nil {
 		ac = ga.awaitDecision(ctx, at.ID, ad)
 	}
@@ -321,7 +327,7 @@
 	ga.mu.Unlock()
 	if re.Response != nil {
 		re.Response.LoadPermille = lo
-		re.Response.Notice = PeerNoticeToWire(no)
+		re.Response.Notice = PeerNoticeToWire(no, time.Now())
 	}
 	if re.Refusal != nil {
 		re.Refusal.LoadPermille = lo
@@ -380,6 +386,13 @@
 		delete(ga.keptResponses, ac.ID)
 	case host.RateLimitChanged:
 		ga.logRateLimit(ac)
+	case host.UpstreamLeaving:
+		ga.cfg.Client.SetDraining(true)
+		ga.leavingUnreported = true
+		ga.cfg.Log.Info().
+			Str("event", "upstream_leaving").
+			Str("instance", string(ga.core.Upstream().Instance)).
+			Msg("upstream of this host has stated in a response that it is leaving")
 	case host.InvariantViolated:
 		if ga.cfg.OnInvariantViolation != nil {
 			ga.cfg.OnInvariantViolation(ac)
@@ -422,6 +435,7 @@
 			Notice: *no,
 		})
 	}
+	an = ga.core.Upstream()
 	ga.cfg.Client.SetDraining(an.State != host.StateReady)
 	settling := ga.core.UnavailableReason(time.Now()) == host.ReasonSettling
 	ga.mu.Unlock()
--- a/io/upstream/notice.go
+++ b/io/upstream/notice.go
@@ -10,8 +10,8 @@
 	"lynxfold/core/wire"
 )
 
-// PeerNoticeFromWire returns the notice in a message.
-func PeerNoticeFromWire(un *wire.UpstreamNotice) host.PeerNotice {
+// PeerNoticeFromWire returns the notice in a message that arrived at now.
+func PeerNoticeFromWire(un *wire.UpstreamNotice, now time.Time) host.PeerNotice {
 	if un == nil {
 		return host.PeerNotice{}
 	}
@@ -22,19 +22,28 @@
 			PerSecond: host.RequestRate(un.GetRateLimit()),
 		}
 	}
+	if un.GetLeaving() {
+		no.LeavingSince = now.Add(-time.Duration(un.GetLeavingForUs()) * time.Microsecond)
+	}
 	return no
 }
 
-// PeerNoticeToWire returns the message for a notice; nil when the upstream states nothing.
-func PeerNoticeToWire(no host.PeerNotice) *wire.UpstreamNotice {
-	if !no.RateLimit.Limited {
+// PeerNoticeToWire returns the message for a notice that is sent at now; nil when the
+// upstream states nothing.
+func PeerNoticeToWire(no host.PeerNotice, now time.Time) *wire.UpstreamNotice {
+	if !no.RateLimit.Limited && no.LeavingSince.IsZero() {
 		return nil
 	}
-	return &wire.UpstreamNotice{
+	un := &wire.UpstreamNotice{
 		Process:     uint64(no.Process),
 		RateLimited: no.RateLimit.Limited,
 		RateLimit:   float64(no.RateLimit.PerSecond),
 	}
+	if !no.LeavingSince.IsZero() {
+		un.Leaving = true
+		un.LeavingForUs = now.Sub(no.LeavingSince).Microseconds()
+	}
+	return un
 }
 
 // noticeReceived passes what a response states to the gate; sentAt is when its request
@@ -45,6 +54,7 @@
 		SentAt: sentAt,
 		Notice: no,
 	})
+	ga.reportLeaving()
 }
 
 // reportUnreadable counts a rate limit that can't be read, and logs it unless it is the
@@ -72,6 +82,19 @@
 // maxLoggedText is the maximum length of a header value in a log line, in bytes.
 const maxLoggedText = 64
 
+// reportLeaving reports that a response has stated that the upstream is leaving, if this
+// has not been reported yet.
+func (ga *Gate) reportLeaving() {
+	ga.mu.Lock()
+	pending := ga.leavingUnreported
+	ga.leavingUnreported = false
+	an := ga.core.Upstream()
+	ga.mu.Unlock()
+	if pending {
+		ga.reportChange(an)
+	}
+}
+
 // logRateLimit logs a change of the upstream's rate limit; ga.mu is held.
 func (ga *Gate) logRateLimit(ac host.RateLimitChanged) {
 	up := ga.core.Upstream()
--- a/io/upstream/notice_test.go
+++ b/io/upstream/notice_test.go
@@ -29,7 +29,7 @@
 		}
 	})
 	ga := NewGate(GateConfig{
-		Core:                 host.Config{Incarnation: 7, QueuePerSlot: 2},
+		Core:                 host.Config{Incarnation: 7, QueuePerSlot: 2, DrainGrace: time.Hour},
 		AnnouncementTTL:      time.Hour,
 		OnAnnouncementChange: func(host.Announcement) {},
 		Client:               newClient(t),
@@ -87,11 +87,11 @@
 // states, and nothing when it states nothing.
 func TestNoticeReachesIngress(t *testing.T) {
 	var header atomic.Value
-	header.Store("Lynxfold-Rate-Limit: 1000\r\n")
+	header.Store("Lynxfold-Rate-Limit: 1000\r\nLynxfold-Leaving: 1\r\n")
 	ga, _ := startNoticeGate(t, &header)
-	no := PeerNoticeFromWire(serveLookup(t, ga, 1, true).Response.GetNotice())
+	no := PeerNoticeFromWire(serveLookup(t, ga, 1, true).Response.GetNotice(), time.Now())
 	assert.Equal(t, no.RateLimit, host.RateLimit{Limited: true, PerSecond: 1000})
-	assert.Check(t, no.Process != 0)
+	assert.Check(t, no.Process != 0 && !no.LeavingSince.IsZero())
 
 	header.Store("")
 	ga, _ = startNoticeGate(t, &header)
--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -75,16 +75,19 @@
 
 // Notice implements Protocol.
 func (NativeProtocol) Notice(he *fasthttp.ResponseHeader) host.Notice {
-	return ParseNotice(he.PeekAll(HeaderRateLimit))
+	return ParseNotice(he.PeekAll(HeaderRateLimit), he.Peek(HeaderLeaving))
 }
 
+// leavingValue is the value of the header by which an upstream states that it is leaving.
+const leavingValue = "1"
+
 // emptyLimit stands for a rate limit without text.
 const emptyLimit = "(empty)"
 
 // ParseNotice parses the values of the headers in which an upstream states something
 // about itself. rateLimits holds each occurrence of the header.
-func ParseNotice(rateLimits [][]byte) host.Notice {
-	no := host.Notice{}
+func ParseNotice(rateLimits [][]byte, leaving []byte) host.Notice {
+	no := host.Notice{Leaving: string(bytes.TrimSpace(leaving)) == leavingValue}
 	if len(rateLimits) == 0 {
 		return no
 	}
--- a/io/upstream/query.go
+++ b/io/upstream/query.go
@@ -34,7 +34,7 @@
 			ve.Fate = wire.Fate_FATE_ANSWER_LOST
 			break
 		}
-		ve.Response.Notice = PeerNoticeToWire(no)
+		ve.Response.Notice = PeerNoticeToWire(no, time.Now())
 	case host.FateRefused, host.FateBroken, host.FateUnknown, host.FateNeverSeen:
 		ve.Refusal = &wire.Refusal{
 			Reason: string(aq.Reason),
--- a/testkit/rate_limits_test.go
+++ b/testkit/rate_limits_test.go
@@ -41,8 +41,11 @@
 // startNoticeLoad makes reads, bookings and uploads at all hosts, more than the upstream
 // of limitedID accepts while it states a rate limit.
 func startNoticeLoad(me *testkit.Mesh, ca *testkit.Callers) (reads *testkit.Callers, stop func()) {
+	return startNoticeLoadAt(me, ca, ingressID, limitedID, roomyID)
+}
+
+func startNoticeLoadAt(me *testkit.Mesh, ca *testkit.Callers, ids ...string) (reads *testkit.Callers, stop func()) {
 	reads = testkit.NewCallersWithPrefix(me, "read")
-	ids := []string{ingressID, limitedID, roomyID}
 	return reads, ca.StartLoad(noticeWorkers, func(worker int) {
 		id := ids[worker%len(ids)]
 		switch worker / len(ids) % 3 {
@@ -214,3 +217,23 @@
 	assert.Equal(t, len(up.Ledger()), after, "the upstream got new calls after the drain grace period")
 	checkAllServed(t, ca, reads)
 }
+
+// TestRestartedGateHearsThatUpstreamLeaves restarts the node beside an upstream that has
+// stated that it is leaving: the other nodes, which passed this on, send it nothing.
+func TestRestartedGateHearsThatUpstreamLeaves(t *testing.T) {
+	me, ca := startNoticeMesh(t)
+	reads, stop := startNoticeLoadAt(me, ca, ingressID, roomyID)
+	ho := me.Hosts[limitedID]
+	ho.Upstream.SetLeaving()
+	time.Sleep(3*time.Second + drainSlack)
+	after := len(ho.Upstream.Ledger())
+	ho.Kill()
+	ho.Start()
+	testkit.Eventually(t, waitTimeout, "the new gate hears it", func() bool {
+		return strings.Count(ho.Log(), "upstream_leaving") == 2
+	})
+	time.Sleep(time.Second)
+	stop()
+	assert.Equal(t, len(ho.Upstream.Ledger()), after, "the upstream got new calls after the restart of its node")
+	checkAllServed(t, ca, reads)
+}
