test: state rate limits and leaving notices in the soak

Upstreams of a run state limits, from 0 to 40 per second or unreadable, while other faults affect them and their hosts; half of the drains are stated in responses alone. Requests are counted at the upstreams over all hosts, those of hosts that had passed a response on half a second before.

--- a/io/upstream/standin/notices.go
+++ b/io/upstream/standin/notices.go
@@ -46,20 +46,33 @@
 	sv.leaving = true
 }
 
-// Arrivals returns when each request arrived, health checks included.
-func (sv *Server) Arrivals() []time.Time {
+// LeavingStatedAt returns when a response first stated that the server is leaving; zero
+// if none has.
+func (sv *Server) LeavingStatedAt() time.Time {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return append([]time.Time(nil), sv.arrivals...)
+	return sv.leavingStatedAt
+}
+
+// Arrival is a request that arrived at the server.
+type Arrival struct {
+	// Call is the caller's id of the call; empty for a health check.
+	Call string
+	At   time.Time
+}
+
+// Arrivals returns the requests in the order of their arrival, health checks included.
+func (sv *Server) Arrivals() []Arrival {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return append([]Arrival(nil), sv.arrivals...)
 }
 
 // withNotices records each arrival and adds to the response what the server states
 // about itself.
 func (sv *Server) withNotices(next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		sv.mu.Lock()
-		sv.arrivals = append(sv.arrivals, time.Now())
-		sv.mu.Unlock()
+		sv.recordArrival(string(ctx.Request.Header.Peek(HeaderCallID)))
 		next(ctx)
 		sv.mu.Lock()
 		defer sv.mu.Unlock()
@@ -68,6 +81,18 @@
 		}
 		if sv.leaving {
 			ctx.Response.Header.Set(upstream.HeaderLeaving, "1")
+			if sv.leavingStatedAt.IsZero() {
+				sv.leavingStatedAt = time.Now()
+			}
 		}
 	}
 }
+
+func (sv *Server) recordArrival(call string) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.arrivals = append(sv.arrivals, Arrival{
+		Call: call,
+		At:   time.Now(),
+	})
+}
--- a/io/upstream/standin/server.go
+++ b/io/upstream/standin/server.go
@@ -46,9 +46,11 @@
 
 	mu       sync.Mutex
 	ledger   []Run
-	arrivals []time.Time
+	arrivals []Arrival
 	limits   []RateLimitPeriod
 	leaving  bool
+	// leavingStatedAt is when a response first stated that the server is leaving.
+	leavingStatedAt time.Time
 	// sequence counts the announcements.
 	sequence uint64
 	health   Health
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -73,16 +73,27 @@
 // settings, and 500 ms for an announcement and a call.
 const drainGrace = 3500 * time.Millisecond
 
-// beginDrain drains the upstream. The returned function checks that it gets no calls
-// after the grace period, and replaces it.
-func beginDrain(sr *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
-	ho.Upstream.Drain()
+// beginDrain makes the upstream announce that it drains, or state in its responses that it
+// is leaving. The returned function checks that it gets no calls after the grace period,
+// and replaces it.
+func beginDrain(sr *soakRun, ho *testkit.Host, rnd *rand.Rand) func() {
 	startedAt := time.Now()
+	byResponse := rnd.IntN(2) == 0
+	if byResponse {
+		ho.Upstream.SetLeaving()
+	} else {
+		ho.Upstream.Drain()
+	}
 	return func() {
-		time.Sleep(time.Until(startedAt.Add(drainGrace)))
-		after := len(ho.Upstream.Ledger())
-		time.Sleep(500 * time.Millisecond)
-		assert.Check(sr.t, len(ho.Upstream.Ledger()) == after, "seed %d: %s got new calls after the drain grace period", sr.seed, ho.Spec.ID)
+		if byResponse {
+			startedAt = ho.Upstream.LeavingStatedAt()
+		}
+		if !startedAt.IsZero() {
+			time.Sleep(time.Until(startedAt.Add(drainGrace)))
+			after := len(ho.Upstream.Ledger())
+			time.Sleep(500 * time.Millisecond)
+			assert.Check(sr.t, len(ho.Upstream.Ledger()) == after, "seed %d: %s got new calls after the drain grace period", sr.seed, ho.Spec.ID)
+		}
 		ho.KillUpstream()
 		ho.StartUpstream()
 	}
@@ -173,6 +184,30 @@
 	return faults
 }
 
+// rateLimits are the limits that upstreams state in their responses; the last one is
+// unreadable.
+var rateLimits = []string{"0", "0.5", "3", "12.5", "40", "many"}
+
+// limitUpstreams makes some upstreams state rate limits until the end of the faults, while
+// other faults affect them and their hosts.
+func (sr *soakRun) limitUpstreams() {
+	rnd := rand.New(rand.NewPCG(sr.seed, 1<<32))
+	for _, id := range hostIDs {
+		up := sr.mesh.Hosts[id].Upstream
+		if up == nil || rnd.IntN(2) == 0 {
+			continue
+		}
+		first, second := rateLimits[rnd.IntN(len(rateLimits))], rateLimits[rnd.IntN(len(rateLimits))]
+		changeAt := time.Duration(rnd.IntN(int(2 * faultDuration)))
+		sr.t.Logf("%s states a rate limit of %s, from %s on of %s", id, first, changeAt, second)
+		up.SetRateLimit(first)
+		if changeAt < faultDuration {
+			time.AfterFunc(changeAt, func() { up.SetRateLimit(second) })
+		}
+		time.AfterFunc(faultDuration, func() { up.SetRateLimit("") })
+	}
+}
+
 // gapBetweenFaults returns a random time between two faults of one target.
 func gapBetweenFaults(rnd *rand.Rand) time.Duration {
 	return time.Duration(300+rnd.IntN(3000)) * time.Millisecond
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -206,12 +206,14 @@
 	faults := scheduleFaults(sr.rnd, sr.mesh, faultDuration)
 	checkVersions := sr.mesh.WatchVersions()
 	stop := sr.startLoad()
+	sr.limitUpstreams()
 	sr.injectFaults(faults)
 	stop()
 	sr.waitUntilStable()
 	checkVersions()
 	sr.checkBookings()
 	sr.checkReads()
+	sr.mesh.CheckRateLimits(append(sr.bookings.Results(), sr.reads.Results()...))
 }
 
 // checkBookings compares the reported outcomes with the upstreams' ledgers: no call
--- a/testkit/callers.go
+++ b/testkit/callers.go
@@ -24,6 +24,10 @@
 // CallResult is what a caller observed of one call.
 type CallResult struct {
 	CallID string
+	// Host is the ingress host, and AnsweredAt when the answer was complete or the call
+	// failed.
+	Host       string
+	AnsweredAt time.Time
 	// Outcome is empty if the connection ended before the answer was complete.
 	Outcome string
 	Reason  string
@@ -80,7 +84,10 @@
 
 // Call makes one call at a host, with a body of size bytes, and never retries it.
 func (ca *Callers) Call(id, method, path string, size int) CallResult {
-	cr := CallResult{CallID: fmt.Sprintf("%s-%d", ca.idPrefix, ca.callCount.Add(1))}
+	cr := CallResult{
+		CallID: fmt.Sprintf("%s-%d", ca.idPrefix, ca.callCount.Add(1)),
+		Host:   id,
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	url := "http://" + ca.mesh.Hosts[id].CallerAddress + path
@@ -119,6 +126,7 @@
 }
 
 func (ca *Callers) record(cr CallResult) CallResult {
+	cr.AnsweredAt = time.Now()
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	ca.results = append(ca.results, cr)
--- a/testkit/faults.go
+++ b/testkit/faults.go
@@ -41,17 +41,25 @@
 // Runs returns the runs in the ledgers of all upstreams of the mesh, by call id.
 func (me *Mesh) Runs() map[string][]upstreamstandin.Run {
 	runs := map[string][]upstreamstandin.Run{}
+	for _, sv := range me.upstreams() {
+		for _, ru := range sv.Ledger() {
+			runs[ru.Call] = append(runs[ru.Call], ru)
+		}
+	}
+	return runs
+}
+
+// upstreams returns all upstreams that the mesh has had.
+func (me *Mesh) upstreams() []*upstreamstandin.Server {
+	var all []*upstreamstandin.Server
 	for _, ho := range me.Hosts {
 		for _, sv := range append(ho.stoppedUpstreams, ho.Upstream) {
-			if sv == nil {
-				continue
-			}
-			for _, ru := range sv.Ledger() {
-				runs[ru.Call] = append(runs[ru.Call], ru)
+			if sv != nil {
+				all = append(all, sv)
 			}
 		}
 	}
-	return runs
+	return all
 }
 
 // BlackholeDirection makes the host's proxy drop all data in one direction until
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -78,7 +78,9 @@
 	Upstream *upstreamstandin.Server
 	// stoppedUpstreams are the host's former upstreams, kept for their ledgers.
 	stoppedUpstreams []*upstreamstandin.Server
-	mesh             *Mesh
+	// startTimes are the times at which the node was started.
+	startTimes []time.Time
+	mesh       *Mesh
 	// proxyRemoteOnly makes hosts of the same data centre bypass the proxy.
 	proxyRemoteOnly bool
 	settingsFile    string
@@ -277,6 +279,7 @@
 	cmd.Stdout = log
 	cmd.Stderr = log
 	cmd.Env = append(os.Environ(), "LYNXFOLD_FATAL_INVARIANTS=1")
+	ho.startTimes = append(ho.startTimes, time.Now())
 	assert.NilError(t, cmd.Start())
 	_ = log.Close()
 	ho.process = cmd
--- a/testkit/rate_limits.go
+++ b/testkit/rate_limits.go
@@ -1,6 +1,7 @@
 package testkit
 
 import (
+	"net/http"
 	"slices"
 	"strconv"
 	"testing"
@@ -23,40 +24,94 @@
 	rateLimitSlack  = 5
 )
 
-// CheckRateLimits checks for each period in which the upstream stated one rate limit
-// that no more requests than allowed arrived in any window of it.
+// countedRequest reports whether a request counts against a rate limit.
+type countedRequest func(ar upstreamstandin.Arrival) bool
+
+// CheckRateLimits checks for each period in which an upstream stated one rate limit that
+// no more requests than allowed arrived in any window of it, whatever host they came from.
 func CheckRateLimits(t testing.TB, sv *upstreamstandin.Server) {
 	t.Helper()
-	arrivals := sv.Arrivals()
-	slices.SortFunc(arrivals, time.Time.Compare)
 	for _, pe := range sv.RateLimits() {
-		limit, err := strconv.ParseFloat(pe.Limit, 64)
-		if err != nil {
-			continue // not a limit that anybody could keep to
+		checkRateLimit(t, sv, pe, func(upstreamstandin.Arrival) bool { return true })
+	}
+}
+
+// CheckRateLimits is like the function, for all upstreams of the mesh. A request counts if
+// it came from a host that had told a caller of the limit for toldFor, and was not
+// restarted since; calls holds the results of all calls.
+func (me *Mesh) CheckRateLimits(calls []CallResult) {
+	me.T.Helper()
+	hosts := map[string]string{}
+	for _, cr := range calls {
+		hosts[cr.CallID] = cr.Host
+	}
+	for _, sv := range me.upstreams() {
+		for _, pe := range sv.RateLimits() {
+			told := me.toldTimes(sv, pe, calls)
+			checkRateLimit(me.T, sv, pe, func(ar upstreamstandin.Arrival) bool {
+				id := hosts[ar.Call]
+				return id == "" || me.knewLimit(id, told[id], ar.At)
+			})
 		}
-		until := pe.Until
-		if until.IsZero() {
-			until = time.Now()
+	}
+}
+
+// toldFor is the time after a host has passed on a response from which it acts on it.
+const toldFor = 500 * time.Millisecond
+
+// toldTimes returns when each host passed on a response of the upstream in a period.
+func (me *Mesh) toldTimes(sv *upstreamstandin.Server, pe upstreamstandin.RateLimitPeriod, calls []CallResult) map[string][]time.Time {
+	finished := map[string]time.Time{}
+	for _, ru := range sv.Ledger() {
+		finished[ru.Call] = ru.FinishedAt
+	}
+	told := map[string][]time.Time{}
+	for _, cr := range calls {
+		at := finished[cr.CallID]
+		if cr.Status == http.StatusOK && at.After(pe.From) && (pe.Until.IsZero() || at.Before(pe.Until)) {
+			told[cr.Host] = append(told[cr.Host], cr.AnsweredAt)
+		}
+	}
+	return told
+}
+
+// knewLimit reports whether a host knew of a limit at a time, of which it told callers at
+// the given times.
+func (me *Mesh) knewLimit(id string, told []time.Time, at time.Time) bool {
+	startedAt := time.Time{}
+	for _, st := range me.Hosts[id].startTimes {
+		if !st.After(at) {
+			startedAt = st
 		}
-		counted := arrivalsBetween(arrivals, pe.From.Add(rateLimitGrace), until)
-		allowed := rateLimitFactor*limit*rateLimitWindow.Seconds() + rateLimitSlack
-		most := busiestWindow(counted)
-		assert.Check(t, float64(most) <= allowed, "%d requests in %s with a rate limit of %s per second; allowed %.0f",
-			most, rateLimitWindow, pe.Limit, allowed)
 	}
+	return slices.ContainsFunc(told, func(told time.Time) bool {
+		return told.After(startedAt) && !told.Add(toldFor).After(at)
+	})
 }
 
-func arrivalsBetween(arrivals []time.Time, from, until time.Time) []time.Time {
-	var between []time.Time
-	for _, at := range arrivals {
-		if !at.Before(from) && at.Before(until) {
-			between = append(between, at)
+func checkRateLimit(t testing.TB, sv *upstreamstandin.Server, pe upstreamstandin.RateLimitPeriod, counts countedRequest) {
+	t.Helper()
+	limit, err := strconv.ParseFloat(pe.Limit, 64)
+	if err != nil {
+		return // not a limit that anybody could keep to
+	}
+	until := pe.Until
+	if until.IsZero() {
+		until = time.Now()
+	}
+	var counted []time.Time
+	for _, ar := range sv.Arrivals() {
+		if !ar.At.Before(pe.From.Add(rateLimitGrace)) && ar.At.Before(until) && counts(ar) {
+			counted = append(counted, ar.At)
 		}
 	}
-	return between
+	allowed := rateLimitFactor*limit*rateLimitWindow.Seconds() + rateLimitSlack
+	most := busiestWindow(counted)
+	assert.Check(t, float64(most) <= allowed, "%d requests in %s with a rate limit of %s per second; allowed %.0f",
+		most, rateLimitWindow, pe.Limit, allowed)
 }
 
-// busiestWindow returns the highest number of arrivals in any window.
+// busiestWindow returns the highest number of arrivals, which are in order, in any window.
 func busiestWindow(arrivals []time.Time) int {
 	most, first := 0, 0
 	for i, at := range arrivals {
