fix: reuse no connection past the idle timeout that its upstream states

Callers of lookups saw upstream_broken now and then: a connection idle for up to 5 s was reused whatever timeout the upstream had stated in Keep-Alive, so that a request could meet the close. Found by looking for what else responses state that nothing acts on.

A connection now expires 200 ms before the stated timeout. The new test opened one connection where two are due before, and two now.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -208,6 +208,7 @@
 		}
 		rc := ex.client.protocol.Classify(ex.request, resp.StatusCode(), &resp.Header)
 		if rc != ResponseStale {
+			ex.conn.recordKeepAlive(&resp.Header)
 			return resp, rc, nil
 		}
 		ex.sawStale = true
--- a/io/upstream/conns.go
+++ b/io/upstream/conns.go
@@ -5,9 +5,13 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"lynxfold/core/host"
 	"lynxfold/io/tcp"
 )
@@ -43,8 +47,11 @@
 	net.Conn
 	address    string
 	lastUsedAt time.Time
-	reader     *bufio.Reader
-	writer     *bufio.Writer
+	// expiresAt is when the upstream may close the connection if it is idle, as its last
+	// response stated; zero if it stated nothing.
+	expiresAt time.Time
+	reader    *bufio.Reader
+	writer    *bufio.Writer
 	// wroteBytes reports that bytes of the current request may have been sent.
 	wroteBytes atomic.Bool
 }
@@ -58,6 +65,27 @@
 	return n, err
 }
 
+// keepAliveMargin is how long before the stated timeout a connection is no longer reused:
+// the upstream counts from the end of its response, and a request takes time to arrive.
+const keepAliveMargin = 200 * time.Millisecond
+
+// recordKeepAlive records the idle timeout that a response states, if any.
+func (co *conn) recordKeepAlive(he *fasthttp.ResponseHeader) {
+	co.expiresAt = time.Time{}
+	for part := range strings.SplitSeq(string(he.Peek(fasthttp.HeaderKeepAlive)), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.ParseUint(value, 10, 16)
+		if strings.EqualFold(name, "timeout") && err == nil {
+			co.expiresAt = time.Now().Add(time.Duration(seconds)*time.Second - keepAliveMargin)
+		}
+	}
+}
+
+// isExpired reports whether the upstream may be closing the connection.
+func (co *conn) isExpired(now time.Time) bool {
+	return !co.expiresAt.IsZero() && !now.Before(co.expiresAt)
+}
+
 // SetLimit bounds the connections to the upstream; 0 means no limit.
 func (cl *Client) SetLimit(connections int) {
 	cl.mu.Lock()
@@ -119,7 +147,7 @@
 			break // too old for this request, like the others, which are older; idempotent requests may reuse them
 		}
 		cl.idle = cl.idle[:len(cl.idle)-1]
-		if co.address == address && now.Sub(co.lastUsedAt) < maxAge && tcp.Peek(co.Conn) == tcp.StateIdle {
+		if co.address == address && now.Sub(co.lastUsedAt) < maxAge && !co.isExpired(now) && tcp.Peek(co.Conn) == tcp.StateIdle {
 			co.wroteBytes.Store(false)
 			return co, nil
 		}
