fix: tell callers and nodes when an upstream that refuses a call accepts others

An upstream that refuses a request as not run may say when to retry; callers were told a second whatever it said, and nodes went on sending it calls. The refusal now carries the time, at most a minute, and the ingress treats the upstream as full until then.

--- a/core/call/types.go
+++ b/core/call/types.go
@@ -98,8 +98,8 @@
 	// RetryAfter is the time from which a refused attempt may be retried; zero when
 	// unknown.
 	RetryAfter time.Time
-	// RateLimited says that the gate refused the attempt because of the upstream's rate
-	// limit.
+	// RateLimited says that the upstream accepts no attempt before RetryAfter, whatever
+	// slots it has.
 	RateLimited bool
 	// GaveUp says that the response carries HeaderGaveUp: a lower layer has used
 	// up its retries. In Respond it is also set if this layer has.
--- a/core/call/upstream_stats.go
+++ b/core/call/upstream_stats.go
@@ -53,8 +53,8 @@
 	// load is the load that the gate reported at loadAt, relative to its slots.
 	load   float64
 	loadAt time.Time
-	// limitedUntil is when the upstream's rate limit allows another call, as its gate
-	// said with its last refusal.
+	// limitedUntil is when the upstream accepts another call, as its gate or it itself
+	// said with the last refusal.
 	limitedUntil time.Time
 	// slowStartFrom is when a new incarnation was first seen or when an ejection
 	// ends; zero if the weight is not reduced.
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -246,9 +248,27 @@
 // refuseNotRun ends an exchange whose request the upstream did not run. The
 // connection is reused if the response body can be read to its end.
 func (ex *exchange) refuseNotRun(resp *fasthttp.Response, re host.Reason) Reply {
+	rp := RefusalReply(re, true)
+	if delay := upstreamRetryAfter(&resp.Header); delay > 0 {
+		rp.Refusal.RetryAfterUs = delay.Microseconds()
+		rp.Refusal.RateLimited = true
+	}
 	drained := ex.discardBody(resp) == nil
 	ex.finish(drained && !resp.ConnectionClose(), Result{Outcome: host.OutcomeNotRun, Reason: re})
-	return RefusalReply(re, true)
+	return rp
+}
+
+// maxUpstreamRetryAfter bounds the time for which an upstream may turn calls away.
+const maxUpstreamRetryAfter = time.Minute
+
+// upstreamRetryAfter returns the time that an upstream names in its refusal, in seconds;
+// 0 if it names none. Dates are not supported, as the clocks of hosts differ.
+func upstreamRetryAfter(he *fasthttp.ResponseHeader) time.Duration {
+	seconds, err := strconv.ParseFloat(string(bytes.TrimSpace(he.Peek(fasthttp.HeaderRetryAfter))), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxUpstreamRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // maxUnframedBytes bounds the responses that end with their connection.
--- a/io/upstream/notice_test.go
+++ b/io/upstream/notice_test.go
@@ -144,3 +144,41 @@
 	<-ended
 	assert.DeepEqual(t, noticed, []host.Notice{{RateLimit: host.RateLimit{Limited: true, PerSecond: 9}}})
 }
+
+// TestRefusalOfUpstreamSaysWhenToRetry checks that the time that an upstream names in its
+// refusal reaches the ingress.
+func TestRefusalOfUpstreamSaysWhenToRetry(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"2":                             2 * time.Second,
+		"0.25":                          250 * time.Millisecond,
+		"":                              0,
+		"-1":                            0,
+		"NaN":                           0,
+		"1e99":                          maxUpstreamRetryAfter,
+		"Fri, 31 Dec 1999 23:59:59 GMT": 0,
+	} {
+		t.Run(text, func(t *testing.T) {
+			sc := startScriptedUpstream(t, func(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
+				if _, ok := sc.readRequest(rd); ok {
+					_, _ = fmt.Fprintf(nc, "HTTP/1.1 429 Too Many Requests\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", text)
+				}
+			})
+			cl := NewClientWithProtocol(refusingProtocol{})
+			t.Cleanup(cl.Close)
+			re, _, rs, _ := do(t, cl, sc, newRequest("POST"), nil)
+			assert.Equal(t, rs.Outcome, host.OutcomeNotRun)
+			assert.Equal(t, time.Duration(re.Refusal.GetRetryAfterUs())*time.Microsecond, want)
+			assert.Equal(t, re.Refusal.GetRateLimited(), want > 0)
+		})
+	}
+}
+
+// refusingProtocol is the native protocol, but responses say that the request did not run.
+type refusingProtocol struct {
+	NativeProtocol
+}
+
+// Classify implements Protocol.
+func (refusingProtocol) Classify(*wire.Request, int, *fasthttp.ResponseHeader) ResponseClass {
+	return ResponseNotRun
+}
