fix: tell refused callers the earliest time at which an upstream has room

A caller whose call a rate-limited upstream refused last was told to come back when that one has room, up to ten seconds later, though another one had room in 0.3 s. The earliest time that full gates named is told then. The script gave 11.25s before, 375ms now.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -58,6 +58,8 @@
 	hedgeAt     time.Time
 	lastResult  Result
 	lastAttempt host.AttemptID
+	// earliestRetry is the earliest RetryAfter of the attempts that full gates refused.
+	earliestRetry time.Time
 	// mayHaveRun says that an attempt has ended that ran or may have run.
 	mayHaveRun bool
 	done       bool
@@ -212,6 +214,9 @@
 	}
 	ca.lastResult = re
 	ca.lastAttempt = id
+	if re.Outcome == OutcomeNotRun && !GateUnavailable(re) && !re.RetryAfter.IsZero() {
+		ca.earliestRetry = earliest(re.RetryAfter, ca.earliestRetry)
+	}
 	if ca.isFinal(re) {
 		ca.respond(id, re, NoRetryFinal)
 		return
--- a/core/call/response.go
+++ b/core/call/response.go
@@ -22,9 +22,10 @@
 // expire ends a call whose deadline has passed.
 func (ca *Call) expire() {
 	re := Result{
-		Outcome:    OutcomeNotRun,
-		Reason:     host.ReasonDeadline,
-		RetryAfter: ca.lastResult.RetryAfter,
+		Outcome:     OutcomeNotRun,
+		Reason:      host.ReasonDeadline,
+		RetryAfter:  ca.lastResult.RetryAfter,
+		RateLimited: ca.lastResult.RateLimited,
 	}
 	if len(ca.openAttempts) > 0 || ca.mayHaveRun {
 		re.Outcome = OutcomeUnknown
@@ -66,6 +67,10 @@
 	if re.Outcome == OutcomeRan || !mayRepeat {
 		return time.Time{}
 	}
+	if re.RateLimited {
+		// Other upstreams may accept the call long before the limited one does.
+		re.RetryAfter = ca.earliestRetry
+	}
 	return JitterRetryAfter(re.RetryAfter, ca.now, ca.cfg.MinRetryAfter, ca.cfg.Jitter())
 }
 
--- a/core/call/script_test.go
+++ b/core/call/script_test.go
@@ -139,9 +139,10 @@
 	var reason string
 	td.MaybeScanArgs(t, "reason", &reason)
 	re := call.Result{
-		Reason:     host.Reason(reason),
-		GaveUp:     td.HasArg("gave-up"),
-		BodyUnread: td.HasArg("body-unread"),
+		Reason:      host.Reason(reason),
+		GaveUp:      td.HasArg("gave-up"),
+		BodyUnread:  td.HasArg("body-unread"),
+		RateLimited: td.HasArg("rate-limited"),
 	}
 	if td.HasArg("retry-after") {
 		var ms int
