--- a/testkit/rate_limits_test.go
+++ b/testkit/rate_limits_test.go
@@ -199,6 +199,37 @@
 	ca.CheckOutcomes(t)
 }
 
+// TestRateLimitIsExplained checks that the log and the metrics of the gate show the limit,
+// and that the decisions on a rejected call name it.
+func TestRateLimitIsExplained(t *testing.T) {
+	me, ca := startNoticeMesh(t)
+	for _, id := range []string{limitedID, roomyID} {
+		me.Hosts[id].Upstream.SetRateLimit("0.25")
+	}
+	rejected := ""
+	testkit.Eventually(t, waitTimeout, "a call is rejected", func() bool {
+		rs, err := http.Post("http://"+me.Hosts[ingressID].CallerAddress+"/bookings", "text/plain", strings.NewReader("cube 17"))
+		assert.NilError(t, err)
+		assert.NilError(t, rs.Body.Close())
+		rejected = rs.Header.Get("Lynxfold-Call")
+		return rs.StatusCode == http.StatusServiceUnavailable
+	})
+	operator := "http://" + me.Hosts[ingressID].OperatorAddress
+	_, explained, err := fasthttp.Get(nil, operator+"/api/explain/call/"+rejected)
+	assert.NilError(t, err)
+	assert.Check(t, strings.Contains(string(explained), "rate limit"), "%s", explained)
+	assert.Check(t, strings.Contains(me.Hosts[ingressID].Log(), `"rate_limited":true`))
+
+	for _, id := range []string{limitedID, roomyID} {
+		ho := me.Hosts[id]
+		assert.Check(t, strings.Contains(ho.Log(), `"after":{"limited":true,"requests_per_second":0.25}`), "%s", ho.Log())
+		_, values, err := fasthttp.Get(nil, "http://"+ho.OperatorAddress+"/metrics")
+		assert.NilError(t, err)
+		assert.Check(t, strings.Contains(string(values), "lynxfold_gate_rate_limit 0.25"), "%s", values)
+	}
+	ca.CheckOutcomes(t)
+}
+
 // drainSlack is the time beyond the drain grace for a call that was under way.
 const drainSlack = 500 * time.Millisecond
 
