test: count every kind of call and health checks against a rate limit

Retries, calls of upstreams, streamed responses, uploads, early responses and keyed calls each alone exceed the limit of both upstreams of a mesh; the health check after a start states the limit and counts.

--- a/core/call/no_queue_test.go
+++ b/core/call/no_queue_test.go
@@ -42,6 +42,10 @@
 	gates map[host.ID]*host.Gate
 	nodes []*sparseNode
 	calls map[host.AttemptID]*sparseCall
+	// limits are the rate limits that upstreams state, and dispatched the times at which
+	// these got their requests.
+	limits     map[host.ID]host.RateLimit
+	dispatched map[host.ID][]time.Time
 
 	// late counts the responses after the objective, and remoteQueueing the attempts
 	// to the remote data centre that may wait in its queues.
@@ -85,6 +89,9 @@
 		rnd:   rand.New(rand.NewPCG(7, 8)),
 		gates: map[host.ID]*host.Gate{},
 		calls: map[host.AttemptID]*sparseCall{},
+
+		limits:     map[host.ID]host.RateLimit{},
+		dispatched: map[host.ID][]time.Time{},
 	}
 	for i := range 2 * simGates {
 		id := host.ID(fmt.Sprint("up-", i))
@@ -207,19 +214,29 @@
 	for _, ac := range ga.Step(ev, ss.now) {
 		switch ac := ac.(type) {
 		case host.Dispatch:
+			ss.dispatched[id] = append(ss.dispatched[id], ss.now)
+			sentAt := ss.now
 			took := time.Duration(float64(simServiceTime) * (0.5 + ss.rnd.ExpFloat64()/2))
 			ss.schedule(took, func() {
+				ss.step(id, host.Noticed{
+					SentAt: sentAt,
+					Notice: host.Notice{RateLimit: ss.limits[id]},
+				})
 				ss.step(id, host.Ended{ID: ac.ID, Outcome: host.OutcomeRan})
 				ss.reply(ac.ID, ga, call.Result{Outcome: call.OutcomeRan, Status: 200})
 			})
 		case host.Refuse:
 			ss.reply(ac.ID, ga, call.Result{
-				Outcome:    call.OutcomeNotRun,
-				Reason:     ac.Reason,
-				RetryAfter: ac.RetryAfter,
+				Outcome:     call.OutcomeNotRun,
+				Reason:      ac.Reason,
+				RetryAfter:  ac.RetryAfter,
+				RateLimited: ac.RateLimited,
 			})
 		}
 	}
+	if at := ga.WakeAt(ss.now); !at.IsZero() {
+		ss.schedule(at.Sub(ss.now), func() { ss.step(id, host.Tick{}) })
+	}
 }
 
 func (ss *sparseSimulation) reply(id host.AttemptID, ga *host.Gate, re call.Result) {
--- a/testkit/rate_limits_test.go
+++ b/testkit/rate_limits_test.go
@@ -1,10 +1,13 @@
 package testkit_test
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
+	"lynxfold/core/call"
 	"lynxfold/testkit"
 )
 
@@ -100,6 +104,59 @@
 	}
 }
 
+// callKinds are calls that reach the upstream in different ways.
+var callKinds = map[string]struct {
+	method string
+	path   string
+	size   int
+	header map[string]string
+}{
+	"retries":           {method: http.MethodGet, path: "/results?status=503"},
+	"calls of upstream": {method: http.MethodGet, path: "/results", header: map[string]string{call.HeaderAttempt: "1"}},
+	"streamed response": {method: http.MethodGet, path: "/results?bytes=300000&chunked=true"},
+	"upload":            {method: http.MethodPost, path: "/scans", size: 200 << 10},
+	"early response":    {method: http.MethodPost, path: "/scans?early=true", size: 200 << 10},
+	"keyed call":        {method: http.MethodPost, path: "/certificates", size: 10, header: map[string]string{"Idempotency-Key": ""}},
+}
+
+// TestAllKindsOfCallsCountAgainstRateLimit limits both upstreams to less than the load of
+// one kind of call.
+func TestAllKindsOfCallsCountAgainstRateLimit(t *testing.T) {
+	for name, kind := range callKinds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			me, ca := startNoticeMesh(t)
+			for _, id := range []string{limitedID, roomyID} {
+				me.Hosts[id].Upstream.SetRateLimit("5")
+			}
+			var sent atomic.Int64
+			stop := ca.StartLoad(6, func(worker int) {
+				url := "http://" + me.Hosts[[]string{ingressID, limitedID}[worker%2]].CallerAddress + kind.path
+				rq, err := http.NewRequest(kind.method, url, bytes.NewReader(make([]byte, kind.size)))
+				assert.Check(t, err)
+				for key, value := range kind.header {
+					if value == "" {
+						value = strconv.FormatInt(sent.Add(1), 10)
+					}
+					rq.Header.Set(key, value)
+				}
+				if rs, err := http.DefaultClient.Do(rq); err == nil {
+					_, _ = io.Copy(io.Discard, rs.Body)
+					_ = rs.Body.Close()
+				}
+				time.Sleep(20 * time.Millisecond)
+			})
+			time.Sleep(statedFor)
+			stop()
+			for _, id := range []string{limitedID, roomyID} {
+				testkit.CheckRateLimits(t, me.Hosts[id].Upstream)
+				arrived := len(me.Hosts[id].Upstream.Arrivals())
+				assert.Check(t, arrived > 20, "%d requests arrived", arrived)
+			}
+		})
+	}
+}
+
 // TestLiftedRateLimitIsForgotten lets an upstream state a limit and then none.
 func TestLiftedRateLimitIsForgotten(t *testing.T) {
 	me, ca := startNoticeMesh(t)
