fix: let calls of upstreams wait for the rate limit as long as they have time

A call that an upstream makes fails the outer call, which already runs, when it is turned away; a quarter of its 600 ms was less than the wait under a limit of 5.8 per second. The load that a gate without a known service time returned was also a hundred times too high.

--- a/core/call/rate_limit_test.go
+++ b/core/call/rate_limit_test.go
@@ -35,6 +35,11 @@
 		missed := float64(ss.late+ss.refused) / float64(ss.done)
 		t.Logf("%d limited, utilisation %.2f: late or refused %.4f (%d, %d), attempts per call %.2f", it.limited, it.utilisation,
 			missed, ss.late, ss.refused, float64(ss.attempts)/simCalls)
+		used := 0
+		for _, up := range ss.all[:it.limited] {
+			used += len(ss.dispatched[up.Host])
+		}
+		t.Logf("used %.2f of the limits", float64(used)/float64(it.limited)/(full/3)/ss.now.Sub(time.Unix(1_000_000, 0)).Seconds())
 		assert.Equal(t, ss.done, simCalls)
 		assert.Check(t, missed <= 2*alone, "late or refused: %.4f, without any wait %.4f", missed, alone)
 		for _, up := range ss.all[:it.limited] {
--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -108,6 +108,20 @@
 	return wait
 }
 
+// defaultServiceTime is assumed before the first call has ended.
+const defaultServiceTime = 100 * time.Millisecond
+
+// meanServiceTime returns the service time of lookups, or of bulk attempts if there were
+// no lookups.
+func (ga *Gate) meanServiceTime() time.Duration {
+	for _, mean := range []time.Duration{ga.lookupTime.mean, ga.bulkTime.mean} {
+		if mean > 0 {
+			return mean
+		}
+	}
+	return defaultServiceTime
+}
+
 // maxKinds bounds the number of kinds with service time estimates of their own.
 const maxKinds = 64
 
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -177,6 +177,5 @@
 	if wait == 0 {
 		return load
 	}
-	serviceTime := max(ga.lookupTime.mean, time.Millisecond)
-	return max(load, uint32(1000*(1+wait.Seconds()/serviceTime.Seconds())))
+	return max(load, uint32(1000*(1+wait.Seconds()/ga.meanServiceTime().Seconds())))
 }
--- a/core/host/limited.go
+++ b/core/host/limited.go
@@ -7,8 +7,12 @@
 // has better uses for the rest.
 const limitPatienceDivisor = 4
 
-// limitPatience returns how long an attempt waits for the rate limit at most.
+// limitPatience returns how long an attempt waits for the rate limit at most. A nested
+// attempt waits as long as it can: without it the outer call, which already runs, fails.
 func (en *entry) limitPatience() time.Duration {
+	if en.attempt.Nested {
+		return en.attempt.Deadline.Sub(en.arrived)
+	}
 	return en.attempt.Deadline.Sub(en.arrived) / limitPatienceDivisor
 }
 
