--- a/core/call/notices_test.go
+++ b/core/call/notices_test.go
@@ -37,6 +37,21 @@
 	assert.Check(t, counts[limited.Host] > 20, "%v", counts)
 }
 
+// TestLeavingUpstreamIsAvoided checks that an upstream that is leaving gets no call while
+// another one can serve it, even before its host announces it.
+func TestLeavingUpstreamIsAvoided(t *testing.T) {
+	cf := newChooserFixture(t, map[datacentre.Name]int{local: 2})
+	leaving := cf.all[0]
+	cf.chooser.Pick(service, cf.all, nil, cf.now)
+	ob := succeeded(2*time.Millisecond, 300)
+	ob.Notice = host.PeerNotice{Process: 7, LeavingSince: cf.now}
+	ob.HasNotice = true
+	cf.chooser.Started(leaving)
+	cf.chooser.Ended(leaving, ob, cf.now)
+	counts := cf.picks(200, always(succeeded(2*time.Millisecond, 300)))
+	assert.Equal(t, counts[leaving.Host], 0)
+}
+
 // TestNoticeOutlivesGate checks that what an upstream has stated is kept while its host
 // is out of the view, until a response states something else.
 func TestNoticeOutlivesGate(t *testing.T) {
--- a/io/upstream/notice_test.go
+++ b/io/upstream/notice_test.go
@@ -98,6 +98,36 @@
 	assert.Check(t, serveLookup(t, ga, 1, true).Response.GetNotice() == nil)
 }
 
+// TestQueryReturnsNotice checks that a kept response that a query finds says what the
+// upstream states, since the ingress passes it on.
+func TestQueryReturnsNotice(t *testing.T) {
+	var header atomic.Value
+	header.Store("Lynxfold-Rate-Limit: 1000\r\n")
+	ga, _ := startNoticeGate(t, &header)
+	rq := newBookingRequest("node-1.3.1.1", 0)
+	assert.Equal(t, ga.Serve(testContext(t), rq, nil).Response.GetStatus(), int32(200))
+	ve := ga.Query(testContext(t), &wire.Query{
+		Attempt:     rq.GetAttempt(),
+		Incarnation: rq.GetIncarnation(),
+	})
+	assert.Equal(t, ve.GetFate(), wire.Fate_FATE_FINISHED)
+	assert.Check(t, ve.GetResponse().GetNotice().GetRateLimited())
+}
+
+// TestLeavingIsPublished checks that other hosts hear that the upstream drains as soon as
+// a response states that it is leaving.
+func TestLeavingIsPublished(t *testing.T) {
+	var header atomic.Value
+	header.Store("Lynxfold-Leaving: 1\r\n")
+	ga, _ := startNoticeGate(t, &header)
+	var published []host.State
+	ga.cfg.OnAnnouncementChange = func(an host.Announcement) { published = append(published, an.State) }
+	for call := range 2 {
+		assert.Equal(t, serveLookup(t, ga, call, true).Response.GetStatus(), int32(200))
+	}
+	assert.DeepEqual(t, published, []host.State{host.StateDraining})
+}
+
 // TestQueuedAttemptIsSentWhenLimitAllows checks that a queued attempt does not wait for
 // another event.
 func TestQueuedAttemptIsSentWhenLimitAllows(t *testing.T) {
@@ -146,7 +176,7 @@
 }
 
 // TestRefusalOfUpstreamSaysWhenToRetry checks that the time that an upstream names in its
-// refusal reaches the ingress.
+// refusal reaches the ingress, and that the refusal states its limit like any response.
 func TestRefusalOfUpstreamSaysWhenToRetry(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"2":                             2 * time.Second,
@@ -160,13 +190,17 @@
 		t.Run(text, func(t *testing.T) {
 			sc := startScriptedUpstream(t, func(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
 				if _, ok := sc.readRequest(rd); ok {
-					_, _ = fmt.Fprintf(nc, "HTTP/1.1 429 Too Many Requests\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", text)
+					_, _ = fmt.Fprintf(nc, "HTTP/1.1 429 Too Many Requests\r\nLynxfold-Rate-Limit: 3\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", text)
 				}
 			})
 			cl := NewClientWithProtocol(refusingProtocol{})
 			t.Cleanup(cl.Close)
-			re, _, rs, _ := do(t, cl, sc, newRequest("POST"), nil)
-			assert.Equal(t, rs.Outcome, host.OutcomeNotRun)
+			var noticed host.Notice
+			re := cl.Do(testContext(t), Destination{Address: sc.address}, newRequest("POST"), nil, Hooks{
+				OnNotice: func(no host.Notice) { noticed = no },
+				OnEnd:    func(rs Result) { assert.Equal(t, rs.Outcome, host.OutcomeNotRun) },
+			})
+			assert.DeepEqual(t, noticed.RateLimit, host.RateLimit{Limited: true, PerSecond: 3})
 			assert.Equal(t, time.Duration(re.Refusal.GetRetryAfterUs())*time.Microsecond, want)
 			assert.Equal(t, re.Refusal.GetRateLimited(), want > 0)
 		})
