fix: keep a notice that an older response lacks

An ingress that had heard that an upstream is leaving forgot it with the next response without a notice, also one that the gate had formed before; a gate restarted after that would not have been told. Such a response now deletes the notice only if its attempt was sent after the notice was last heard. TestNoticeOutlivesGate failed on this before. The waits for the limit get the names of the other waits of the gate.

--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -230,9 +230,10 @@
 	return ch.notices.of(up.Host, now)
 }
 
-// Noticed records what a response states about the upstream that it came from.
-func (ch *Chooser) Noticed(up datacentre.Upstream, no host.PeerNotice, now time.Time) {
-	ch.notices.record(up.Host, no, now)
+// Noticed records what the response to an attempt, sent at sentAt, states about the
+// upstream.
+func (ch *Chooser) Noticed(up datacentre.Upstream, no host.PeerNotice, sentAt, now time.Time) {
+	ch.notices.record(up.Host, no, sentAt, now)
 	if us := ch.upstreams[up.Host]; us != nil && !no.LeavingSince.IsZero() {
 		us.avoidedUntil = now.Add(avoidDrainingFor)
 	}
@@ -241,7 +242,7 @@
 // Ended records the end of an attempt and updates the upstream's statistics.
 func (ch *Chooser) Ended(up datacentre.Upstream, ob Observation, now time.Time) {
 	if ob.HasNotice {
-		ch.Noticed(up, ob.Notice, now)
+		ch.Noticed(up, ob.Notice, now.Add(-ob.Latency), now)
 	}
 	us := ch.upstreams[up.Host]
 	if us == nil {
--- a/core/call/notices.go
+++ b/core/call/notices.go
@@ -21,11 +21,15 @@
 	heardAt time.Time
 }
 
-// record stores the notice of a response from a host's upstream.
-func (ns notices) record(id host.ID, no host.PeerNotice, now time.Time) {
+// record stores the notice of a response from a host's upstream to an attempt that was
+// sent at sentAt. A response to an attempt from before the notice was last heard, which
+// may have been formed before it, does not delete it.
+func (ns notices) record(id host.ID, no host.PeerNotice, sentAt, now time.Time) {
 	known, found := ns[id]
 	if no == (host.PeerNotice{}) {
-		delete(ns, id)
+		if !sentAt.Before(known.heardAt) {
+			delete(ns, id)
+		}
 		return
 	}
 	if found && known.notice.Process == no.Process && !known.notice.LeavingSince.IsZero() {
--- a/core/call/notices_test.go
+++ b/core/call/notices_test.go
@@ -84,6 +84,10 @@
 	other := host.PeerNotice{Process: 8, LeavingSince: cf.now.Add(time.Second)}
 	observe(other)
 	assert.Equal(t, cf.chooser.Notice(up, cf.now), other)
+	cf.now = cf.now.Add(time.Millisecond)
+	observe(host.PeerNotice{})
+	assert.Equal(t, cf.chooser.Notice(up, cf.now), other, "the response may be older than the notice")
+	cf.now = cf.now.Add(time.Millisecond)
 	observe(host.PeerNotice{})
 	assert.Equal(t, cf.chooser.Notice(up, cf.now), host.PeerNotice{})
 
--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -95,7 +95,7 @@
 	if ga.queue.count(at.Class) >= min(ga.cfg.QueuePerSlot*ga.concurrencyLimit(), ga.ledger.cfg.MaxEntries/4-1) {
 		return ReasonQueueFull
 	}
-	if ga.limitWait(en, now) > en.limitPatience() {
+	if ga.limitWait(en, now) > en.maxLimitWait() {
 		return ReasonQueueFull
 	}
 	wait := ga.estimateWait(en, now)
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -55,8 +55,10 @@
 	transfers    transferLimiter
 	instances    instanceTracker
 	limiter      rateLimiter
-	// processSince is when the upstream's process was first announced, and leavingAt when
-	// one of its responses first stated that it is leaving; zero if none has.
+	// process is the upstream's process; processSince is when it was first announced, and
+	// leavingAt when one of its responses first stated that it is leaving, zero if none
+	// has.
+	process      ProcessID
 	processSince time.Time
 	leavingAt    time.Time
 	lookupTime   estimate
@@ -125,7 +127,7 @@
 		ga.handleTick(now)
 	}
 	ga.dispatchQueued(now)
-	ga.refuseImpatient(now)
+	ga.refuseOverdue(now)
 	ga.dropRecords(now)
 	return ga.actions
 }
--- a/core/host/limited.go
+++ b/core/host/limit_wait.go
@@ -2,18 +2,17 @@
 
 import "time"
 
-// limitPatienceDivisor bounds the time for which an attempt waits for the rate limit to
-// this part of its time until the deadline: the caller, who is told when there is room,
-// has better uses for the rest.
-const limitPatienceDivisor = 4
+// limitWaitDivisor bounds the time for which an attempt waits for the rate limit to this
+// part of its time until the deadline, so that the caller can still retry.
+const limitWaitDivisor = 4
 
-// limitPatience returns how long an attempt waits for the rate limit at most. A nested
+// maxLimitWait returns how long an attempt waits for the rate limit at most. A nested
 // attempt waits as long as it can: without it the outer call, which already runs, fails.
-func (en *entry) limitPatience() time.Duration {
+func (en *entry) maxLimitWait() time.Duration {
 	if en.attempt.Nested {
 		return en.attempt.Deadline.Sub(en.arrived)
 	}
-	return en.attempt.Deadline.Sub(en.arrived) / limitPatienceDivisor
+	return en.attempt.Deadline.Sub(en.arrived) / limitWaitDivisor
 }
 
 // limitWait returns the time until the rate limit allows a new attempt.
@@ -33,14 +32,14 @@
 	return isCapacityReason(re) && wait > 0 && (ga.freeSlots() > 0 || wait >= ga.slotWait(en))
 }
 
-// refuseImpatient refuses the queued attempts that have waited long enough for the rate
+// refuseOverdue refuses the queued attempts that have waited long enough for the rate
 // limit, since others were sent before them.
-func (ga *Gate) refuseImpatient(now time.Time) {
+func (ga *Gate) refuseOverdue(now time.Time) {
 	if !ga.limiter.limit.Limited || ga.freeSlots() <= 0 {
 		return
 	}
-	tired := ga.queue.removeIf(func(en *entry) bool { return now.Sub(en.arrived) >= en.limitPatience() })
-	for _, en := range tired {
+	overdue := ga.queue.removeIf(func(en *entry) bool { return now.Sub(en.arrived) >= en.maxLimitWait() })
+	for _, en := range overdue {
 		ga.refuse(en, ReasonQueueFull, now)
 	}
 }
--- a/core/host/notice.go
+++ b/core/host/notice.go
@@ -87,7 +87,7 @@
 // adoptNotice takes over what an ingress knows of the upstream, which a gate may have
 // lost in its restart.
 func (ga *Gate) adoptNotice(no PeerNotice, now time.Time) {
-	if no.Process == 0 || no.Process != ProcessOf(ga.upstream) {
+	if no.Process == 0 || no.Process != ga.process {
 		return
 	}
 	if !no.LeavingSince.IsZero() {
@@ -120,7 +120,7 @@
 // PeerNotice returns what responses tell the ingress nodes about the upstream.
 func (ga *Gate) PeerNotice() PeerNotice {
 	return PeerNotice{
-		Process:      ProcessOf(ga.upstream),
+		Process:      ga.process,
 		RateLimit:    ga.limiter.limit,
 		LeavingSince: ga.leavingAt,
 	}
--- a/core/host/upstream.go
+++ b/core/host/upstream.go
@@ -33,6 +33,7 @@
 func (ga *Gate) handleAnnounced(ev Announced, now time.Time) {
 	ga.trackProcess(ev.Announcement, now)
 	ga.upstream = ev.Announcement
+	ga.process = ProcessOf(ev.Announcement)
 	if !ga.leavingAt.IsZero() {
 		ga.upstream.State = max(ga.upstream.State, StateDraining)
 	}
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -168,6 +168,7 @@
 // queryFate queries the attempt's gate for the fate of the attempt.
 func (at *attempt) queryFate(ac call.QueryAttempt) call.Event {
 	ex := at.exchange
+	sentAt := time.Now()
 	ve, err := at.sendQuery(ac.Upstream, &wire.Query{
 		Attempt:     string(ac.Attempt),
 		Incarnation: uint64(ac.Upstream.Incarnation),
@@ -184,7 +185,7 @@
 		Refusal:  ve.GetRefusal(),
 	}
 	if rs := ve.GetResponse(); rs != nil {
-		ex.server.upstreamNoticed(ac.Upstream, rs.GetNotice())
+		ex.server.upstreamNoticed(ac.Upstream, rs.GetNotice(), sentAt)
 	}
 	return call.QueryResult{
 		Attempt: ac.Attempt,
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -240,13 +240,13 @@
 	return slack / queueWaitDivisor
 }
 
-// upstreamNoticed records what a response that a query has found states about its
-// upstream.
-func (sv *Server) upstreamNoticed(up datacentre.Upstream, un *wire.UpstreamNotice) {
+// upstreamNoticed records what a response that a query, sent at sentAt, has found states
+// about its upstream.
+func (sv *Server) upstreamNoticed(up datacentre.Upstream, un *wire.UpstreamNotice, sentAt time.Time) {
 	now := time.Now()
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.chooser.Noticed(up, upstream.PeerNoticeFromWire(un, now), now)
+	sv.chooser.Noticed(up, upstream.PeerNoticeFromWire(un, now), sentAt, now)
 }
 
 func (sv *Server) attemptEnded(up datacentre.Upstream, ob call.Observation, now time.Time) {
