--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -135,10 +135,14 @@
 	}
 }
 
+// silenceToxics drops the messages that toxics log for each interrupted write. Meshes of
+// parallel tests share the logger.
+var silenceToxics = sync.OnceFunc(func() { log.Logger = nopLog() })
+
 // StartMesh starts a mesh and stops it when the test ends.
 func StartMesh(t testing.TB, cfg MeshConfig) *Mesh {
 	t.Helper()
-	log.Logger = nopLog() // toxics log each interrupted write to it
+	silenceToxics()
 	me := &Mesh{
 		T:        t,
 		Platform: platformstandin.New(),
