--- a/io/upstream/notice_test.go
+++ b/io/upstream/notice_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -216,3 +217,17 @@
 func (refusingProtocol) Classify(*wire.Request, int, *fasthttp.ResponseHeader) ResponseClass {
 	return ResponseNotRun
 }
+
+// FuzzParseNotice checks that whatever an upstream states, a limit is a number that the
+// gate can keep to.
+func FuzzParseNotice(f *testing.F) {
+	for _, text := range []string{"10.4", "0", "-0", "1e400", "NaN", "0x1p-2", "_1", "", " 7\t", "5,7"} {
+		f.Add([]byte(text), []byte("1"))
+	}
+	f.Fuzz(func(t *testing.T, limit, leaving []byte) {
+		no := ParseNotice([][]byte{limit}, leaving)
+		rate := float64(no.RateLimit.PerSecond)
+		assert.Check(t, rate >= 0 && !math.IsInf(rate, 0), "%q gives a limit of %v", limit, rate)
+		assert.Equal(t, no.RateLimit.Limited, no.UnreadableLimit == "")
+	})
+}
