fix: tell upstream processes by their instance where they give no start time

What an ingress knew of them was then not told to a gate that had restarted: the limit and the leaving of such an upstream were unknown there until its next response. The process is now identified by its instance, and by the start time where it is known.

--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -184,9 +184,7 @@
 	}
 	td.MaybeScanArgs(t, "instance", (*string)(&an.Instance))
 	if an.Instance != "" {
-		started := 0
-		td.MaybeScanArgs(t, "started", &started)
-		an.StartedAt = time.Unix(int64(started), 0)
+		an.StartedAt = scanStart(t, td)
 		sc.lastSequence++
 		an.Sequence = sc.lastSequence
 	}
@@ -212,6 +210,16 @@
 	}
 }
 
+// scanStart returns the start time in the argument started; zero if there is none.
+func scanStart(t *testing.T, td *datadriven.TestData) time.Time {
+	if !td.HasArg("started") {
+		return time.Time{}
+	}
+	started := 0
+	td.ScanArgs(t, "started", &started)
+	return time.Unix(int64(started), 0)
+}
+
 // scanLimit returns the rate limit in the argument limit.
 func scanLimit(t *testing.T, td *datadriven.TestData) host.RateLimit {
 	if !td.HasArg("limit") {
@@ -238,9 +246,7 @@
 	}
 	an := host.Announcement{}
 	td.MaybeScanArgs(t, "instance", (*string)(&an.Instance))
-	started := 0
-	td.MaybeScanArgs(t, "started", &started)
-	an.StartedAt = time.Unix(int64(started), 0)
+	an.StartedAt = scanStart(t, td)
 	no.Process = host.ProcessOf(an)
 	return no
 }
--- a/core/host/notice.go
+++ b/core/host/notice.go
@@ -30,14 +30,17 @@
 	LeavingSince time.Time
 }
 
-// ProcessOf returns the identity of the upstream process that an announcement is from.
+// ProcessOf returns the identity of the upstream process that an announcement is from:
+// its instance and, if known, its start time.
 func ProcessOf(an Announcement) ProcessID {
-	if an.Instance == "" || an.StartedAt.IsZero() {
+	if an.Instance == "" {
 		return 0
 	}
 	ha := fnv.New64a()
 	_, _ = ha.Write([]byte(an.Instance))
-	_, _ = ha.Write(strconv.AppendInt(nil, an.StartedAt.UnixMilli(), 10))
+	if !an.StartedAt.IsZero() {
+		_, _ = ha.Write(strconv.AppendInt(nil, an.StartedAt.UnixMilli(), 10))
+	}
 	return ProcessID(ha.Sum64())
 }
 
