fix: never set the clock of the rate limiter back

A goroutine takes the time of an arrival before it waits for the gate; under a storm of refused calls that time is behind the last refill, which was then set back to it, and the next event added the same tokens again. Such an event now refills nothing.

--- a/core/host/rate_limiter.go
+++ b/core/host/rate_limiter.go
@@ -83,10 +83,13 @@
 // capacity is the maximum number of tokens.
 func (rl *rateLimiter) capacity() float64 { return max(1, rl.rate()*rateBurst.Seconds()) }
 
+// refill adds the tokens since the last refill. The times of events may be out of order.
 func (rl *rateLimiter) refill(now time.Time) {
-	if elapsed := now.Sub(rl.refilledAt).Seconds(); elapsed > 0 {
-		rl.tokens = min(rl.capacity(), rl.tokens+elapsed*rl.rate())
+	elapsed := now.Sub(rl.refilledAt).Seconds()
+	if elapsed <= 0 {
+		return
 	}
+	rl.tokens = min(rl.capacity(), rl.tokens+elapsed*rl.rate())
 	rl.refilledAt = now
 }
 
--- a/core/host/rate_limiter_test.go
+++ b/core/host/rate_limiter_test.go
@@ -214,3 +214,29 @@
 		assert.Check(t, got >= 0.9*want-1 && got <= want+1, "%v requests in 20s with a limit of %v", got, perSecond)
 	}
 }
+
+// TestRateLimitHoldsWhileEventsAreOutOfOrder reports events with times that are not in
+// order, as by goroutines that wait for the gate.
+func TestRateLimitHoldsWhileEventsAreOutOfOrder(t *testing.T) {
+	const perSecond = 10
+	lw := newLimitedWorld(t, 1)
+	lw.limit = host.RateLimit{Limited: true, PerSecond: perSecond}
+	lw.step(host.Noticed{SentAt: lw.now, Notice: host.Notice{RateLimit: lw.limit}})
+	for range 4 * time.Second / worldStep {
+		lw.now = lw.now.Add(worldStep)
+		lw.deliver()
+		lw.calls++
+		at := host.Attempt{
+			ID:          host.Origin{Issuer: host.Issuer{Host: "node-1", Incarnation: 3}, Call: lw.calls, Try: 1, Idempotent: true}.ID(),
+			Incarnation: incarnation,
+			Service:     "booking",
+			NoQueue:     true,
+			Deadline:    lw.now.Add(time.Second),
+		}
+		late := lw.now
+		lw.now = lw.now.Add(-20 * time.Millisecond)
+		lw.step(host.Arrived{Attempt: at})
+		lw.now = late
+	}
+	assert.Check(t, len(lw.arrivals) <= 4*perSecond+1, "%d requests in 4s with a limit of %d", len(lw.arrivals), perSecond)
+}
