--- a/core/call/retry.go
+++ b/core/call/retry.go
@@ -6,11 +6,12 @@
 	"lynxfold/core/host"
 )
 
-// HTTP statuses that another upstream may not return.
+// HTTP statuses of failures. Another upstream may not return the last three.
 const (
-	statusBadGateway         = 502
-	statusServiceUnavailable = 503
-	statusGatewayTimeout     = 504
+	statusInternalServerError = 500
+	statusBadGateway          = 502
+	statusServiceUnavailable  = 503
+	statusGatewayTimeout      = 504
 )
 
 // isRetryableStatus reports whether a status means that the upstream was
@@ -61,6 +62,8 @@
 	switch {
 	case re.Reason == host.ReasonCancelled:
 		return NoRetryCallerGone, false
+	case re.Reason == host.ReasonDownstreamFull:
+		return NoRetryDownstreamFull, false
 	case !te.Idempotent && ca.mayHaveRun:
 		return NoRetryUnknown, false
 	case !ca.cfg.Replayable && !re.BodyUnread:
--- a/core/call/split_test.go
+++ b/core/call/split_test.go
@@ -68,6 +68,15 @@
 	assert.Equal(t, tt.Elapsed("results", 5*time.Second), time.Duration(0), "a longer timeout is not taken for a retry")
 	assert.Equal(t, tt.Elapsed("results", 1500*time.Millisecond), 500*time.Millisecond, "nor for the typical one")
 	assert.Equal(t, tt.Elapsed("other", 100*time.Millisecond), time.Duration(0))
+	// During an overload, most calls are retries, each with a timeout of its own.
+	for i := range 600 {
+		if i%4 == 0 {
+			assert.Equal(t, tt.Elapsed("results", 2*time.Second), time.Duration(0))
+			continue
+		}
+		left := time.Duration(700+i) * time.Millisecond
+		assert.Equal(t, tt.Elapsed("results", left), 2*time.Second-left, "retry %d", i)
+	}
 	for range 500 {
 		tt.Elapsed("results", time.Second)
 	}
--- a/core/call/timeouts.go
+++ b/core/call/timeouts.go
@@ -9,7 +9,10 @@
 const (
 	// timeoutTolerance is how far two timeouts may differ to count as equal.
 	timeoutTolerance = 10 * time.Millisecond
-	// maxVotes bounds the lead of the majority timeout, so that a new timeout of the
+	// votesPerMatch is how many calls with other timeouts weigh as much as one with the
+	// typical one: during an overload, most calls are retries, which have less time left.
+	votesPerMatch = 8
+	// maxVotes bounds the lead of the typical timeout, so that a new timeout of the
 	// callers is adopted after about as many calls at most.
 	maxVotes = 200
 )
@@ -21,8 +24,8 @@
 	routes map[contract.RouteName]*majorityTimeout
 }
 
-// majorityTimeout finds the timeout of most calls of a route by the Boyer-Moore
-// majority vote algorithm.
+// majorityTimeout finds the most common timeout of the calls of a route by a weighted
+// form of the Boyer-Moore majority vote algorithm.
 type majorityTimeout struct {
 	timeout time.Duration
 	votes   int
@@ -49,11 +52,11 @@
 func (mt *majorityTimeout) vote(timeout time.Duration) {
 	switch {
 	case (mt.timeout - timeout).Abs() <= timeoutTolerance:
-		mt.votes = min(mt.votes+1, maxVotes)
+		mt.votes = min(mt.votes+votesPerMatch, maxVotes)
 	case mt.votes > 0:
 		mt.votes--
 	default:
 		mt.timeout = timeout
-		mt.votes = 1
+		mt.votes = votesPerMatch
 	}
 }
--- a/core/call/types.go
+++ b/core/call/types.go
@@ -83,6 +83,9 @@
 	// NoRetryQueuesFull means that the last gate's queue was full, and enough others
 	// were tried.
 	NoRetryQueuesFull RetryReason = "no_room"
+	// NoRetryDownstreamFull means that a service that the call would call is short of
+	// capacity, which other gates can't change.
+	NoRetryDownstreamFull RetryReason = "downstream_full"
 	// NoRetryInvariant means that the call ended with InvariantViolated.
 	NoRetryInvariant RetryReason = "invariant"
 	// NoRetryCallerGone means that the attempt was cancelled.
--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -71,6 +71,19 @@
 // refusalReason returns why an attempt is refused on arrival, or ReasonNone when it
 // is admitted.
 func (ga *Gate) refusalReason(en *entry, now time.Time) Reason {
+	if re := ga.gateRefusalReason(en, now); re != ReasonNone {
+		return re
+	}
+	at := en.attempt
+	if !at.Nested && ga.downstream.sheds(at.Kind, en.deferred, now) {
+		return ReasonDownstreamFull
+	}
+	return ReasonNone
+}
+
+// gateRefusalReason returns why an attempt can't be admitted at this gate, or ReasonNone
+// when it can.
+func (ga *Gate) gateRefusalReason(en *entry, now time.Time) Reason {
 	at := en.attempt
 	if re := ga.UnavailableReason(now); re != ReasonNone {
 		return re
@@ -154,7 +167,7 @@
 			return now.Add(wait)
 		}
 		return now.Add(ga.cfg.DefaultRetryAfter)
-	case re == ReasonNoUpstream, re == ReasonDraining, re == ReasonSettling:
+	case re == ReasonNoUpstream, re == ReasonDraining, re == ReasonSettling, re == ReasonDownstreamFull:
 		return now.Add(ga.cfg.DefaultRetryAfter)
 	}
 	return time.Time{}
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -1,6 +1,10 @@
 package host
 
-import "time"
+import (
+	"time"
+
+	"lynxfold/core/contract"
+)
 
 // Event is an input of the gate. It is reported by the adapter, which does the network
 // I/O.
@@ -83,6 +87,17 @@
 	Incarnation Incarnation
 }
 
+// NestedCalled reports that the upstream calls a service while it runs an attempt.
+type NestedCalled struct {
+	// Parent is the request that the upstream runs.
+	Parent  RequestID
+	Service contract.ServiceName
+	// Shortages are those of the called service, and ParentShortages those of the
+	// upstream's own.
+	Shortages       []Shortage
+	ParentShortages []Shortage
+}
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -111,6 +126,7 @@
 func (Announced) isEvent()         {}
 func (UpstreamLost) isEvent()      {}
 func (Drain) isEvent()             {}
+func (NestedCalled) isEvent()      {}
 func (Tick) isEvent()              {}
 func (Queried) isEvent()           {}
 
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -53,6 +53,7 @@
 	lookupCounts map[int]int
 	orphans      orphanTracker
 	transfers    transferLimiter
+	downstream   downstreamShortages
 	instances    instanceTracker
 	limiter      rateLimiter
 	// process is the upstream's process; processSince is when it was first announced, and
@@ -121,6 +122,8 @@
 		ga.handleDrain(ev, now)
 	case IncarnationRaised:
 		ga.cfg.Incarnation = max(ga.cfg.Incarnation, ev.Incarnation)
+	case NestedCalled:
+		ga.handleNestedCalled(ev, now)
 	case Queried:
 		ga.handleQueried(ev, now)
 	case Tick:
--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -148,6 +148,8 @@
 		return host.IncarnationRaised{Incarnation: host.Incarnation(in)}
 	case "notice":
 		return sc.noticed(t, td)
+	case "nested-called":
+		return sc.nestedCalled(t, td, name)
 	case "drain":
 		after := 0
 		td.MaybeScanArgs(t, "after", &after)
@@ -194,6 +196,37 @@
 	}
 }
 
+// nestedCalled returns the event that the upstream calls a service while it runs a request.
+// lost and nested-lost are the percentages of the service's direct and nested calls that
+// are refused; parent-lost is that of the calls to the upstream's own service.
+func (sc *script) nestedCalled(t *testing.T, td *datadriven.TestData, parent string) host.Event {
+	rank, lost, nestedLost, parentLost := 1, 0, 0, 0
+	td.MaybeScanArgs(t, "rank", &rank)
+	td.MaybeScanArgs(t, "lost", &lost)
+	td.MaybeScanArgs(t, "nested-lost", &nestedLost)
+	td.MaybeScanArgs(t, "parent-lost", &parentLost)
+	return host.NestedCalled{
+		Parent:  host.RequestID(parent),
+		Service: "billing",
+		Shortages: []host.Shortage{
+			{
+				Rank:    rank,
+				Refused: float64(lost) / 100,
+			},
+			{
+				Nested:  true,
+				Refused: float64(nestedLost) / 100,
+			},
+		},
+		ParentShortages: []host.Shortage{
+			{
+				Rank:   2,
+				Failed: float64(parentLost) / 100,
+			},
+		},
+	}
+}
+
 // noticed returns what a response states whose request was sent sent-ago milliseconds
 // before.
 func (sc *script) noticed(t *testing.T, td *datadriven.TestData) host.Event {
@@ -280,6 +313,8 @@
 		at.CallerRetry = td.HasArg("caller-retry")
 	}
 	td.MaybeScanArgs(t, "rank", &at.Rank)
+	td.MaybeScanArgs(t, "request", (*string)(&at.Request))
+	td.MaybeScanArgs(t, "kind", (*string)(&at.Kind))
 	at.Nested = td.HasArg("nested")
 	at.NoQueue = td.HasArg("no-queue")
 	at.Notice = sc.peerNotice(t, td)
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -30,6 +30,9 @@
 	// ReasonQueueFull also refuses an attempt that would wait too long in the queue to
 	// meet its objective.
 	ReasonQueueFull Reason = "queue_full"
+	// ReasonDownstreamFull refuses an attempt because a service that it would call is
+	// short of capacity.
+	ReasonDownstreamFull Reason = "downstream_full"
 	// ReasonBusy refuses a fail-fast attempt that finds no free slot.
 	ReasonBusy      Reason = "busy"
 	ReasonDeadline  Reason = "deadline"
@@ -157,6 +160,8 @@
 // Attempt is one attempt at a call, as received by its gate.
 type Attempt struct {
 	ID AttemptID
+	// Request is the caller's request that the attempt serves.
+	Request RequestID
 	// Incarnation is the incarnation of the gate that the attempt is meant for.
 	Incarnation Incarnation
 	Service     contract.ServiceName
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -44,6 +44,10 @@
 	Serve(ctx context.Context, rq *wire.Request, body io.ReadCloser) upstream.Reply
 	// Query returns what the gate knows of an attempt.
 	Query(ctx context.Context, qu *wire.Query) *wire.Verdict
+	// NestedCalled reports that the upstream calls a service while it runs a request.
+	NestedCalled(ev host.NestedCalled)
+	// Service returns the service of the upstream.
+	Service() contract.ServiceName
 }
 
 // RemoteGates sends requests and queries to the gates of other hosts.
@@ -85,8 +89,10 @@
 	// objective is the time by which the contract wants the answer; zero if it
 	// has no objective.
 	objective time.Time
-	// nested reports that an upstream makes the call as part of another call.
-	nested bool
+	// nested reports that an upstream makes the call as part of another call. parentID is
+	// the ID of the request that this other call serves; empty if it is unknown.
+	nested   bool
+	parentID host.RequestID
 	// returning reports that the caller retries after a refusal.
 	returning bool
 	context   context.Context
@@ -106,6 +112,7 @@
 	ex.context, ex.cancel = context.WithDeadline(context.Background(), ex.deadline)
 	ex.call = call.New(ex.config())
 	ex.session.attach(ex.pending, ex)
+	ex.server.reportNested(ex)
 	an, ok := ex.loop()
 	if !ok {
 		ex.server.cfg.Counters.countCallerGone()
@@ -278,6 +285,7 @@
 	ex.releaseLosers(winner)
 	sv.cfg.Counters.countAnswer(an, time.Since(ex.startedAt))
 	sv.cfg.Counters.countServiceAnswer(ex.target.Route.Service, an.Result)
+	sv.recordShortage(ex, an.Result)
 	if an.Result.Outcome != call.OutcomeRan || winner == nil {
 		ex.cancel()
 		ex.refuse(an)
--- a/io/caller/exchange_start.go
+++ b/io/caller/exchange_start.go
@@ -91,6 +91,7 @@
 	}
 	ex.objective = now.Add(te.Objective())
 	ex.nested = sv.cfg.Protocol.IsNested(&ex.httpCtx.Request.Header)
+	ex.parentID = sv.cfg.Protocol.ParentID(&ex.httpCtx.Request.Header)
 	if hasTimeout && !ex.nested {
 		sv.mu.Lock()
 		age := sv.typicalTimeouts.Elapsed(ex.target.Route.Name, callerTimeout)
--- a/io/caller/protocol.go
+++ b/io/caller/protocol.go
@@ -25,6 +25,9 @@
 	Timeout(he *fasthttp.RequestHeader) (timeout time.Duration, ok bool)
 	// IsNested reports whether an upstream makes the call as part of another call.
 	IsNested(he *fasthttp.RequestHeader) bool
+	// ParentID returns the ID of the request that the upstream of this host runs while
+	// it makes this one; empty if it is unknown.
+	ParentID(he *fasthttp.RequestHeader) host.RequestID
 	// ForwardsHeader reports whether a request header is forwarded to the upstream.
 	ForwardsHeader(name string) bool
 	// AddedHeaders returns the headers to add to a request.
@@ -66,6 +69,9 @@
 	return len(he.Peek(call.HeaderAttempt)) > 0
 }
 
+// ParentID implements Protocol. Nested calls don't name the request that they belong to.
+func (NativeProtocol) ParentID(*fasthttp.RequestHeader) host.RequestID { return "" }
+
 // ForwardsHeader implements Protocol.
 func (NativeProtocol) ForwardsHeader(name string) bool { return !ownRequestHeaders[name] }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -94,6 +94,7 @@
 	chooser         *call.Chooser
 	splits          call.TrafficSplitter
 	typicalTimeouts call.TypicalTimeouts
+	shortages       *call.ShortageMeter
 }
 
 // New returns a server that is not yet listening.
@@ -109,6 +110,7 @@
 			DataCentre: cfg.DataCentre,
 			Rand:       cfg.Rand,
 		}),
+		shortages:    call.NewShortageMeter(),
 		retryBudgets: newServiceBudgets(call.FleetBudget(cfg.RetryBudget)),
 		hedgeBudgets: newServiceBudgets(call.FleetBudget(hedgeBudgetConfig(cfg.RetryBudget))),
 	}
@@ -267,6 +269,31 @@
 	return sv.cfg.Rand.Float64()
 }
 
+// recordShortage records whether a call was refused for want of capacity.
+func (sv *Server) recordShortage(ex *exchange, re call.Result) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.shortages.Record(ex.target.Route.Service, ex.target.Terms.Rank, ex.nested, re, time.Now())
+}
+
+// reportNested reports a nested call to the gate of this host, which runs its parent.
+func (sv *Server) reportNested(ex *exchange) {
+	if ex.parentID == "" {
+		return
+	}
+	name, parentName := ex.target.Route.Service, sv.cfg.LocalGate.Service()
+	now := time.Now()
+	sv.mu.Lock()
+	ev := host.NestedCalled{
+		Parent:          ex.parentID,
+		Service:         name,
+		Shortages:       sv.shortages.Shortages(name, now),
+		ParentShortages: sv.shortages.Shortages(parentName, now),
+	}
+	sv.mu.Unlock()
+	sv.cfg.LocalGate.NestedCalled(ev)
+}
+
 // recordSuccess adds a success to the service's budgets.
 func (sv *Server) recordSuccess(name contract.ServiceName, re call.Result) {
 	if re.Status >= fasthttp.StatusInternalServerError {
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -80,6 +80,7 @@
 	now := time.Now()
 	at := host.Attempt{
 		ID:          host.AttemptID(rq.GetAttempt()),
+		Request:     host.RequestID(rq.GetRequestId()),
 		Incarnation: host.Incarnation(rq.GetIncarnation()),
 		Service:     contract.ServiceName(rq.GetService()),
 		Class:       contract.Class(rq.GetClass()),
@@ -173,6 +174,16 @@
 		Msg("upstream attempt was slow or did not complete")
 }
 
+// NestedCalled reports that the upstream calls a service while it runs a request.
+func (ga *Gate) NestedCalled(ev host.NestedCalled) { ga.step(ev) }
+
+// Service returns the service of the upstream.
+func (ga *Gate) Service() contract.ServiceName {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.core.Service()
+}
+
 // admit submits an arrival to the gate; it returns the gate's decision, or nil when
 // the attempt is queued.
 func (ga *Gate) admit(at host.Attempt, ad *admission, now time.Time) host.Action {
