--- a/cmd/process/adapters.go
+++ b/cmd/process/adapters.go
@@ -137,6 +137,33 @@
 	}
 }
 
+const (
+	// defaultBufferMB limits the buffered bodies of a process without a memory limit.
+	defaultBufferMB = 64
+	// bufferDivisor determines the part of the process's memory for buffered bodies.
+	bufferDivisor = 8
+)
+
+// newByteBudget returns the limit on the bodies that the process buffers.
+func newByteBudget(se *ini.Settings) *upstream.ByteBudget {
+	mb := se.Process.BufferMB
+	switch {
+	case mb > 0:
+	case se.Process.MemoryMB > 0:
+		mb = max(1, se.Process.MemoryMB/bufferDivisor)
+	default:
+		mb = defaultBufferMB
+	}
+	return upstream.NewByteBudget(int64(mb) << 20)
+}
+
+// newUpstreamClient returns the client for the upstream of this host.
+func newUpstreamClient(pr upstream.Protocol, bb *upstream.ByteBudget) *upstream.Client {
+	cl := upstream.NewClientWithProtocol(pr)
+	cl.SetBufferBudget(bb)
+	return cl
+}
+
 // memoryLimitPermille is the part of the process's memory that the runtime may use;
 // the rest is for memory that the runtime does not count.
 const memoryLimitPermille = 800
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -167,7 +167,7 @@
 		newIdentity, newAdvertisedAddresses, newControlCounters,
 		newCertificates, node.NewCounters, newDialer, newAdapters, platform.NewVersions, platform.NewKeyedCalls,
 		platform.NewIntroductions, newInvariants, newControl,
-		upstream.NewClientWithProtocol, newGate, upstream.NewAnnouncementServer,
+		newByteBudget, newUpstreamClient, newGate, upstream.NewAnnouncementServer,
 		node.NewCallPool, newCallServer, newCaller, newRecord, newMesh, newKeyPair, newOperator, newHealth, newListener,
 		newProcess,
 	} {
@@ -300,6 +300,7 @@
 	cp *node.CallPool,
 	ks *platform.KeyedCalls,
 	pr caller.Protocol,
+	bb *upstream.ByteBudget,
 	set *metrics.Set,
 	re *record.Record,
 	log zerolog.Logger,
@@ -316,6 +317,7 @@
 		MaxBodyBytes:   se.Caller.MaxBodyBytes,
 		MaxConnections: se.Caller.MaxConnections,
 		Protocol:       pr,
+		Buffers:        bb,
 		RetryBudget: call.FleetConfig{
 			PerSuccess: se.Caller.RetryPerSuccess,
 			Burst:      se.Caller.RetryBurst,
--- a/io/caller/exchange_start.go
+++ b/io/caller/exchange_start.go
@@ -43,7 +43,7 @@
 	}
 	go func() {
 		defer se.finish(pr)
-		defer sv.bufferedBytes.Add(int64(-len(ex.bufferedBody)))
+		defer sv.cfg.Buffers.Give(int64(len(ex.bufferedBody)))
 		if ex.target.Terms.Keyed {
 			ex.runKeyed()
 			return
@@ -120,15 +120,14 @@
 		_ = ex.conn.SetReadDeadline(ex.deadline)
 		return true
 	}
-	if ex.server.bufferedBytes.Add(int64(length)) > maxBufferedTotalBytes {
-		ex.server.bufferedBytes.Add(int64(-length))
+	if !ex.server.cfg.Buffers.Take(int64(length)) {
 		ex.refuseUnread(fasthttp.StatusServiceUnavailable, ReasonTooManyBodies)
 		return false
 	}
 	_ = ex.conn.SetReadDeadline(ex.deadline)
 	ex.bufferedBody = make([]byte, length)
 	if _, err := io.ReadFull(stream, ex.bufferedBody); err != nil {
-		ex.server.bufferedBytes.Add(int64(-length))
+		ex.server.cfg.Buffers.Give(int64(length))
 		ex.server.cfg.Counters.countCallerGone()
 		ex.httpCtx.SetConnectionClose()
 		ex.server.refuse(ex.httpCtx, fasthttp.StatusBadRequest, notRunResult(call.ReasonCallerGone))
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -34,6 +34,8 @@
 	MaxHeaderBytes int
 	MaxBodyBytes   int
 	MaxConnections int
+	// Buffers bounds the buffered bodies of all calls; nil means defaultBufferBytes.
+	Buffers *upstream.ByteBudget
 	// RetryBudget is the retry budget that all nodes share for each service.
 	RetryBudget call.FleetConfig
 	// KeyStore stores the rows of keyed calls. KeyedWritesPerSecond is this node's
@@ -59,8 +61,8 @@
 	// bodyPrefetchBytes is the part of a body that the HTTP library reads in
 	// advance.
 	bodyPrefetchBytes = 1
-	// maxBufferedTotalBytes limits the sum of the buffered bodies.
-	maxBufferedTotalBytes = 64 << 20
+	// defaultBufferBytes limits the sum of the buffered bodies by default.
+	defaultBufferBytes = 64 << 20
 )
 
 // ReasonTooManyBodies is the reason for refusing requests while the buffered
@@ -72,7 +74,6 @@
 	cfg            Config
 	log            httpLogger
 	lastCallNumber atomic.Uint64
-	bufferedBytes  atomic.Int64
 	activeCalls    atomic.Int64
 	// hostLimits are this host's limits, which can change at run time.
 	hostLimits atomic.Pointer[Limits]
@@ -102,6 +103,9 @@
 	if cfg.Protocol == nil {
 		cfg.Protocol = NativeProtocol{}
 	}
+	if cfg.Buffers == nil {
+		cfg.Buffers = upstream.NewByteBudget(defaultBufferBytes)
+	}
 	sv := &Server{
 		cfg:         cfg,
 		log:         httpLogger{log: cfg.Log},
--- a/io/ini/keys.go
+++ b/io/ini/keys.go
@@ -91,6 +91,11 @@
 			help: "Memory limit of the process, in MB; no limit if empty.",
 			set:  countSetter(func(se *Settings) *int { return &se.Process.MemoryMB }),
 		},
+		{
+			section: "process", name: "buffer_mb", remedy: remedyCount,
+			help: "Maximum size of all bodies that the process buffers, in MB; if empty, an eighth of memory_mb, or 64 without it.",
+			set:  countSetter(func(se *Settings) *int { return &se.Process.BufferMB }),
+		},
 	}
 }
 
--- a/io/ini/settings.go
+++ b/io/ini/settings.go
@@ -55,6 +55,9 @@
 type ProcessSettings struct {
 	// MemoryMB limits the memory of the process; 0 means no limit.
 	MemoryMB int
+	// BufferMB limits the bodies of requests and responses that are buffered; 0 means
+	// that the limit is derived from MemoryMB.
+	BufferMB int
 }
 
 // LinkSettings are the addresses and limits of links between nodes.
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -25,7 +26,7 @@
 )
 
 // ReasonUpstreamUnframed reports a response with neither a Content-Length nor
-// chunked encoding that exceeds the buffer limit.
+// chunked encoding that exceeds the buffer limit, its own or that of all calls together.
 const ReasonUpstreamUnframed host.Reason = "upstream_unframed"
 
 // Result is how a request to the upstream ended.
@@ -44,6 +45,8 @@
 type Client struct {
 	protocol Protocol
 	dialer   net.Dialer
+	// buffers bounds the responses that are buffered until their connection ends.
+	buffers *ByteBudget
 
 	mu    sync.Mutex
 	idle  []*conn
@@ -61,9 +64,17 @@
 	return &Client{
 		protocol: pr,
 		dialer:   net.Dialer{Timeout: connectTimeout},
+		buffers:  NewByteBudget(defaultBufferBytes),
 	}
 }
 
+// defaultBufferBytes bounds the buffered responses unless SetBufferBudget is called.
+const defaultBufferBytes = 64 << 20
+
+// SetBufferBudget sets the bound of the buffered responses; it is called before the first
+// request.
+func (cl *Client) SetBufferBudget(bb *ByteBudget) { cl.buffers = bb }
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	client           *Client
@@ -242,19 +253,49 @@
 	return resp.ReadBody(ex.conn.reader, maxDiscardBytes)
 }
 
+// discardBuffered drops a response body that has arrived completely, and reports whether
+// it had.
+func (ex *exchange) discardBuffered(resp *fasthttp.Response) bool {
+	rd := ex.conn.reader
+	length := resp.Header.ContentLength()
+	switch {
+	case neverHasBody(resp.StatusCode()):
+		return true
+	case length < -1:
+		return false // the body ends with the connection
+	case length >= 0:
+		if length > rd.Buffered() {
+			return false
+		}
+		_, err := rd.Discard(length)
+		return err == nil
+	}
+	arrived, err := rd.Peek(rd.Buffered())
+	if err != nil {
+		return false
+	}
+	unread := bytes.NewReader(arrived)
+	chunks := bufio.NewReader(unread)
+	resp.SkipBody = false
+	if resp.ReadBody(chunks, maxDiscardBytes) != nil || resp.Header.ReadTrailer(chunks) != nil {
+		return false
+	}
+	_, err = rd.Discard(len(arrived) - unread.Len() - chunks.Buffered())
+	return err == nil
+}
+
 // maxDiscardBytes bounds the response bodies read only to reuse the connection.
 const maxDiscardBytes = 1 << 20
 
-// refuseNotRun ends an exchange whose request the upstream did not run. The
-// connection is reused if the response body can be read to its end.
+// refuseNotRun ends an exchange whose request the upstream did not run. It does not wait
+// for the response body: the connection is reused only if that has arrived already.
 func (ex *exchange) refuseNotRun(resp *fasthttp.Response, re host.Reason) Reply {
 	rp := RefusalReply(re, true)
 	if delay := upstreamRetryAfter(&resp.Header); delay > 0 {
 		rp.Refusal.RetryAfterUs = delay.Microseconds()
 		rp.Refusal.RateLimited = true
 	}
-	drained := ex.discardBody(resp) == nil
-	ex.finish(drained && !resp.ConnectionClose(), Result{Outcome: host.OutcomeNotRun, Reason: re})
+	ex.finish(ex.discardBuffered(resp) && !resp.ConnectionClose(), Result{Outcome: host.OutcomeNotRun, Reason: re})
 	return rp
 }
 
@@ -271,23 +312,38 @@
 	return time.Duration(min(seconds, maxUpstreamRetryAfter.Seconds()) * float64(time.Second))
 }
 
-// maxUnframedBytes bounds the responses that end with their connection.
-const maxUnframedBytes = 8 << 20
-
 // readUnframed reads a response that ends with its connection. A reset
 // instead of an orderly close means that the response is truncated.
 func (ex *exchange) readUnframed(resp *fasthttp.Response) Reply {
-	data, err := io.ReadAll(io.LimitReader(ex.conn.reader, maxUnframedBytes+1))
-	if err != nil {
-		return ex.fail()
+	bo := &bufferedBody{budget: ex.client.buffers}
+	for {
+		if !bo.grow() {
+			bo.release()
+			ex.finish(false, ex.incompleteResult(ReasonUpstreamUnframed))
+			return RefusalReply(ReasonUpstreamUnframed, false)
+		}
+		err := bo.readFrom(ex.conn.reader)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			bo.release()
+			return ex.fail()
+		}
 	}
-	if len(data) > maxUnframedBytes {
-		ex.finish(false, ex.incompleteResult(ReasonUpstreamUnframed))
-		return RefusalReply(ReasonUpstreamUnframed, false)
+	if len(bo.data) <= maxInlineBodyBytes {
+		defer bo.release()
+		rp := ex.complete(resp, bo.data)
+		rp.Response.Length = int64(len(bo.data))
+		return rp
+	}
+	ex.finish(false, Result{Outcome: host.OutcomeRan})
+	re := newWireResponse(resp)
+	re.Length = int64(len(bo.data))
+	return Reply{
+		Response: re,
+		Body:     bo,
 	}
-	rp := ex.complete(resp, data)
-	rp.Response.Length = int64(len(data))
-	return rp
 }
 
 // neverHasBody reports whether responses with a status never have a body.
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -218,6 +218,7 @@
 		{name: "304", method: "GET", response: "304 Not Modified\r\nContent-Length: 3\r\n\r\n"},
 		{name: "100 first", method: "GET", response: "100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", want: "abc"},
 		{name: "no framing", method: "GET", response: "200 OK\r\n\r\nabc", want: "abc", closes: true},
+		{name: "long without framing", method: "GET", response: "200 OK\r\n\r\n" + long, want: long, closes: true},
 	} {
 		t.Run(it.name, func(t *testing.T) {
 			sc := startScriptedUpstream(t, func(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
--- /dev/null
+++ b/io/upstream/endless_test.go
@@ -0,0 +1,213 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"lynxfold/core/host"
+	"lynxfold/core/wire"
+)
+
+// endlessResponse is a response that does not end. The upstream sends head once, and then
+// repeats tail until its peer closes the connection.
+type endlessResponse struct {
+	name string
+	head string
+	tail string
+	// pause is the time between two tails.
+	pause time.Duration
+}
+
+// endlessResponses are the ways in which an upstream in trouble sends bytes without end.
+var endlessResponses = []endlessResponse{
+	{name: "header line", head: "HTTP/1.1 200 OK\r\nX-Long: ", tail: strings.Repeat("x", 4096)},
+	{name: "header lines", head: "HTTP/1.1 200 OK\r\n", tail: strings.Repeat("X-More: 1\r\n", 400)},
+	{name: "interim responses", tail: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100)},
+	{name: "zero bytes", tail: strings.Repeat("\x00", 4096)},
+	{name: "empty lines", tail: strings.Repeat("\r\n", 2048)},
+	{name: "stale responses", tail: "HTTP/1.1 299 Stale\r\nContent-Length: 3\r\n\r\nold"},
+	{name: "body without length", head: "HTTP/1.1 200 OK\r\n\r\n", tail: strings.Repeat("x", 64<<10)},
+	{name: "chunk extension", head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", tail: strings.Repeat("x", 4096)},
+	{name: "trailers", head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", tail: strings.Repeat("X-More: 1\r\n", 400)},
+	{name: "slow header", head: "HTTP/1.1 200 OK\r\n", tail: "X", pause: time.Millisecond},
+	{name: "slow stale response", head: "HTTP/1.1 299 Stale\r\nContent-Length: 999999\r\n\r\n", tail: "x", pause: time.Millisecond},
+}
+
+// staleProtocol takes every 299 for the response to an earlier request.
+type staleProtocol struct{ NativeProtocol }
+
+func (staleProtocol) Classify(rq *wire.Request, status int, he *fasthttp.ResponseHeader) ResponseClass {
+	if status == 299 {
+		return ResponseStale
+	}
+	return NativeProtocol{}.Classify(rq, status, he)
+}
+
+// startEndlessUpstream starts an upstream that answers requests to the path /endless with
+// a response that does not end, and others normally.
+func startEndlessUpstream(t *testing.T, er endlessResponse) *scriptedUpstream {
+	return startScriptedUpstream(t, func(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
+		for {
+			rq, ok := sc.readRequest(rd)
+			if !ok {
+				return
+			}
+			if rq.URL.Path != "/endless" {
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				continue
+			}
+			_, err := io.WriteString(nc, er.head)
+			for err == nil {
+				_, err = io.WriteString(nc, er.tail)
+				time.Sleep(er.pause)
+			}
+			return
+		}
+	})
+}
+
+const (
+	// endlessCalls is the number of concurrent calls that get an endless response.
+	endlessCalls = 30
+	// endlessDeadline is the time that each of them has.
+	endlessDeadline = 700 * time.Millisecond
+	// endlessBudget is the bound of the buffered bytes, and endlessOverhead is how much
+	// more the heap may grow, for connections' buffers and garbage.
+	endlessBudget   = 8 << 20
+	endlessOverhead = 24 << 20
+)
+
+// TestEndlessResponses makes concurrent calls to an upstream whose responses don't end.
+// Each call ends by its deadline as unknown, memory stays bounded, and meanwhile other
+// calls are served.
+func TestEndlessResponses(t *testing.T) {
+	for _, er := range endlessResponses {
+		t.Run(er.name, func(t *testing.T) {
+			sc := startEndlessUpstream(t, er)
+			cl := NewClientWithProtocol(staleProtocol{})
+			cl.SetBufferBudget(NewByteBudget(endlessBudget))
+			t.Cleanup(cl.Close)
+			before, peak := watchHeap(t)
+			var calls sync.WaitGroup
+			for range endlessCalls {
+				calls.Go(func() { callEndless(t, cl, sc) })
+			}
+			for range 10 {
+				start := time.Now()
+				_, data, _, err := do(t, cl, sc, newRequest("GET"), nil)
+				assert.NilError(t, err)
+				assert.Equal(t, string(data), "ok")
+				assert.Check(t, time.Since(start) < endlessDeadline, "another call took %s", time.Since(start))
+			}
+			calls.Wait()
+			grown := int64(peak.Load()) - int64(before)
+			assert.Check(t, grown < endlessBudget+endlessOverhead, "heap grew by %d bytes", grown)
+			_, data, _, err := do(t, cl, sc, newRequest("GET"), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, string(data), "ok")
+		})
+	}
+}
+
+// callEndless makes one call that gets an endless response, and reads the response as a
+// caller would.
+func callEndless(t *testing.T, cl *Client, sc *scriptedUpstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), endlessDeadline)
+	defer cancel()
+	rq := newRequest("GET")
+	rq.Uri = []byte("/endless")
+	results := make(chan Result, 1)
+	start := time.Now()
+	re := cl.Do(ctx, Destination{Address: sc.address}, rq, nil, Hooks{OnEnd: func(rs Result) { results <- rs }})
+	if re.Body != nil {
+		_, err := io.Copy(io.Discard, re.Body)
+		assert.Check(t, err != nil, "an endless body was taken for a complete one")
+		assert.Check(t, re.Body.Close() == nil)
+	}
+	rs := <-results
+	assert.Check(t, time.Since(start) < endlessDeadline+time.Second, "the call took %s", time.Since(start))
+	assert.Check(t, rs.Outcome == host.OutcomeUnknown, "outcome %s", rs.Outcome)
+	assert.Check(t, re.Refusal == nil || !re.Refusal.GetNotRun())
+}
+
+// watchHeap returns the size of the heap, and its peak until the test ends.
+func watchHeap(t *testing.T) (before uint64, peak *atomic.Uint64) {
+	runtime.GC()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	peak = &atomic.Uint64{}
+	stop := make(chan struct{})
+	var done sync.WaitGroup
+	done.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			var now runtime.MemStats
+			runtime.ReadMemStats(&now)
+			peak.Store(max(peak.Load(), now.HeapAlloc))
+		}
+	})
+	t.Cleanup(func() {
+		close(stop)
+		done.Wait()
+	})
+	return ms.HeapAlloc, peak
+}
+
+// TestRefusalIsNotHeldBack checks that a refusal that has not run is returned at once,
+// whatever follows its header, and that the connection is reused only if its body has
+// arrived with it.
+func TestRefusalIsNotHeldBack(t *testing.T) {
+	for _, it := range []struct {
+		name     string
+		response string
+		endless  bool
+		accepted int64
+	}{
+		{name: "body with the header", response: "Content-Length: 4\r\n\r\nbusy", accepted: 1},
+		{name: "no body", response: "Content-Length: 0\r\n\r\n", accepted: 1},
+		{name: "chunks with the header", response: "Transfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n", accepted: 1},
+		{name: "endless chunks", response: "Transfer-Encoding: chunked\r\n\r\n", endless: true, accepted: 2},
+		{name: "endless body", response: "Content-Length: 999999999\r\n\r\n", endless: true, accepted: 2},
+		{name: "endless body without length", response: "\r\n", endless: true, accepted: 2},
+	} {
+		t.Run(it.name, func(t *testing.T) {
+			sc := startScriptedUpstream(t, func(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
+				for {
+					if _, ok := sc.readRequest(rd); !ok {
+						return
+					}
+					_, err := io.WriteString(nc, "HTTP/1.1 503 Busy\r\n"+it.response)
+					for it.endless && err == nil {
+						time.Sleep(5 * time.Millisecond)
+						_, err = io.WriteString(nc, "1\r\nx\r\n")
+					}
+				}
+			})
+			cl := NewClientWithProtocol(refusingProtocol{})
+			t.Cleanup(cl.Close)
+			for range 2 {
+				start := time.Now()
+				re, _, rs, _ := do(t, cl, sc, newRequest("POST"), nil)
+				assert.Assert(t, re.Refusal.GetNotRun())
+				assert.Equal(t, rs.Outcome, host.OutcomeNotRun)
+				assert.Check(t, time.Since(start) < time.Second, "refusal took %s", time.Since(start))
+			}
+			assert.Equal(t, sc.accepted.Load(), it.accepted)
+		})
+	}
+}
