--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -47,6 +47,8 @@
 	counters         *controlCounters
 	health           health
 	dependencies     dependencyLog
+	// tickEvery is the period of the timers.
+	tickEvery time.Duration
 	// viewChangedAt is when the view last changed.
 	viewChangedAt atomicTime
 	record        *record.Record
@@ -77,13 +79,10 @@
 	re *record.Record,
 	log zerolog.Logger,
 ) *Control {
-	contacts := make([]string, 0, len(se.Link.Contacts))
-	for _, ap := range se.Link.Contacts {
-		contacts = append(contacts, ap.String())
-	}
 	ct := &Control{
 		platform:       pp,
 		dataCentre:     se.Host.DataCentre,
+		tickEvery:      tickInterval,
 		invariants:     iv,
 		log:            log,
 		counters:       co,
@@ -102,7 +101,7 @@
 		Address:        ad.local,
 		RemoteAddress:  ad.remote,
 		Incarnation:    id.incarnation,
-		Contacts:       contacts,
+		Contacts:       contactAddresses(se),
 		FleetSize:      se.Mesh.FleetSize,
 		ReadsPerSecond: se.Platform.ReadsPerSecond,
 		DialBase:       redialBaseDelay,
@@ -128,6 +127,15 @@
 	return ct
 }
 
+// contactAddresses returns the addresses of the contacts in the settings.
+func contactAddresses(se *ini.Settings) []string {
+	contacts := make([]string, 0, len(se.Link.Contacts))
+	for _, ap := range se.Link.Contacts {
+		contacts = append(contacts, ap.String())
+	}
+	return contacts
+}
+
 // View returns the view that calls are routed by.
 func (ct *Control) View() *datacentre.View { return ct.view.Load() }
 
@@ -160,8 +168,12 @@
 // run is the loop of the control goroutine.
 func (ct *Control) run() {
 	defer ct.invariants.exitOnPanic()
-	ti := time.NewTicker(tickInterval)
+	ti := time.NewTicker(ct.tickEvery)
 	defer ti.Stop()
+	// A node that starts asks for what it lacks as soon as it may.
+	ct.step(datacentre.Tick{}, time.Now())
+	firstRead := time.NewTimer(time.Until(ct.member.NextReadAt()))
+	defer firstRead.Stop()
 	for {
 		select {
 		case ev := <-ct.events:
@@ -174,6 +186,8 @@
 			ct.dependencies.linkEvent(ev, ct.links.PeerCount())
 		case answer := <-ct.reportRequests:
 			answer <- ct.member.Report()
+		case now := <-firstRead.C:
+			ct.step(datacentre.Tick{}, now)
 		case now := <-ti.C:
 			ct.health.recordTick(now)
 			ct.links.Tick(now)
--- a/cmd/process/jobs.go
+++ b/cmd/process/jobs.go
@@ -39,11 +39,7 @@
 	ctx, cancel := context.WithTimeout(ct.jobCtx, jobTimeout)
 	defer cancel()
 	if ac.Introductions {
-		contacts, err := ct.platform.Introductions.Read(ctx, ct.dataCentre)
-		ct.Emit(datacentre.IntroductionsRead{
-			Contacts: contacts,
-			Err:      err,
-		})
+		ct.jobs.Go(func() { ct.readIntroductions() })
 	}
 	ev, err := ct.readVersions(ctx, ac)
 	ct.counters.countPlatformRead(err)
@@ -51,6 +47,18 @@
 	ct.Emit(ev)
 }
 
+// readIntroductions reads the introduction rows beside the versions, so that a node that
+// starts waits for neither.
+func (ct *Control) readIntroductions() {
+	ctx, cancel := context.WithTimeout(ct.jobCtx, jobTimeout)
+	defer cancel()
+	contacts, err := ct.platform.Introductions.Read(ctx, ct.dataCentre)
+	ct.Emit(datacentre.IntroductionsRead{
+		Contacts: contacts,
+		Err:      err,
+	})
+}
+
 func (ct *Control) readVersions(ctx context.Context, ac datacentre.ReadPlatform) (datacentre.PlatformRead, error) {
 	if ac.Snapshot {
 		return ct.readSnapshot(ctx)
--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -57,6 +57,9 @@
 // centre's readers, or because it lacks something that no neighbour provides.
 func (me *Member) ReadsPlatform() bool { return me.reads.needed }
 
+// NextReadAt returns when this node reads the platform next, if it does.
+func (me *Member) NextReadAt() time.Time { return me.reads.nextAt }
+
 // readers returns the hosts of a data centre that read the platform, chosen by
 // rendezvous hashing over the live hosts.
 func (me *Member) readers(name Name) []host.ID {
