--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -136,6 +136,26 @@
 	return a.upstream, true
 }
 
+// PickHost returns the upstream of a host if it was not tried yet and is not known to be
+// full.
+func (ch *Chooser) PickHost(
+	name contract.ServiceName,
+	all []datacentre.Upstream,
+	id host.ID,
+	tried []host.ID,
+	now time.Time,
+) (datacentre.Upstream, bool) {
+	if len(all) == 0 {
+		return datacentre.Upstream{}, false
+	}
+	for _, us := range ch.pool(name, all, now).upstreams {
+		if us.upstream.Host == id {
+			return us.upstream, us.hasCapacity(tried, now)
+		}
+	}
+	return datacentre.Upstream{}, false
+}
+
 // PickWithMaxWait is Pick for a call that may wait in a queue: it moves on to the next
 // data centre only if its choice is slow or the expected wait is longer than maxWait.
 func (ch *Chooser) PickWithMaxWait(
--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -94,6 +94,9 @@
 	if !now.Before(at.Deadline) {
 		return ReasonDeadline
 	}
+	if en.deferred && at.BodyWait > maxLateBodyWait {
+		return ReasonQueueFull
+	}
 	if ga.hasFreeSlot(at, now) {
 		return ReasonNone
 	}
@@ -121,6 +124,10 @@
 	return ReasonNone
 }
 
+// maxLateBodyWait bounds the time for which a body that is too late for its objective waits
+// behind others: on a saturated link, it would make one late that can still meet its own.
+const maxLateBodyWait = 20 * time.Millisecond
+
 // lateWaitDivisor bounds the queue wait of an attempt that would miss its objective to
 // the upper bound of its service time divided by this number.
 const lateWaitDivisor = 4
--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -103,7 +103,7 @@
 	})
 	wait := work / time.Duration(max(1, ga.concurrencyLimit()))
 	if en.attempt.Class == contract.ClassBulk && en.attempt.BodyBytes != 0 {
-		wait = max(wait, ga.transfers.estimateWait(bodies))
+		wait = max(wait, ga.transfers.estimateWait(bodies), en.attempt.BodyWait+ga.transfers.queuedTime(bodies))
 	}
 	return wait
 }
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// handleBodyReceived records that the body of a dispatched attempt has arrived.
+func (ga *Gate) handleBodyReceived(ev BodyReceived, now time.Time) {
+	if en := ga.running[ev.ID]; en != nil {
+		ga.transfers.end(en, ev.Bytes, now)
+	}
+}
+
 // handleEnded records the end of a dispatched attempt; events for other attempts are
 // ignored.
 func (ga *Gate) handleEnded(ev Ended, now time.Time) {
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -104,9 +104,7 @@
 	case Started:
 		ga.handleStarted(ev.ID)
 	case BodyReceived:
-		if en := ga.running[ev.ID]; en != nil {
-			ga.transfers.end(en, ev.Bytes, now)
-		}
+		ga.handleBodyReceived(ev, now)
 	case Ended:
 		ga.handleEnded(ev, now)
 	case Cancelled:
--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -315,6 +315,12 @@
 	td.MaybeScanArgs(t, "rank", &at.Rank)
 	td.MaybeScanArgs(t, "request", (*string)(&at.Request))
 	td.MaybeScanArgs(t, "kind", (*string)(&at.Kind))
+	td.MaybeScanArgs(t, "body", &at.BodyBytes)
+	if td.HasArg("body-wait") {
+		var ms int
+		td.ScanArgs(t, "body-wait", &ms)
+		at.BodyWait = time.Duration(ms) * time.Millisecond
+	}
 	at.Nested = td.HasArg("nested")
 	at.NoQueue = td.HasArg("no-queue")
 	at.Notice = sc.peerNotice(t, td)
--- a/core/host/transfer_limiter.go
+++ b/core/host/transfer_limiter.go
@@ -108,3 +108,8 @@
 	}
 	return tr.meanTime * time.Duration(1+ahead) / time.Duration(tr.maxActive())
 }
+
+// queuedTime returns how long a number of queued bodies take to arrive.
+func (tr *transferLimiter) queuedTime(bodies int) time.Duration {
+	return tr.meanTime * time.Duration(bodies) / time.Duration(tr.maxActive())
+}
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -51,6 +51,9 @@
 	ReasonForgotten Reason = "forgotten"
 	// ReasonInvariant refuses an attempt whose dispatch would violate an invariant.
 	ReasonInvariant Reason = "invariant"
+	// ReasonUpstreamRefused means that the upstream itself turned the attempt away without
+	// running it.
+	ReasonUpstreamRefused Reason = "upstream_refused"
 	// ReasonUpstreamConnect means that no connection to the upstream could be made.
 	ReasonUpstreamConnect Reason = "upstream_connect"
 	// ReasonUpstreamBroken means that the connection failed before an answer arrived.
@@ -186,7 +189,9 @@
 	// BodyBytes is the length in bytes of a request body that is sent after the dispatch;
 	// 0 when the attempt includes its body, and negative when the length is unknown.
 	BodyBytes int64
-	Deadline  time.Time
+	// BodyWait is how long the bodies that are already being received take to arrive.
+	BodyWait time.Duration
+	Deadline time.Time
 	// Notice is what the sender knows of the upstream.
 	Notice PeerNotice
 }
--- a/io/caller/picker.go
+++ b/io/caller/picker.go
@@ -9,6 +9,9 @@
 
 // Pick implements call.Picker.
 func (ex *exchange) Pick(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
+	if up, ok := ex.pickOwnHost(tried, now); ok {
+		return up, true
+	}
 	return ex.server.pick(ex, tried, false, now)
 }
 
@@ -19,6 +22,9 @@
 
 // PickLocal implements call.LocalPicker.
 func (ex *exchange) PickLocal(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
+	if up, ok := ex.pickOwnHost(tried, now); ok {
+		return up, true
+	}
 	sv := ex.server
 	name := ex.target.Route.Service
 	sv.mu.Lock()
@@ -26,6 +32,19 @@
 	return sv.chooser.PickLocal(name, ex.view.Upstreams[name], tried, now)
 }
 
+// pickOwnHost returns the upstream of this host for a request with a long body, which has
+// crossed the host's link already and need not cross that of another one.
+func (ex *exchange) pickOwnHost(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
+	if ex.streamedBody == nil && len(ex.bufferedBody) <= maxEagerBodyBytes {
+		return datacentre.Upstream{}, false
+	}
+	sv := ex.server
+	name := ex.target.Route.Service
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.chooser.PickHost(name, ex.view.Upstreams[name], sv.cfg.Host, tried, now)
+}
+
 // Spend implements call.Spender for retries.
 func (ex *exchange) Spend(now time.Time) bool {
 	return ex.server.retryBudgets.spend(ex.target.Route.Service, now)
--- a/io/node/call_exchange.go
+++ b/io/node/call_exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,7 @@
 	conn       *callConn
 	stopCancel func() bool
 	// body is nil when the request frame contains the body, and for queries.
-	body io.ReadCloser
+	body *grantedBody
 	// requestSent is set when the request has been written, in whole or in part; the
 	// connection's mutex guards it.
 	requestSent bool
@@ -62,7 +63,10 @@
 		address: address,
 		request: rq,
 		conn:    cc,
-		body:    body,
+	}
+	if body != nil {
+		rq.AcceptsGrants = true
+		ex.body = newGrantedBody(body)
 	}
 	return ex.roundTrip()
 }
@@ -131,20 +135,33 @@
 func (ex *exchange) cancelOnDone() { ex.stopCancel = context.AfterFunc(ex.ctx, ex.cancel) }
 
 // nextFrame returns the next frame of the answer; on a Continue frame, it starts to
-// send the body.
+// send the body or what was asked for of it.
 func (ex *exchange) nextFrame() (*wire.Frame, error) {
 	for {
 		fr, err := ex.conn.readNonHeartbeat()
 		if err != nil || fr.GetContinue() == nil {
 			return fr, err
 		}
-		ex.startBody()
+		ex.continueBody(fr.GetContinue())
 	}
 }
 
+// continueBody sends the bytes of the body that the gate asks for.
+func (ex *exchange) continueBody(co *wire.Continue) {
+	if ex.body == nil {
+		return
+	}
+	bytes := int64(co.GetBytes())
+	if bytes == 0 {
+		bytes = math.MaxInt64 // a gate that asks for the whole body does so once
+	}
+	ex.body.grant(bytes)
+	ex.startBody()
+}
+
 // startBody sends the body in the background, since the answer may arrive before its end.
 func (ex *exchange) startBody() {
-	if ex.body == nil || ex.bodySent != nil {
+	if ex.bodySent != nil {
 		return
 	}
 	ex.bodySent = make(chan struct{})
--- a/io/node/call_server.go
+++ b/io/node/call_server.go
@@ -32,6 +32,7 @@
 	gate        Gate
 	activeCalls atomic.Int64
 	transits    transits
+	receiver    receiver
 	// baseCtx is the parent of the context of each call.
 	baseCtx context.Context
 	cancel  context.CancelFunc
@@ -80,7 +81,9 @@
 	// readEnded is set when nothing more is read from the connection.
 	readEnded bool
 	// pendingBody is the request body that was asked for and has not arrived completely.
-	pendingBody *requestBody
+	// pendingTransfer is nil if it was asked for as a whole.
+	pendingBody     *requestBody
+	pendingTransfer *grantedTransfer
 }
 
 // activeCall is the call or query that a connection carries.
@@ -173,12 +176,12 @@
 	}
 	ac := sc.current
 	var rb *requestBody
-	rb = newRequestBody(func() { sc.sendContinue(ac, rb) })
+	rb = newRequestBody(func() { sc.requestBody(ac, rq, rb) }, sc.endTransfer, sc.receiver.backlog)
 	return ac, rb, true
 }
 
-// sendContinue asks the ingress for the request body.
-func (sc *serverConn) sendContinue(ac *activeCall, rb *requestBody) {
+// requestBody asks the ingress for the request body.
+func (sc *serverConn) requestBody(ac *activeCall, rq *wire.Request, rb *requestBody) {
 	sc.startReader(ac)
 	sc.mu.Lock()
 	readEnded := sc.readEnded
@@ -186,27 +189,67 @@
 		sc.pendingBody = rb
 	}
 	sc.mu.Unlock()
-	if readEnded {
+	switch {
+	case readEnded:
 		rb.push(&wire.Body{Aborted: true})
-		return
+	case rq.GetAcceptsGrants():
+		sc.receiveGranted(rq.GetLength(), rb)
+	default:
+		sc.sendContinue(0)
 	}
+}
+
+// receiveGranted asks for a body part by part, as the receiver grants them.
+func (sc *serverConn) receiveGranted(length int64, rb *requestBody) {
+	gt := sc.receiver.newTransfer(sc.sendContinue)
+	sc.mu.Lock()
+	sc.pendingTransfer = gt
+	sc.mu.Unlock()
+	gt.begin(length)
+	if rb.isClosed() {
+		gt.end()
+	}
+}
+
+// endTransfer ends the transfer of the pending body, which is not read any further.
+func (sc *serverConn) endTransfer() {
+	sc.mu.Lock()
+	gt := sc.pendingTransfer
+	sc.mu.Unlock()
+	if gt != nil {
+		gt.end()
+	}
+}
+
+// sendContinue asks the ingress for further bytes of the body; 0 means all.
+func (sc *serverConn) sendContinue(bytes int64) {
 	sc.writeFrame(&wire.Frame{
 		Kind: &wire.Frame_Continue{
-			Continue: &wire.Continue{},
+			Continue: &wire.Continue{Bytes: uint32(bytes)},
 		},
 	})
 }
 
 // deliverBody passes a chunk to the pending request body.
 func (sc *serverConn) deliverBody(bo *wire.Body) {
+	last := bo.GetLast() || bo.GetAborted()
 	sc.mu.Lock()
-	rb := sc.pendingBody
-	if bo.GetLast() || bo.GetAborted() {
+	rb, gt := sc.pendingBody, sc.pendingTransfer
+	if last {
 		sc.pendingBody = nil
+		sc.pendingTransfer = nil
 	}
 	sc.mu.Unlock()
-	if rb != nil {
-		rb.push(bo)
+	if rb == nil {
+		return
+	}
+	rb.push(bo)
+	if gt == nil {
+		return
+	}
+	gt.received(int64(len(bo.GetData())))
+	if last {
+		gt.end()
 	}
 }
 
--- a/io/node/request_body.go
+++ b/io/node/request_body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"time"
 
 	"lynxfold/core/wire"
 )
@@ -15,19 +16,28 @@
 	chunks      chan *wire.Body
 	closed      chan struct{}
 	closeOnce   sync.Once
-	chunk       []byte
-	complete    bool
-	aborted     bool
+	// onClose is called by the first Close.
+	onClose func()
+	// backlog returns how long other bodies take to arrive before this one.
+	backlog  func() time.Duration
+	chunk    []byte
+	complete bool
+	aborted  bool
 }
 
-func newRequestBody(onFirstRead func()) *requestBody {
+func newRequestBody(onFirstRead, onClose func(), backlog func() time.Duration) *requestBody {
 	return &requestBody{
 		onFirstRead: onFirstRead,
+		onClose:     onClose,
+		backlog:     backlog,
 		chunks:      make(chan *wire.Body, chunkQueueLength),
 		closed:      make(chan struct{}),
 	}
 }
 
+// Backlog implements upstream.QueuedBody.
+func (rb *requestBody) Backlog() time.Duration { return rb.backlog() }
+
 // push passes a chunk to the reader. It blocks while the queue is full, and drops the
 // chunk when the body is closed.
 func (rb *requestBody) push(bo *wire.Body) {
@@ -64,6 +74,19 @@
 
 // Close makes a blocked Read fail; chunks that arrive later are dropped.
 func (rb *requestBody) Close() error {
-	rb.closeOnce.Do(func() { close(rb.closed) })
+	rb.closeOnce.Do(func() {
+		close(rb.closed)
+		rb.onClose()
+	})
 	return nil
 }
+
+// isClosed reports whether Close was called.
+func (rb *requestBody) isClosed() bool {
+	select {
+	case <-rb.closed:
+		return true
+	default:
+		return false
+	}
+}
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -54,6 +54,12 @@
 	lastUnreadableLimit string
 }
 
+// QueuedBody is a request body that arrives behind others.
+type QueuedBody interface {
+	// Backlog returns how long the others take to arrive.
+	Backlog() time.Duration
+}
+
 // admission is an attempt that has arrived and has not ended.
 type admission struct {
 	decision chan host.Action
@@ -93,6 +99,9 @@
 	if body != nil {
 		at.BodyBytes = rq.GetLength()
 	}
+	if qb, ok := body.(QueuedBody); ok {
+		at.BodyWait = qb.Backlog()
+	}
 	if rq.GetHasObjective() {
 		at.CallerRetry = rq.GetReturning()
 		at.Objective = now.Add(time.Duration(rq.GetObjectiveUs()) * time.Microsecond)
