--- a/core/call/chooser_test.go
+++ b/core/call/chooser_test.go
@@ -100,6 +100,57 @@
 	return sums
 }
 
+// TestPickHost checks that the upstream of a certain host is picked unless it is full, was
+// tried, or is not there.
+func TestPickHost(t *testing.T) {
+	ch := call.NewChooser(call.ChooserConfig{Rand: rand.New(rand.NewPCG(1, 2))})
+	now := time.Unix(1_000_000, 0)
+	all := []datacentre.Upstream{
+		{
+			Service: service,
+			Host:    "a",
+			Slots:   2,
+		},
+		{
+			Service: service,
+			Host:    "b",
+			Slots:   2,
+		},
+	}
+	up, ok := ch.PickHost(service, all, "b", nil, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, up.Host, host.ID("b"))
+	_, ok = ch.PickHost(service, all, "b", []host.ID{"b"}, now)
+	assert.Assert(t, !ok, "tried")
+	_, ok = ch.PickHost(service, all, "c", nil, now)
+	assert.Assert(t, !ok, "not there")
+	ch.Started(up)
+	ch.Started(up)
+	_, ok = ch.PickHost(service, all, "b", nil, now)
+	assert.Assert(t, !ok, "full")
+}
+
+// TestChooserAvoidsSheddingUpstreams plays six upstreams of which two turn away most of
+// their arrivals: few attempts are wasted on them, and they are used again afterwards.
+func TestChooserAvoidsSheddingUpstreams(t *testing.T) {
+	cf := newChooserFixture(t, map[datacentre.Name]int{local: 6})
+	rnd := rand.New(rand.NewPCG(3, 4))
+	sheds := func(up datacentre.Upstream) bool { return up.Host == cf.all[0].Host || up.Host == cf.all[1].Host }
+	counts := cf.picks(6000, func(up datacentre.Upstream) call.Observation {
+		if sheds(up) && rnd.Float64() < 0.8 {
+			return refused(host.ReasonUpstreamRefused)
+		}
+		return succeeded(2*time.Millisecond, 300)
+	})
+	share := float64(counts[cf.all[0].Host]+counts[cf.all[1].Host]) / 6000
+	assert.Check(t, share < 0.15, "%.2f of the attempts went to the upstreams that shed", share)
+	assert.Check(t, share > 0.01, "they are not tried again: %.3f", share)
+	cf.now = cf.now.Add(10 * time.Second)
+	counts = cf.picks(6000, always(succeeded(2*time.Millisecond, 300)))
+	share = float64(counts[cf.all[0].Host]+counts[cf.all[1].Host]) / 6000
+	assert.Check(t, share > 0.25, "%.2f of the attempts go to the upstreams that shed before", share)
+}
+
 func TestChooserStaysLocal(t *testing.T) {
 	cf := newChooserFixture(t, map[datacentre.Name]int{local: 2, "curing-room": 6})
 	sums := cf.byDataCentre(cf.picks(1000, always(succeeded(2*time.Millisecond, 300))))
--- a/core/call/upstream_stats.go
+++ b/core/call/upstream_stats.go
@@ -19,6 +19,12 @@
 	// latencyDecay is the time without a sample over which an upstream's average
 	// latency decays to that of its service.
 	latencyDecay = 20 * time.Second
+	// shedEWMADivisor is the inverse of the weight of a new sample in the moving average of
+	// the share of attempts that an upstream turns away, shedDecay the time without one
+	// turned away over which it decays, and maxShedShare its bound.
+	shedEWMADivisor = 16
+	shedDecay       = 5 * time.Second
+	maxShedShare    = 0.9
 	// slowStartDuration is the time in which the weight of a new incarnation, or of an
 	// upstream after its ejection, grows to 1.
 	slowStartDuration = 10 * time.Second
@@ -60,9 +66,13 @@
 	// ends; zero if the weight is not reduced.
 	slowStartFrom       time.Time
 	consecutiveFailures int
-	avoidedUntil        time.Time
-	ejectedUntil        time.Time
-	ejections           int
+	// shedShare is the moving average of the share of attempts that the upstream itself
+	// turns away although its gate found a slot for them, last updated at shedAt.
+	shedShare    float64
+	shedAt       time.Time
+	avoidedUntil time.Time
+	ejectedUntil time.Time
+	ejections    int
 	// removed says that the upstream left the view while attempts were outstanding.
 	removed bool
 }
@@ -150,7 +160,26 @@
 func (us *upstreamStats) score(po *pool, now time.Time) float64 {
 	slots := float64(max(1, us.upstream.Slots))
 	limitWait := max(0, us.limitedUntil.Sub(now).Seconds())
-	return limitWait + (us.utilisation(now)+1/slots)*us.decayedLatency(po, now).Seconds()*float64(1+us.consecutiveFailures)
+	served := 1 - us.decayedShedShare(now)
+	return limitWait + (us.utilisation(now)+1/slots)*us.decayedLatency(po, now).Seconds()*
+		float64(1+us.consecutiveFailures)/(served*served)
+}
+
+// decayedShedShare returns the share of attempts that the upstream turns away. Without new
+// samples it decays to 0, so that the upstream is tried again.
+func (us *upstreamStats) decayedShedShare(now time.Time) float64 {
+	left := 1 - now.Sub(us.shedAt).Seconds()/shedDecay.Seconds()
+	return min(maxShedShare, us.shedShare) * min(1, max(0, left))
+}
+
+// observeShed updates the share of attempts that the upstream turns away.
+func (us *upstreamStats) observeShed(turnedAway bool, now time.Time) {
+	sample := 0.0
+	if turnedAway {
+		sample = 1
+		us.shedAt = now
+	}
+	us.shedShare += (sample - us.shedShare) / shedEWMADivisor
 }
 
 // avoidFor returns how long an upstream is avoided after its gate was unavailable.
@@ -189,6 +218,9 @@
 		us.avoidedUntil = now.Add(avoidFor(ob.Result.Reason))
 		return
 	}
+	if ob.Result.Outcome == OutcomeRan || ob.Result.Reason == host.ReasonUpstreamRefused {
+		us.observeShed(ob.Result.Outcome != OutcomeRan, now)
+	}
 	if isUpstreamFault(ob.Result) {
 		us.consecutiveFailures++
 		return
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -288,6 +288,9 @@
 	sv.recordShortage(ex, an.Result)
 	if an.Result.Outcome != call.OutcomeRan || winner == nil {
 		ex.cancel()
+		if an.Result.Reason == host.ReasonUpstreamRefused {
+			sv.refillBudgets(ex.target.Route.Service)
+		}
 		ex.refuse(an)
 		sv.activeCalls.Add(-1)
 		return
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -303,6 +303,12 @@
 	if re.Status >= fasthttp.StatusInternalServerError {
 		return
 	}
+	sv.refillBudgets(name)
+}
+
+// refillBudgets adds to the budgets of a service for a call to which its upstream has
+// responded. An upstream that turns calls away works, so that they may be tried elsewhere.
+func (sv *Server) refillBudgets(name contract.ServiceName) {
 	now := time.Now()
 	sv.retryBudgets.recordSuccess(name, now)
 	sv.hedgeBudgets.recordSuccess(name, now)
--- a/io/ini/keys.go
+++ b/io/ini/keys.go
@@ -212,7 +212,7 @@
 		},
 		{
 			section: "caller", name: "retry_per_success", defaultText: "0.1", remedy: remedyRate,
-			help: "Retries that each successful call adds to the retry budget of its service.",
+			help: "Retries that each successful call, or one that its upstream turns away, adds to the retry budget of its service.",
 			set:  rateSetter(func(se *Settings) *float64 { return &se.Caller.RetryPerSuccess }),
 		},
 		{
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -181,7 +181,7 @@
 	}
 	switch rc {
 	case ResponseNotRun:
-		return ex.refuseNotRun(resp, ReasonUpstreamRefused)
+		return ex.refuseNotRun(resp, host.ReasonUpstreamRefused)
 	case ResponseOtherInstance:
 		return ex.refuseNotRun(resp, ReasonUpstreamOtherInstance)
 	case ResponseAmbiguous:
@@ -323,7 +323,7 @@
 			return RefusalReply(ReasonUpstreamUnframed, false)
 		}
 		err := bo.readFrom(ex.conn.reader)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -53,7 +53,6 @@
 
 // Reasons derived from the classification of a response.
 const (
-	ReasonUpstreamRefused       host.Reason = "upstream_refused"
 	ReasonUpstreamOtherInstance host.Reason = "upstream_other_instance"
 	// ReasonUpstreamSuspect reports a response that could belong to another
 	// request.
