--- a/io/upstream/byte_budget.go
+++ b/io/upstream/byte_budget.go
@@ -31,60 +31,72 @@
 const (
 	// maxUnframedBytes bounds the responses that end with their connection.
 	maxUnframedBytes = 8 << 20
-	// minBodyBuffer is the size with which the buffer of such a response begins; it
-	// doubles whenever it is full.
-	minBodyBuffer = 16 << 10
+	// bodyChunkBytes is the size of the parts in which such a response is buffered.
+	bodyChunkBytes = 32 << 10
 )
 
+// bodyChunk is a part of a buffered body; chunkPool reuses them.
+type bodyChunk [bodyChunkBytes]byte
+
+var chunkPool = sync.Pool{New: func() any { return new(bodyChunk) }}
+
 // bufferedBody is a response body that is buffered until its end is known.
 type bufferedBody struct {
 	budget *ByteBudget
-	taken  int64
-	data   []byte
-	// unread is the part of the data that has not been read.
-	unread []byte
+	// chunks hold the body; all but the last one are full.
+	chunks []*bodyChunk
+	length int
+	// offset is how much of the body has been read.
+	offset int
 	once   sync.Once
 }
 
-// grow makes room in the buffer if it is full, and reports whether there is room.
+// grow makes room for further bytes, and reports whether there is room.
 func (bb *bufferedBody) grow() bool {
-	if len(bb.data) < cap(bb.data) {
+	if bb.length < len(bb.chunks)*bodyChunkBytes {
 		return true
 	}
-	more := max(minBodyBuffer, len(bb.data))
-	if len(bb.data)+more > maxUnframedBytes || !bb.budget.Take(int64(more)) {
+	if bb.length+bodyChunkBytes > maxUnframedBytes || !bb.budget.Take(bodyChunkBytes) {
 		return false
 	}
-	bb.taken += int64(more)
-	bb.data = append(make([]byte, 0, len(bb.data)+more), bb.data...)
+	bb.chunks = append(bb.chunks, chunkPool.Get().(*bodyChunk))
 	return true
 }
 
 // readFrom appends what one read returns.
 func (bb *bufferedBody) readFrom(rd io.Reader) error {
-	n, err := rd.Read(bb.data[len(bb.data):cap(bb.data)])
-	bb.data = bb.data[:len(bb.data)+n]
-	bb.unread = bb.data
+	last := bb.chunks[len(bb.chunks)-1]
+	n, err := rd.Read(last[bb.length%bodyChunkBytes:])
+	bb.length += n
 	return err
 }
 
 // Read implements io.Reader.
 func (bb *bufferedBody) Read(buf []byte) (int, error) {
-	if len(bb.unread) == 0 {
+	if bb.offset >= bb.length {
 		return 0, io.EOF
 	}
-	n := copy(buf, bb.unread)
-	bb.unread = bb.unread[n:]
+	chunk := bb.chunks[bb.offset/bodyChunkBytes]
+	end := min(bodyChunkBytes, bb.length-bb.offset/bodyChunkBytes*bodyChunkBytes)
+	n := copy(buf, chunk[bb.offset%bodyChunkBytes:end])
+	bb.offset += n
 	return n, nil
 }
 
-// Close implements io.Closer.
+// Close implements io.Closer. Nothing may be read afterwards.
 func (bb *bufferedBody) Close() error {
 	bb.release()
 	return nil
 }
 
-// release returns the bytes of the buffer to the budget.
+// release returns the buffers and their bytes to the budget.
 func (bb *bufferedBody) release() {
-	bb.once.Do(func() { bb.budget.Give(bb.taken) })
+	bb.once.Do(func() {
+		bb.budget.Give(int64(len(bb.chunks)) * bodyChunkBytes)
+		for _, bc := range bb.chunks {
+			chunkPool.Put(bc)
+		}
+		bb.chunks = nil
+		bb.length = 0
+	})
 }
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -250,7 +250,15 @@
 		return &StaleResponseError{Count: 1} // the body ends with the connection
 	}
 	resp.SkipBody = false
-	return resp.ReadBody(ex.conn.reader, maxDiscardBytes)
+	resp.StreamBody = true
+	if err := resp.ReadBody(ex.conn.reader, 0); err != nil {
+		return err
+	}
+	read, err := io.Copy(io.Discard, io.LimitReader(resp.BodyStream(), maxDiscardBytes+1))
+	if err == nil && read > maxDiscardBytes {
+		err = &StaleResponseError{Count: 1}
+	}
+	return err
 }
 
 // discardBuffered drops a response body that has arrived completely, and reports whether
@@ -331,15 +339,18 @@
 			return ex.fail()
 		}
 	}
-	if len(bo.data) <= maxInlineBodyBytes {
-		defer bo.release()
-		rp := ex.complete(resp, bo.data)
-		rp.Response.Length = int64(len(bo.data))
+	length := int64(bo.length)
+	if length <= maxInlineBodyBytes {
+		data := make([]byte, length)
+		_, _ = io.ReadFull(bo, data) // reads from memory
+		bo.release()
+		rp := ex.complete(resp, data)
+		rp.Response.Length = length
 		return rp
 	}
 	ex.finish(false, Result{Outcome: host.OutcomeRan})
 	re := newWireResponse(resp)
-	re.Length = int64(len(bo.data))
+	re.Length = length
 	return Reply{
 		Response: re,
 		Body:     bo,
--- a/io/upstream/endless_test.go
+++ b/io/upstream/endless_test.go
@@ -68,8 +68,8 @@
 				continue
 			}
 			_, err := io.WriteString(nc, er.head)
-			for err == nil {
-				_, err = io.WriteString(nc, er.tail)
+			for tail := []byte(er.tail); err == nil; {
+				_, err = nc.Write(tail)
 				time.Sleep(er.pause)
 			}
 			return
@@ -83,9 +83,9 @@
 	// endlessDeadline is the time that each of them has.
 	endlessDeadline = 700 * time.Millisecond
 	// endlessBudget is the bound of the buffered bytes, and endlessOverhead is how much
-	// more the heap may grow, for connections' buffers and garbage.
+	// more may be in use, for the connections' buffers at both ends.
 	endlessBudget   = 8 << 20
-	endlessOverhead = 24 << 20
+	endlessOverhead = 8 << 20
 )
 
 // TestEndlessResponses makes concurrent calls to an upstream whose responses don't end.
@@ -112,7 +112,7 @@
 			}
 			calls.Wait()
 			grown := int64(peak.Load()) - int64(before)
-			assert.Check(t, grown < endlessBudget+endlessOverhead, "heap grew by %d bytes", grown)
+			assert.Check(t, grown < endlessBudget+endlessOverhead, "%d more bytes in use", grown)
 			_, data, _, err := do(t, cl, sc, newRequest("GET"), nil)
 			assert.NilError(t, err)
 			assert.Equal(t, string(data), "ok")
@@ -141,7 +141,7 @@
 	assert.Check(t, re.Refusal == nil || !re.Refusal.GetNotRun())
 }
 
-// watchHeap returns the size of the heap, and its peak until the test ends.
+// watchHeap returns how much of the heap is in use, and the peak until the test ends.
 func watchHeap(t *testing.T) (before uint64, peak *atomic.Uint64) {
 	runtime.GC()
 	var ms runtime.MemStats
@@ -157,6 +157,7 @@
 			case <-time.After(5 * time.Millisecond):
 			}
 			var now runtime.MemStats
+			runtime.GC() // what is no longer in use does not count
 			runtime.ReadMemStats(&now)
 			peak.Store(max(peak.Load(), now.HeapAlloc))
 		}
