--- a/io/caller/headers.go
+++ b/io/caller/headers.go
@@ -42,11 +42,12 @@
 // ownRequestHeaders are the request headers that this package sets, and therefore
 // does not forward.
 var ownRequestHeaders = map[string]bool{
-	fasthttp.HeaderHost:     true,
-	upstream.HeaderDeadline: true,
-	call.HeaderAttempt:      true,
-	headerForwardedFor:      true,
-	headerForwardedHost:     true,
+	fasthttp.HeaderHost:      true,
+	upstream.HeaderDeadline:  true,
+	upstream.HeaderAttemptID: true,
+	call.HeaderAttempt:       true,
+	headerForwardedFor:       true,
+	headerForwardedHost:      true,
 }
 
 // ownResponseHeaders are the response headers that this package sets, and
@@ -55,6 +56,8 @@
 	HeaderOutcome:     true,
 	HeaderReason:      true,
 	call.HeaderGaveUp: true,
+	// It concerns only the connection to the upstream.
+	upstream.HeaderAttemptID: true,
 }
 
 // connectionHeaders returns the headers that a Connection header lists.
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -445,3 +445,36 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Equal(t, sc.requests.Load(), int64(rounds))
 }
+
+// TestLateSecondCopyIsNotTakenForAnswer plays an upstream that sends a second copy of each
+// response, late, when the next request on the connection has arrived: each request gets
+// its own response all the same.
+func TestLateSecondCopyIsNotTakenForAnswer(t *testing.T) {
+	respond := func(nc net.Conn, id string) {
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nLynxfold-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+	}
+	sc := startScriptedUpstream(t, func(sc *scriptedUpstream, nc net.Conn, rd *bufio.Reader) {
+		previous := ""
+		for {
+			rq, ok := sc.readRequest(rd)
+			if !ok {
+				return
+			}
+			if previous != "" {
+				respond(nc, previous)
+			}
+			previous = rq.Header.Get("Lynxfold-Attempt-Id")
+			respond(nc, previous)
+		}
+	})
+	cl := newClient(t)
+	for i := range 6 {
+		rq := newRequest("GET")
+		rq.Attempt = fmt.Sprintf("a.1.%d.1i", i)
+		rq.Idempotent = true
+		_, data, _, err := do(t, cl, sc, rq, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, string(data), rq.Attempt)
+	}
+	assert.Equal(t, sc.accepted.Load(), int64(3), "a connection that carried a stale response is not used again")
+}
--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -26,7 +26,7 @@
 type Protocol interface {
 	// SetHeaders adds the protocol's headers to a request for an upstream instance;
 	// left is the time remaining until the deadline.
-	SetHeaders(he *fasthttp.RequestHeader, instance host.InstanceID, left time.Duration)
+	SetHeaders(he *fasthttp.RequestHeader, rq *wire.Request, instance host.InstanceID, left time.Duration)
 	// Classify classifies a response by its status and header.
 	Classify(rq *wire.Request, status int, he *fasthttp.ResponseHeader) ResponseClass
 	// Notice returns what the header of a response states about the upstream itself.
@@ -62,13 +62,23 @@
 // NativeProtocol is lynxfold's native protocol.
 type NativeProtocol struct{}
 
+// HeaderAttemptID identifies an attempt. An upstream that repeats it in its response is
+// protected from late responses to earlier requests on the same connection.
+const HeaderAttemptID = "Lynxfold-Attempt-Id"
+
 // SetHeaders implements Protocol.
-func (NativeProtocol) SetHeaders(he *fasthttp.RequestHeader, _ host.InstanceID, left time.Duration) {
+func (NativeProtocol) SetHeaders(he *fasthttp.RequestHeader, rq *wire.Request, _ host.InstanceID, left time.Duration) {
 	he.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	he.Set(HeaderAttemptID, rq.GetAttempt())
 }
 
-// Classify implements Protocol.
-func (NativeProtocol) Classify(*wire.Request, int, *fasthttp.ResponseHeader) ResponseClass {
+// Classify implements Protocol. A response that repeats the ID of another attempt is
+// ResponseStale.
+func (NativeProtocol) Classify(rq *wire.Request, _ int, he *fasthttp.ResponseHeader) ResponseClass {
+	echo := he.Peek(HeaderAttemptID)
+	if len(echo) > 0 && string(echo) != rq.GetAttempt() {
+		return ResponseStale
+	}
 	return ResponseRan
 }
 
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -76,7 +76,7 @@
 		req.Header.AddBytesKV(he.GetName(), he.GetValue())
 	}
 	if deadline, ok := ex.ctx.Deadline(); ok {
-		ex.client.protocol.SetHeaders(&req.Header, to.Instance, time.Until(deadline))
+		ex.client.protocol.SetHeaders(&req.Header, rq, to.Instance, time.Until(deadline))
 	}
 }
 
--- a/io/upstream/standin/serve.go
+++ b/io/upstream/standin/serve.go
@@ -44,6 +44,9 @@
 	ParamStatus = "status"
 )
 
+// headerAttemptID identifies an attempt; responses repeat it.
+const headerAttemptID = "Lynxfold-Attempt-Id"
+
 // disconnectPollInterval is the interval between checks for a closed connection.
 const disconnectPollInterval = 5 * time.Millisecond
 
@@ -62,6 +65,7 @@
 		return
 	}
 	call := string(ctx.Request.Header.Peek(HeaderCallID))
+	ctx.Response.Header.SetBytesV(headerAttemptID, ctx.Request.Header.Peek(headerAttemptID))
 	if ctx.QueryArgs().GetBool(ParamEarly) {
 		sv.finishRun(sv.recordRun(call, 0, ctx), false)
 		ctx.SetConnectionClose()
