--- a/core/host/shortage.go
+++ b/core/host/shortage.go
@@ -61,6 +61,7 @@
 	}
 	ks := ds.kinds[ki]
 	if ks == nil {
+		ds.forget(now)
 		if len(ds.kinds) >= maxKinds {
 			return
 		}
@@ -73,6 +74,21 @@
 	}
 }
 
+// forget removes what was reported longer ago than shortageDecay: kinds and services come
+// and go with the configuration.
+func (ds *downstreamShortages) forget(now time.Time) {
+	for ki, ks := range ds.kinds {
+		for sv, rs := range ks.services {
+			if now.Sub(rs.reportedAt) >= shortageDecay {
+				delete(ks.services, sv)
+			}
+		}
+		if len(ks.services) == 0 {
+			delete(ds.kinds, ki)
+		}
+	}
+}
+
 // shareToShed returns the share of the admitted calls of a rank to be shed, so that as
 // many of them are not served as of the more urgent calls to the service that they call,
 // or as of their nested calls.
