--- a/core/call/nested_load_test.go
+++ b/core/call/nested_load_test.go
@@ -32,25 +32,6 @@
 	maxGap = 0.05
 )
 
-// playedTimer is a scheduled step of the simulation.
-type playedTimer struct {
-	at  time.Time
-	run func()
-}
-
-type playedTimers []playedTimer
-
-func (pt playedTimers) Len() int           { return len(pt) }
-func (pt playedTimers) Less(i, j int) bool { return pt[i].at.Before(pt[j].at) }
-func (pt playedTimers) Swap(i, j int)      { pt[i], pt[j] = pt[j], pt[i] }
-func (pt *playedTimers) Push(it any)       { *pt = append(*pt, it.(playedTimer)) }
-func (pt *playedTimers) Pop() any {
-	old := *pt
-	it := old[len(old)-1]
-	*pt = old[:len(old)-1]
-	return it
-}
-
 // playedCall is one attempt in the simulation.
 type playedCall struct {
 	attempt host.Attempt
@@ -67,7 +48,7 @@
 	now           time.Time
 	start         time.Time
 	rnd           *rand.Rand
-	timers        playedTimers
+	timers        eventQueue
 	lists, orders *host.Gate
 	meter         *call.ShortageMeter
 	calls         map[host.AttemptID]*playedCall
@@ -111,7 +92,7 @@
 }
 
 func (nl *nestedLoad) after(delay time.Duration, run func()) {
-	heap.Push(&nl.timers, playedTimer{at: nl.now.Add(delay), run: run})
+	heap.Push(&nl.timers, timedEvent{at: nl.now.Add(delay), run: run})
 }
 
 func (nl *nestedLoad) step(ga *host.Gate, ev host.Event) {
@@ -255,7 +236,7 @@
 	nl.arrive(listsPerSecond, nl.sendList)
 	nl.arrive(ordersPerSecond, nl.sendOrder)
 	for end := nl.start.Add(playedSeconds * time.Second); nl.timers[0].at.Before(end); {
-		ti := heap.Pop(&nl.timers).(playedTimer)
+		ti := heap.Pop(&nl.timers).(timedEvent)
 		nl.now = ti.at
 		ti.run()
 		nl.step(nl.orders, host.Tick{})
--- a/io/upstream/byte_budget.go
+++ b/io/upstream/byte_budget.go
@@ -28,23 +28,14 @@
 // Give returns reserved bytes.
 func (bb *ByteBudget) Give(bytes int64) { bb.used.Add(-bytes) }
 
-const (
-	// maxUnframedBytes bounds the responses that end with their connection.
-	maxUnframedBytes = 8 << 20
-	// bodyChunkBytes is the size of the parts in which such a response is buffered.
-	bodyChunkBytes = 32 << 10
-)
-
-// bodyChunk is a part of a buffered body; chunkPool reuses them.
-type bodyChunk [bodyChunkBytes]byte
-
-var chunkPool = sync.Pool{New: func() any { return new(bodyChunk) }}
+// maxUnframedBytes bounds the responses that end with their connection.
+const maxUnframedBytes = 8 << 20
 
 // bufferedBody is a response body that is buffered until its end is known.
 type bufferedBody struct {
 	budget *ByteBudget
 	// chunks hold the body; all but the last one are full.
-	chunks []*bodyChunk
+	chunks []*copyBuffer
 	length int
 	// offset is how much of the body has been read.
 	offset int
@@ -53,20 +44,20 @@
 
 // grow makes room for further bytes, and reports whether there is room.
 func (bb *bufferedBody) grow() bool {
-	if bb.length < len(bb.chunks)*bodyChunkBytes {
+	if bb.length < len(bb.chunks)*copyBufferBytes {
 		return true
 	}
-	if bb.length+bodyChunkBytes > maxUnframedBytes || !bb.budget.Take(bodyChunkBytes) {
+	if bb.length+copyBufferBytes > maxUnframedBytes || !bb.budget.Take(copyBufferBytes) {
 		return false
 	}
-	bb.chunks = append(bb.chunks, chunkPool.Get().(*bodyChunk))
+	bb.chunks = append(bb.chunks, copyBuffers.Get().(*copyBuffer))
 	return true
 }
 
 // readFrom appends what one read returns.
 func (bb *bufferedBody) readFrom(rd io.Reader) error {
 	last := bb.chunks[len(bb.chunks)-1]
-	n, err := rd.Read(last[bb.length%bodyChunkBytes:])
+	n, err := rd.Read(last[bb.length%copyBufferBytes:])
 	bb.length += n
 	return err
 }
@@ -76,9 +67,9 @@
 	if bb.offset >= bb.length {
 		return 0, io.EOF
 	}
-	chunk := bb.chunks[bb.offset/bodyChunkBytes]
-	end := min(bodyChunkBytes, bb.length-bb.offset/bodyChunkBytes*bodyChunkBytes)
-	n := copy(buf, chunk[bb.offset%bodyChunkBytes:end])
+	chunk := bb.chunks[bb.offset/copyBufferBytes]
+	end := min(copyBufferBytes, bb.length-bb.offset/copyBufferBytes*copyBufferBytes)
+	n := copy(buf, chunk[bb.offset%copyBufferBytes:end])
 	bb.offset += n
 	return n, nil
 }
@@ -92,9 +83,9 @@
 // release returns the buffers and their bytes to the budget.
 func (bb *bufferedBody) release() {
 	bb.once.Do(func() {
-		bb.budget.Give(int64(len(bb.chunks)) * bodyChunkBytes)
-		for _, bc := range bb.chunks {
-			chunkPool.Put(bc)
+		bb.budget.Give(int64(len(bb.chunks)) * copyBufferBytes)
+		for _, cb := range bb.chunks {
+			copyBuffers.Put(cb)
 		}
 		bb.chunks = nil
 		bb.length = 0
--- a/io/upstream/send.go
+++ b/io/upstream/send.go
@@ -11,10 +11,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// copyBufferBytes is the size of the buffers used to copy bodies.
+// copyBufferBytes is the size of the buffers in which bodies are copied or kept.
 const copyBufferBytes = 32 << 10
 
-var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+type copyBuffer [copyBufferBytes]byte
+
+var copyBuffers = sync.Pool{New: func() any { return new(copyBuffer) }}
 
 // BodyError reports a request body that could not be read completely.
 type BodyError struct {
@@ -125,7 +127,7 @@
 // copyBody copies a body to EOF and returns the bytes written. A body longer
 // than limit and a read error give a BodyError.
 func copyBody(wr io.Writer, body io.Reader, limit int64) (int64, error) {
-	buf := copyBuffers.Get().(*[copyBufferBytes]byte)
+	buf := copyBuffers.Get().(*copyBuffer)
 	defer copyBuffers.Put(buf)
 	sent := int64(0)
 	for {
