refactor: let the member decide how long a read of the platform may wait

The adapter of the users' platform had its reads wait for a change for 2 s, which the member, which schedules the reads, did not know. The wait is part of the action and of the query now.

--- a/cmd/process/control_test.go
+++ b/cmd/process/control_test.go
@@ -31,7 +31,7 @@
 	reads chan struct{}
 }
 
-func (cs countingSource) Since(context.Context, contract.Version, platform.ETag) ([]*contract.Delta, *contract.Snapshot, platform.ETag, error) {
+func (cs countingSource) Since(context.Context, platform.ChangeQuery) ([]*contract.Delta, *contract.Snapshot, platform.ETag, error) {
 	cs.reads <- struct{}{}
 	return nil, nil, "", nil
 }
--- a/cmd/process/jobs.go
+++ b/cmd/process/jobs.go
@@ -18,8 +18,8 @@
 // configSource reads accepted configurations.
 type configSource interface {
 	// Since reads the changes after a version: the deltas in order, or the whole
-	// document. With a known ETag it may wait until the state differs from it.
-	Since(ctx context.Context, ve contract.Version, known platform.ETag) (deltas []*contract.Delta, snapshot *contract.Snapshot, et platform.ETag, err error)
+	// document.
+	Since(ctx context.Context, cq platform.ChangeQuery) (deltas []*contract.Delta, snapshot *contract.Snapshot, et platform.ETag, err error)
 	// CurrentSnapshot reads the whole document of the current version.
 	CurrentSnapshot(ctx context.Context) (*contract.Snapshot, error)
 }
@@ -65,11 +65,15 @@
 	if ac.Snapshot {
 		return ct.readSnapshot(ctx)
 	}
-	known := ct.configETag
+	cq := platform.ChangeQuery{
+		After:   ac.After,
+		Known:   ct.configETag,
+		MaxWait: ac.MaxWait,
+	}
 	if ac.Unconditional {
-		known = ""
+		cq.Known = ""
 	}
-	deltas, snapshot, et, err := ct.platform.Source.Since(ctx, ac.After, known)
+	deltas, snapshot, et, err := ct.platform.Source.Since(ctx, cq)
 	if err != nil {
 		return datacentre.PlatformRead{}, err
 	}
--- a/core/datacentre/events.go
+++ b/core/datacentre/events.go
@@ -130,6 +130,9 @@
 	Unconditional bool
 	// Snapshot asks for the full document instead of deltas.
 	Snapshot bool
+	// MaxWait is how long the platform may hold back its response while nothing has
+	// changed.
+	MaxWait time.Duration
 }
 
 // WriteIntroduction writes the introduction row of this data centre, the addresses that new
--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -21,6 +21,10 @@
 	maxReadBackoffFactor = 16
 	// readTimeout is when a read without a result counts as lost.
 	readTimeout = time.Minute
+	// maxReadWait is how long the platform may hold back the response to a read while
+	// nothing has changed. Together with the timeout of a request it bounds how long a
+	// silently broken connection goes unnoticed.
+	maxReadWait = 2 * time.Second
 )
 
 // platformReads is the state of reading the platform and of writing the introduction
@@ -113,6 +117,7 @@
 		Introductions: introductions,
 		Unconditional: me.reads.unconditional || !me.activated(),
 		Snapshot:      me.versions.highestRefused() > 0,
+		MaxWait:       maxReadWait,
 	})
 }
 
--- a/io/platform/versions.go
+++ b/io/platform/versions.go
@@ -170,31 +170,41 @@
 	return contract.Differences(accepted.Document, su.Document)
 }
 
+// ChangeQuery asks for the changes after a version.
+type ChangeQuery struct {
+	After contract.Version
+	// Known is the ETag of the state that the reader has; empty if it has none.
+	Known ETag
+	// MaxWait is how long the response may be held back while the state has the known
+	// ETag.
+	MaxWait time.Duration
+}
+
 // Since reads the changes after a version: the deltas in order, or the current
 // snapshot if there are more than maxListedVersions. It returns neither if there is
-// no later version or the current row still has the known ETag. et is the ETag of the
-// current row.
-func (vs *Versions) Since(ctx context.Context, ve contract.Version, known ETag) (deltas []*contract.Delta, sn *contract.Snapshot, et ETag, err error) {
-	ro, changed, err := vs.client.ReadIfChanged(ctx, currentVersionKey, known)
+// no later version or the current row still has the known ETag; it never waits for a
+// change. et is the ETag of the current row.
+func (vs *Versions) Since(ctx context.Context, cq ChangeQuery) (deltas []*contract.Delta, sn *contract.Snapshot, et ETag, err error) {
+	ro, changed, err := vs.client.ReadIfChanged(ctx, currentVersionKey, cq.Known)
 	var notFound *NotFoundError
 	if errors.As(err, &notFound) {
 		return nil, nil, "", nil
 	}
 	if err != nil || !changed {
-		return nil, nil, known, err
+		return nil, nil, cq.Known, err
 	}
 	var cur currentRow
 	if err := json.Unmarshal(ro.Value, &cur); err != nil {
 		return nil, nil, "", &UnavailableError{Op: "read current version", Err: err}
 	}
-	if cur.Version <= ve {
+	if cur.Version <= cq.After {
 		return nil, nil, ro.ETag, nil
 	}
-	if cur.Version-ve > maxListedVersions {
+	if cur.Version-cq.After > maxListedVersions {
 		sn, err = vs.snapshot(ctx, cur)
 		return nil, sn, ro.ETag, err
 	}
-	deltas, err = vs.deltas(ctx, ve)
+	deltas, err = vs.deltas(ctx, cq.After)
 	return deltas, nil, ro.ETag, err
 }
 
--- a/io/platform/versions_test.go
+++ b/io/platform/versions_test.go
@@ -52,7 +52,7 @@
 	vs, _ := newVersions(t)
 	de, err := vs.Accept(submission("a"))
 	assert.NilError(t, err)
-	deltas, snapshot, _, err := vs.Since(context.Background(), 0, "")
+	deltas, snapshot, _, err := vs.Since(context.Background(), platform.ChangeQuery{})
 	assert.NilError(t, err)
 	assert.Assert(t, snapshot == nil)
 	assert.DeepEqual(t, deltas, []*contract.Delta{de})
