fix: limit how long a reader pauses after failed reads

What callers saw: a route answered 404 more than 2 s after the version with it was acknowledged, after an outage of the store.

Cause, first part: failures multiplied the time between two reads by up to 16. That time is a host's share of the read budget, so the pause depended on the size of the fleet in the settings. In the recorded incident all six readers failed for the third time between 13.70 and 13.90 s and read again between 14.52 and 14.82 s, the first 2.16 s after the acknowledgement.

The pause of a reader grows to 250 ms at most, or stays at its share of the budget where that is longer; the budget still holds. Other hosts keep the former backoff: they lack something, and learn from neighbours.

TestChangeIsInForceInTimeAfterPlatformRefusedReads failed before and passes. In the script restart_configuration_unreadable two hosts more read the platform themselves before a neighbour's floor comes; all have the version in force as before.

--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -17,8 +17,11 @@
 	// asks for contacts.
 	readsPerIntroductionScan = 8
 	// maxReadBackoffFactor limits the factor by which failures extend the time between
-	// two reads.
+	// two reads of a node that is not a reader.
 	maxReadBackoffFactor = 16
+	// maxReaderBackoff limits the time to which failures extend that between two reads of
+	// a reader, since the mesh learns from readers that the platform is back.
+	maxReaderBackoff = 250 * time.Millisecond
 	// readTimeout is when a read without a result counts as lost.
 	readTimeout = time.Minute
 	// maxReadWait is how long the platform may hold back the response to a read while
@@ -193,10 +196,23 @@
 // scheduleRead sets the time of the next read: no sooner than this node's share of the
 // budget allows, with jitter, and with backoff after failures.
 func (me *Member) scheduleRead(cost int, now time.Time) {
-	period := me.readPeriod(cost) * time.Duration(min(1<<min(me.reads.failures, 10), maxReadBackoffFactor))
+	period := me.readPeriod(cost)
+	if me.reads.failures > 0 {
+		period = me.readBackoff(period)
+	}
 	me.reads.nextAt = now.Add(period + me.jitter(period/2))
 }
 
+// readBackoff returns the time until the next read after failures; without failures it
+// would be the given one.
+func (me *Member) readBackoff(period time.Duration) time.Duration {
+	limit := period * maxReadBackoffFactor
+	if me.isReader() {
+		limit = max(period, maxReaderBackoff)
+	}
+	return min(period<<min(me.reads.failures, 10), limit)
+}
+
 // writeIntroduction writes the data centre's introduction row if this node is the
 // first of its readers and the row has changed or is due for a refresh. A node that has
 // just started knows few hosts, and leaves the rows that are there as they are.
