fix: do not let reads wait for a change while reads fail

What callers saw: a route answered 404 more than 2 s after the version with it was acknowledged, after an outage of the store.

Cause, second part: each read was a long poll, also while the store was away. A store that says nothing is noticed only after the wait of 2 s and the timeout of 1 s, and it never answers a request that it received while it was away. A read that began just before its return therefore hid the return for 3 s; in the recorded incident the reads begun at 10.5 to 10.8 s did so until 13.7 to 13.9 s, with the store back before 12.36 s.

After a failure the member asks for reads that do not wait, which fail after the timeout alone; the first that succeeds restores the wait. No other request is added while reads succeed.

--- a/cmd/process/control_test.go
+++ b/cmd/process/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -26,30 +27,32 @@
 	return nil, ctx.Err()
 }
 
-// countingSource is a source of configurations that reports each read.
-type countingSource struct {
-	reads chan struct{}
+// recordingSource is a source of configurations that passes each query on and returns an
+// error.
+type recordingSource struct {
+	queries chan platform.ChangeQuery
+	err     error
 }
 
-func (cs countingSource) Since(context.Context, platform.ChangeQuery) ([]*contract.Delta, *contract.Snapshot, platform.ETag, error) {
-	cs.reads <- struct{}{}
-	return nil, nil, "", nil
+func (rs recordingSource) Since(_ context.Context, cq platform.ChangeQuery) ([]*contract.Delta, *contract.Snapshot, platform.ETag, error) {
+	rs.queries <- cq
+	return nil, nil, "", rs.err
 }
 
-func (cs countingSource) CurrentSnapshot(context.Context) (*contract.Snapshot, error) {
+func (rs recordingSource) CurrentSnapshot(context.Context) (*contract.Snapshot, error) {
 	return nil, nil
 }
 
-// TestStartReadsConfigurationAtOnce checks that a node that starts reads the configuration
-// before its timers first fire, and although its contacts can't be read.
-func TestStartReadsConfigurationAtOnce(t *testing.T) {
+// startControl runs the control goroutine of a node without peers, whose store does not
+// respond.
+func startControl(t *testing.T, rs recordingSource, tickEvery time.Duration) {
+	t.Helper()
 	se := &ini.Settings{}
 	se.Host.ID = "a"
 	se.Host.DataCentre = "press-hall"
 	se.Mesh.FleetSize = 1
 	se.Platform.ReadsPerSecond = 1_000_000
 	set := metrics.NewSet()
-	source := countingSource{reads: make(chan struct{}, 1)}
 	ct := newControl(
 		se,
 		advertisedAddresses{local: "127.0.0.1:1"},
@@ -57,7 +60,7 @@
 		&node.Dialer{Timeout: time.Second},
 		platformParams{
 			Store:         hangingStore{},
-			Source:        source,
+			Source:        rs,
 			Introductions: platform.NewIntroductions(hangingStore{}),
 		},
 		newInvariants(set, zerolog.Nop()),
@@ -66,7 +69,7 @@
 		record.New(record.Config{}),
 		zerolog.Nop(),
 	)
-	ct.tickEvery = time.Hour
+	ct.tickEvery = tickEvery
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -78,9 +81,36 @@
 		<-done
 		ct.jobs.Wait()
 	})
+}
+
+// nextQuery returns the next query that reaches the source.
+func (rs recordingSource) nextQuery(t *testing.T) platform.ChangeQuery {
+	t.Helper()
 	select {
-	case <-source.reads:
+	case cq := <-rs.queries:
+		return cq
 	case <-time.After(20 * time.Second):
-		assert.Assert(t, false, "the configuration was not read")
+		t.Fatal("the configuration was not read")
+		return platform.ChangeQuery{}
+	}
+}
+
+// TestStartReadsConfigurationAtOnce checks that a node that starts reads the configuration
+// before its timers first fire, and although its contacts can't be read.
+func TestStartReadsConfigurationAtOnce(t *testing.T) {
+	rs := recordingSource{queries: make(chan platform.ChangeQuery, 1)}
+	startControl(t, rs, time.Hour)
+	rs.nextQuery(t)
+}
+
+func TestReadAfterFailedReadDoesNotWaitForChange(t *testing.T) {
+	rs := recordingSource{
+		queries: make(chan platform.ChangeQuery, 1000),
+		err:     errors.New("no response"),
+	}
+	startControl(t, rs, 10*time.Millisecond)
+	assert.Assert(t, rs.nextQuery(t).MaxWait > 0)
+	for range 3 {
+		assert.Equal(t, rs.nextQuery(t).MaxWait, time.Duration(0))
 	}
 }
--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -24,10 +24,10 @@
 	maxReaderBackoff = 250 * time.Millisecond
 	// readTimeout is when a read without a result counts as lost.
 	readTimeout = time.Minute
-	// maxReadWait is how long the platform may hold back the response to a read while
-	// nothing has changed. Together with the timeout of a request it bounds how long a
-	// silently broken connection goes unnoticed.
-	maxReadWait = 2 * time.Second
+	// readWait is how long the platform may hold back the response to a read while nothing
+	// has changed. Together with the timeout of a request it bounds how long a silently
+	// broken connection goes unnoticed.
+	readWait = 2 * time.Second
 )
 
 // platformReads is the state of reading the platform and of writing the introduction
@@ -120,10 +120,20 @@
 		Introductions: introductions,
 		Unconditional: me.reads.unconditional || !me.activated(),
 		Snapshot:      me.versions.highestRefused() > 0,
-		MaxWait:       maxReadWait,
+		MaxWait:       me.maxReadWait(),
 	})
 }
 
+// maxReadWait returns how long the platform may hold back the response to the next read.
+// After a failure it is zero: no response then means that the platform is still away, and
+// is known after the timeout of a request.
+func (me *Member) maxReadWait() time.Duration {
+	if me.reads.failures > 0 {
+		return 0
+	}
+	return readWait
+}
+
 // laggingTooLong reports whether neighbours have failed to provide a missing version
 // for longer than three pull timeouts.
 func (me *Member) laggingTooLong(now time.Time) bool {
