fix: let other hosts read the platform while the readers can't reach it

What callers would see: while the store turns some hosts away, or is cut off from some, and serves the others, a change is in force nowhere if these are the readers.

Cause: the readers of a data centre, two, were chosen among the live hosts whether or not their reads succeed, and no other host knows of a version that no reader has read.

A reader of which two reads in a row have failed sets platform_lost in its record, and the next host in the order reads beside it, four at most. The readers' half of the budget is divided by their number. Hosts of an earlier release ignore the field.

The script readers_cut_off_from_platform printed active 0 on all hosts 4 s after the change; it prints active 1 now, and with the platform gone for all, eight of twelve hosts read it. In restart_configuration_unreadable the bases of two hosts differ, since reads come at other times; all have the version in force as before.

--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -7,6 +7,7 @@
 
 	"lynxfold/core/contract"
 	"lynxfold/core/host"
+	"lynxfold/core/wire"
 )
 
 const (
@@ -22,6 +23,8 @@
 	// maxReaderBackoff limits the time to which failures extend that between two reads of
 	// a reader, since the mesh learns from readers that the platform is back.
 	maxReaderBackoff = 250 * time.Millisecond
+	// maxSilentFailures is how many reads of a reader may fail before it tells the mesh.
+	maxSilentFailures = 1
 	// readTimeout is when a read without a result counts as lost.
 	readTimeout = time.Minute
 	// readWait is how long the platform may hold back the response to a read while nothing
@@ -71,9 +74,30 @@
 func (me *Member) NextReadAt() time.Time { return me.reads.nextAt }
 
 // readers returns the hosts of a data centre that read the platform, chosen by
-// rendezvous hashing over the live hosts.
+// rendezvous hashing over the live hosts. For each of them whose reads fail there is one
+// more, up to maxReadersPerCentre: it may reach the platform where others can't.
 func (me *Member) readers(name Name) []host.ID {
-	return me.rendezvousHosts(name, "reader", readersPerCentre)
+	candidates := me.rendezvousHosts(name, "reader", maxReadersPerCentre)
+	working := 0
+	for i, id := range candidates {
+		if !me.hosts[id].host.GetPlatformLost() {
+			working++
+		}
+		if working == readersPerCentre {
+			return candidates[:i+1]
+		}
+	}
+	return candidates
+}
+
+// updatePlatformLost tells the mesh when reads of this node, as a reader, begin or cease
+// to fail.
+func (me *Member) updatePlatformLost(now time.Time) {
+	lost := me.reads.failures > maxSilentFailures && len(me.links) > 0 && me.isReader()
+	if lost == me.self.GetPlatformLost() || me.leaving {
+		return
+	}
+	me.updateSelf(now, func(ho *wire.Host) { ho.PlatformLost = lost })
 }
 
 // readPeriod returns the time between two reads of the given cost in requests. Half of
@@ -84,7 +108,8 @@
 	fleet := float64(max(me.cfg.FleetSize, me.liveHosts))
 	share := me.cfg.ReadsPerSecond / 2 / fleet
 	if me.isReader() {
-		share *= float64(me.liveHosts) / float64(readersPerCentre*me.liveCentres())
+		readers := max(len(me.readers(me.cfg.DataCentre)), readersPerCentre)
+		share *= float64(me.liveHosts) / float64(readers*me.liveCentres())
 		share = min(share, me.cfg.ReadsPerSecond/2)
 	}
 	return time.Duration(float64(cost) / share * float64(time.Second))
@@ -108,6 +133,10 @@
 		me.reads.nextAt = laterTime(me.reads.nextAt, now.Add(me.jitter(me.readPeriod(maxReadRequests))))
 	}
 	me.reads.needed = needed
+	if !needed {
+		me.reads.failures = 0
+	}
+	me.updatePlatformLost(now)
 	if !needed || now.Before(me.reads.nextAt) || now.Before(me.reads.pendingUntil) {
 		return
 	}
--- a/core/datacentre/script_test.go
+++ b/core/datacentre/script_test.go
@@ -56,6 +56,14 @@
 	case "platform":
 		si.platformDown = td.HasArg("down")
 		si.configurationUnreadable = td.HasArg("configuration_unreadable")
+	case "accept_outside":
+		si.acceptOutside()
+	case "cut_off_readers":
+		si.cutOffReaders()
+	case "reconnect":
+		clear(si.cutOff)
+	case "readers":
+		return si.readers()
 	case "partition":
 		si.partition(Name(td.CmdArgs[0].Key), Name(td.CmdArgs[1].Key))
 	case "heal":
@@ -139,6 +147,17 @@
 	}
 }
 
+// readers prints the hosts that read the platform.
+func (si *simulation) readers() string {
+	var sb strings.Builder
+	for _, id := range si.hostIDs {
+		if ho := si.hosts[id]; ho.member != nil && ho.member.ReadsPlatform() {
+			fmt.Fprintln(&sb, id)
+		}
+	}
+	return sb.String()
+}
+
 // show prints each host's basis, versions and usable upstreams.
 func (si *simulation) show() string {
 	var sb strings.Builder
--- a/core/datacentre/simulation_test.go
+++ b/core/datacentre/simulation_test.go
@@ -71,6 +71,8 @@
 	// introductionWrites counts the writes of introduction rows.
 	introductionWrites int
 	platformDown       bool
+	// cutOff holds the hosts that can't reach the platform.
+	cutOff map[host.ID]bool
 	// configurationUnreadable makes only the reads of versions fail.
 	configurationUnreadable bool
 	// platformDelay is added to the latency of the platform's answers.
@@ -181,6 +183,7 @@
 		links:      map[[2]host.ID]int{},
 		openedAt:   map[[2]host.ID]time.Time{},
 		partitions: map[[2]Name]bool{},
+		cutOff:     map[host.ID]bool{},
 		accepted:   []*contract.Snapshot{contract.EmptySnapshot()},
 		contacts:   map[Name][]string{},
 		bytes:      map[host.ID]int{},
@@ -548,7 +551,7 @@
 			}
 		})
 	}
-	if si.platformDown {
+	if si.platformDown || si.cutOff[ho.id] {
 		reply(PlatformRead{Err: errDown})
 		return
 	}
@@ -577,6 +580,23 @@
 	reply(ev)
 }
 
+// acceptOutside adds a version as an operator does who writes to the platform.
+func (si *simulation) acceptOutside() {
+	base := si.accepted[len(si.accepted)-1]
+	next := nextVersion(base, si.rnd)
+	si.accepted = append(si.accepted, next)
+	si.deltas = append(si.deltas, contract.Diff(base, next))
+}
+
+// cutOffReaders makes the platform unreachable for the hosts that read it now.
+func (si *simulation) cutOffReaders() {
+	for _, id := range si.hostIDs {
+		if ho := si.hosts[id]; ho.member != nil && ho.member.ReadsPlatform() {
+			si.cutOff[id] = true
+		}
+	}
+}
+
 // accept adds a version as an operator does through a host. It returns false if the
 // host can't accept one or conflicts, because its version is not the highest.
 func (si *simulation) accept(id host.ID, lostReply bool) bool {
