--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -22,7 +22,7 @@
 	maxReadBackoffFactor = 16
 	// maxReaderBackoff limits the time to which failures extend that between two reads of
 	// a reader, since the mesh learns from readers that the platform is back.
-	maxReaderBackoff = 250 * time.Millisecond
+	maxReaderBackoff = time.Second
 	// maxSilentFailures is how many reads of a reader may fail before it tells the mesh.
 	maxSilentFailures = 1
 	// readTimeout is when a read without a result counts as lost.
