--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -23,8 +23,9 @@
 	// maxReaderBackoff limits the time to which failures extend that between two reads of
 	// a reader, since the mesh learns from readers that the platform is back.
 	maxReaderBackoff = time.Second
-	// maxSilentFailures is how many reads of a reader may fail before it tells the mesh.
-	maxSilentFailures = 1
+	// maxUnreportedFailures is how many reads in a row may fail before a reader tells the
+	// mesh.
+	maxUnreportedFailures = 1
 	// readTimeout is when a read without a result counts as lost.
 	readTimeout = time.Minute
 	// readWait is how long the platform may hold back the response to a read while nothing
@@ -93,7 +94,7 @@
 // updatePlatformLost tells the mesh when reads of this node, as a reader, begin or cease
 // to fail.
 func (me *Member) updatePlatformLost(now time.Time) {
-	lost := me.reads.failures > maxSilentFailures && len(me.links) > 0 && me.isReader()
+	lost := me.reads.failures > maxUnreportedFailures && len(me.links) > 0 && me.isReader()
 	if lost == me.self.GetPlatformLost() || me.leaving {
 		return
 	}
