--- a/io/node/links_test.go
+++ b/io/node/links_test.go
@@ -501,3 +501,26 @@
 		return accepted == 2 && len(refused) == 1 && refused[0] == RefusedBusy
 	})
 }
+
+// TestCloseWhileLinkIsOpened closes the links of a node while its control goroutine opens
+// one, as at the end of a process. Only the race detector sees the fault.
+func TestCloseWhileLinkIsOpened(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	for range 2000 {
+		links := NewLinks(LinksConfig{
+			Dialer:               &Dialer{Timeout: time.Second},
+			MaxConcurrentJoins:   1,
+			ResyncBytesPerSecond: bulkThresholdBytes,
+			Hello:                func() *wire.Hello { return &wire.Hello{} },
+			Emit:                 func(Event) {},
+			Counters:             NewCounters(metrics.NewSet()),
+		})
+		var opening sync.WaitGroup
+		opening.Go(func() { links.Dial(silent.Addr().String()) })
+		links.Close()
+		opening.Wait()
+		links.Close()
+	}
+}
