--- a/core/datacentre/platform_reads_test.go
+++ b/core/datacentre/platform_reads_test.go
@@ -155,7 +155,7 @@
 	const phaseStep = 130 * time.Millisecond
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	next := nextVersion(contract.EmptySnapshot(), rand.New(rand.NewPCG(1, 1)))
-	for _, hosts := range []int{1, 11, 86} {
+	for _, hosts := range []int{1, 10, 100} {
 		for _, length := range lengths {
 			for phase := range 20 {
 				from := start.Add(20*time.Second + time.Duration(phase)*phaseStep)
