refactor: choose the readers once for the time between two reads

readPeriod chose the readers of its data centre twice, once to see whether this node is one and once to count them; each choice sorts the live hosts.

--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -108,9 +108,9 @@
 func (me *Member) readPeriod(cost int) time.Duration {
 	fleet := float64(max(me.cfg.FleetSize, me.liveHosts))
 	share := me.cfg.ReadsPerSecond / 2 / fleet
-	if me.isReader() {
-		readers := max(len(me.readers(me.cfg.DataCentre)), readersPerCentre)
-		share *= float64(me.liveHosts) / float64(readers*me.liveCentres())
+	if readers := me.readers(me.cfg.DataCentre); slices.Contains(readers, me.cfg.Host) {
+		perCentre := max(len(readers), readersPerCentre)
+		share *= float64(me.liveHosts) / float64(perCentre*me.liveCentres())
 		share = min(share, me.cfg.ReadsPerSecond/2)
 	}
 	return time.Duration(float64(cost) / share * float64(time.Second))
