--- a/core/host/transfer_limiter.go
+++ b/core/host/transfer_limiter.go
@@ -106,7 +106,7 @@
 	if tr.active+ahead < tr.maxActive() {
 		return 0
 	}
-	return tr.meanTime * time.Duration(1+ahead) / time.Duration(tr.maxActive())
+	return tr.queuedTime(1 + ahead)
 }
 
 // queuedTime returns how long a number of queued bodies take to arrive.
