--- a/cmd/process/adapters.go
+++ b/cmd/process/adapters.go
@@ -140,22 +140,17 @@
 	}
 }
 
-const (
-	// defaultBufferMB limits the buffered bodies of a process without a memory limit.
-	defaultBufferMB = 64
-	// bufferDivisor determines the part of the process's memory for buffered bodies.
-	bufferDivisor = 8
-)
+// bufferDivisor determines the part of the process's memory for buffered bodies.
+const bufferDivisor = 8
 
 // newByteBudget returns the limit on the bodies that the process buffers.
 func newByteBudget(se *ini.Settings) *upstream.ByteBudget {
 	mb := se.Process.BufferMB
-	switch {
-	case mb > 0:
-	case se.Process.MemoryMB > 0:
+	if mb == 0 && se.Process.MemoryMB > 0 {
 		mb = max(1, se.Process.MemoryMB/bufferDivisor)
-	default:
-		mb = defaultBufferMB
+	}
+	if mb == 0 {
+		return upstream.NewByteBudget(upstream.DefaultBufferBytes)
 	}
 	return upstream.NewByteBudget(int64(mb) << 20)
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -34,7 +34,8 @@
 	MaxHeaderBytes int
 	MaxBodyBytes   int
 	MaxConnections int
-	// Buffers bounds the buffered bodies of all calls; nil means defaultBufferBytes.
+	// Buffers bounds the buffered bodies of all calls; nil means
+	// upstream.DefaultBufferBytes.
 	Buffers *upstream.ByteBudget
 	// RetryBudget is the retry budget that all nodes share for each service.
 	RetryBudget call.FleetConfig
@@ -61,8 +62,6 @@
 	// bodyPrefetchBytes is the part of a body that the HTTP library reads in
 	// advance.
 	bodyPrefetchBytes = 1
-	// defaultBufferBytes limits the sum of the buffered bodies by default.
-	defaultBufferBytes = 64 << 20
 )
 
 // ReasonTooManyBodies is the reason for refusing requests while the buffered
@@ -104,7 +103,7 @@
 		cfg.Protocol = NativeProtocol{}
 	}
 	if cfg.Buffers == nil {
-		cfg.Buffers = upstream.NewByteBudget(defaultBufferBytes)
+		cfg.Buffers = upstream.NewByteBudget(upstream.DefaultBufferBytes)
 	}
 	sv := &Server{
 		cfg:         cfg,
--- a/io/upstream/byte_budget.go
+++ b/io/upstream/byte_budget.go
@@ -13,6 +13,9 @@
 	used  atomic.Int64
 }
 
+// DefaultBufferBytes limits the buffered bodies of a host where nothing else is set.
+const DefaultBufferBytes = 64 << 20
+
 // NewByteBudget returns a budget of a number of bytes.
 func NewByteBudget(limit int64) *ByteBudget { return &ByteBudget{limit: limit} }
 
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -64,13 +64,10 @@
 	return &Client{
 		protocol: pr,
 		dialer:   net.Dialer{Timeout: connectTimeout},
-		buffers:  NewByteBudget(defaultBufferBytes),
+		buffers:  NewByteBudget(DefaultBufferBytes),
 	}
 }
 
-// defaultBufferBytes bounds the buffered responses unless SetBufferBudget is called.
-const defaultBufferBytes = 64 << 20
-
 // SetBufferBudget sets the bound of the buffered responses; it is called before the first
 // request.
 func (cl *Client) SetBufferBudget(bb *ByteBudget) { cl.buffers = bb }
