test: simplify the played interruptions and the simulated platform

A member has one read in progress at a time, so that the played interruptions need no list of them; that is asserted now. Adding a version to the simulated platform, and finding its readers, stood twice each. The assertions and the scripts are the same.

--- a/core/datacentre/platform_reads_test.go
+++ b/core/datacentre/platform_reads_test.go
@@ -104,8 +104,10 @@
 
 // playInterruption steps a reader through an interruption and returns when the new
 // version is in force, at the latest giveUp.
-func playInterruption(me *Member, in interruption, next *contract.Snapshot, start, giveUp time.Time) time.Time {
-	var pending []pendingRead
+func playInterruption(t *testing.T, me *Member, in interruption, next *contract.Snapshot, start, giveUp time.Time) time.Time {
+	t.Helper()
+	// pending is nil while no read is in progress; a member has one at a time.
+	var pending *pendingRead
 	now, nextTick := start, start
 	step := func(ev Event) {
 		for _, ac := range me.Step(ev, now) {
@@ -113,34 +115,28 @@
 			if !ok {
 				continue
 			}
-			pr := pendingRead{}
-			pr.end, ok = in.response(re, now)
+			assert.Assert(t, pending == nil, "a read was started during another one")
+			end, ok := in.response(re, now)
+			pending = &pendingRead{end: end}
 			switch {
 			case !ok:
-				pr.ev.Err = errDown
-			case !in.changedAt.After(pr.end):
-				pr.ev.Snapshot = next
+				pending.ev.Err = errDown
+			case !in.changedAt.After(end):
+				pending.ev.Snapshot = next
 			}
-			pending = append(pending, pr)
 		}
 	}
 	for now.Before(giveUp) {
-		first := -1
-		for i, pr := range pending {
-			if pr.end.Before(nextTick) && (first < 0 || pr.end.Before(pending[first].end)) {
-				first = i
-			}
-		}
-		if first < 0 {
+		if pending == nil || !pending.end.Before(nextTick) {
 			now = nextTick
 			nextTick = nextTick.Add(readTestTick)
 			step(Tick{})
 			continue
 		}
-		pr := pending[first]
-		pending = append(pending[:first], pending[first+1:]...)
-		now = pr.end
-		step(pr.ev)
+		ended := pending
+		pending = nil
+		now = ended.end
+		step(ended.ev)
 		if me.Report().Active == next.Version {
 			return now
 		}
@@ -166,7 +162,7 @@
 					changedAt: from.Add(length),
 				}
 				me := newTestReader(t, hosts, start)
-				at := playInterruption(me, in, next, start, in.until.Add(time.Minute))
+				at := playInterruption(t, me, in, next, start, in.until.Add(time.Minute))
 				assert.Check(t, !at.After(in.inForceBy()),
 					"%d hosts, interrupted for %v at phase %d: in force %v after the platform is back", hosts, length, phase, at.Sub(in.until))
 			}
--- a/core/datacentre/script_test.go
+++ b/core/datacentre/script_test.go
@@ -63,7 +63,7 @@
 	case "reconnect":
 		clear(si.cutOff)
 	case "readers":
-		return si.readers()
+		return si.showReaders()
 	case "partition":
 		si.partition(Name(td.CmdArgs[0].Key), Name(td.CmdArgs[1].Key))
 	case "heal":
@@ -147,13 +147,11 @@
 	}
 }
 
-// readers prints the hosts that read the platform.
-func (si *simulation) readers() string {
+// showReaders prints the hosts that read the platform.
+func (si *simulation) showReaders() string {
 	var sb strings.Builder
-	for _, id := range si.hostIDs {
-		if ho := si.hosts[id]; ho.member != nil && ho.member.ReadsPlatform() {
-			fmt.Fprintln(&sb, id)
-		}
+	for _, id := range si.readers() {
+		fmt.Fprintln(&sb, id)
 	}
 	return sb.String()
 }
--- a/core/datacentre/simulation_test.go
+++ b/core/datacentre/simulation_test.go
@@ -580,21 +580,34 @@
 	reply(ev)
 }
 
-// acceptOutside adds a version as an operator does who writes to the platform.
-func (si *simulation) acceptOutside() {
-	base := si.accepted[len(si.accepted)-1]
+// storeNext adds the version after base to the platform.
+func (si *simulation) storeNext(base *contract.Snapshot) *contract.Delta {
 	next := nextVersion(base, si.rnd)
+	de := contract.Diff(base, next)
 	si.accepted = append(si.accepted, next)
-	si.deltas = append(si.deltas, contract.Diff(base, next))
+	si.deltas = append(si.deltas, de)
+	return de
 }
 
-// cutOffReaders makes the platform unreachable for the hosts that read it now.
-func (si *simulation) cutOffReaders() {
+// acceptOutside adds a version as an operator does who writes to the platform.
+func (si *simulation) acceptOutside() { si.storeNext(si.accepted[len(si.accepted)-1]) }
+
+// readers returns the hosts that read the platform.
+func (si *simulation) readers() []host.ID {
+	var ids []host.ID
 	for _, id := range si.hostIDs {
 		if ho := si.hosts[id]; ho.member != nil && ho.member.ReadsPlatform() {
-			si.cutOff[id] = true
+			ids = append(ids, id)
 		}
 	}
+	return ids
+}
+
+// cutOffReaders makes the platform unreachable for the hosts that read it now.
+func (si *simulation) cutOffReaders() {
+	for _, id := range si.readers() {
+		si.cutOff[id] = true
+	}
 }
 
 // accept adds a version as an operator does through a host. It returns false if the
@@ -609,10 +622,7 @@
 	if base.Version != top.Version {
 		return false
 	}
-	next := nextVersion(base, si.rnd)
-	de := contract.Diff(base, next)
-	si.accepted = append(si.accepted, next)
-	si.deltas = append(si.deltas, de)
+	de := si.storeNext(base)
 	if !lostReply {
 		si.step(ho, VersionAccepted{Delta: de})
 	}
