--- a/core/contract/document.go
+++ b/core/contract/document.go
@@ -25,6 +25,9 @@
 // TermsName names a contract, which is an entry of Document.Contracts.
 type TermsName string
 
+// CustomerName names a customer of the mesh.
+type CustomerName string
+
 // Class separates short calls from long transfers.
 type Class string
 
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -180,6 +180,11 @@
 	Class       contract.Class
 	// Rank is the queue priority; 0 is dispatched first.
 	Rank int
+	// Customer is the customer that the call is made for; empty when there is none.
+	Customer contract.CustomerName
+	// CustomerRank is the priority of the customer plus 1, which takes precedence over
+	// Rank; 0 when the customer has none.
+	CustomerRank int
 	// Kind groups attempts with similar service times; attempts without a kind are
 	// grouped by class.
 	Kind Kind
--- a/io/upstream/gate_attempt.go
+++ b/io/upstream/gate_attempt.go
@@ -29,17 +29,19 @@
 func (ga *Gate) Serve(ctx context.Context, rq *wire.Request, body io.ReadCloser) Reply {
 	now := time.Now()
 	at := host.Attempt{
-		ID:          host.AttemptID(rq.GetAttempt()),
-		Request:     host.RequestID(rq.GetRequestId()),
-		Incarnation: host.Incarnation(rq.GetIncarnation()),
-		Service:     contract.ServiceName(rq.GetService()),
-		Class:       contract.Class(rq.GetClass()),
-		Rank:        int(rq.GetRank()),
-		Kind:        host.Kind(rq.GetKind()),
-		Nested:      rq.GetNested(),
-		NoQueue:     rq.GetBrief(),
-		Deadline:    now.Add(time.Duration(rq.GetRemainingUs()) * time.Microsecond),
-		Fingerprint: fingerprintOf(rq),
+		ID:           host.AttemptID(rq.GetAttempt()),
+		Request:      host.RequestID(rq.GetRequestId()),
+		Incarnation:  host.Incarnation(rq.GetIncarnation()),
+		Service:      contract.ServiceName(rq.GetService()),
+		Class:        contract.Class(rq.GetClass()),
+		Rank:         int(rq.GetRank()),
+		Customer:     contract.CustomerName(rq.GetCustomer()),
+		CustomerRank: int(rq.GetCustomerRank()),
+		Kind:         host.Kind(rq.GetKind()),
+		Nested:       rq.GetNested(),
+		NoQueue:      rq.GetBrief(),
+		Deadline:     now.Add(time.Duration(rq.GetRemainingUs()) * time.Microsecond),
+		Fingerprint:  fingerprintOf(rq),
 
 		ServedLately: rq.GetServedLately(),
 	}
