fix: start no goroutine of a link while the links are closed

Close waits for the goroutines of links while the control goroutine may start another one with Dial or the replacement of a silent link, which is a data race on the wait group at the end of a process. Both now start under a lock that Close takes too, and not at all after it.

--- a/io/node/links.go
+++ b/io/node/links.go
@@ -101,6 +101,7 @@
 	// linkedPeers is the length of peers, for other goroutines.
 	linkedPeers atomic.Int64
 
+	// mu also guards the start of goroutines against Close.
 	mu sync.Mutex
 	// alternatives are addresses of linked peers, sent to peers that are refused as busy.
 	alternatives []string
@@ -272,6 +273,17 @@
 // Close closes all links and waits for the goroutines of those that this node dialled;
 // events are still emitted meanwhile. It may be called on any goroutine.
 func (ls *Links) Close() {
+	ls.mu.Lock()
 	ls.cancel()
+	ls.mu.Unlock()
 	ls.done.Wait()
 }
+
+// start runs a function on a goroutine that Close waits for; after Close it does nothing.
+func (ls *Links) start(run func()) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	if ls.ctx.Err() == nil {
+		ls.done.Go(run)
+	}
+}
--- a/io/node/links_open.go
+++ b/io/node/links_open.go
@@ -13,7 +13,7 @@
 
 // Dial opens a link to an address in the background.
 func (ls *Links) Dial(address string) {
-	ls.done.Go(func() {
+	ls.start(func() {
 		if err := ls.dial(address); err != nil {
 			ls.cfg.Emit(DialFailed{Address: address, Err: err})
 		}
--- a/io/node/links_replace.go
+++ b/io/node/links_replace.go
@@ -62,7 +62,7 @@
 	}
 	se.silent = true
 	ls.cfg.Counters.replacement("started")
-	ls.done.Go(func() {
+	ls.start(func() {
 		if err := ls.dial(se.address); err != nil {
 			ls.cfg.Emit(ReplaceFailed{Session: se, Err: err})
 		}
