feat: customers and public routes in the document

Calls are to be identified by the key of a customer. The document has customers with digests of their keys, a priority and a limit, and routes may be public. Documents without customers keep their encoding and digest.

--- a/core/contract/change.go
+++ b/core/contract/change.go
@@ -14,6 +14,8 @@
 	removeServices  []string
 	removeContracts []string
 	removeRoutes    []string
+	putCustomers    []Customer
+	removeCustomers []string
 	// limits are those of the result; they are used only if hasLimits is set.
 	limits    *Limits
 	hasLimits bool
@@ -29,6 +31,7 @@
 	ch.putServices, ch.removeServices = diffItems(from.Services, to.Services, serviceKey, sameService)
 	ch.putContracts, ch.removeContracts = diffItems(from.Contracts, to.Contracts, termsKey, sameTerms)
 	ch.putRoutes, ch.removeRoutes = diffItems(from.Routes, to.Routes, routeKey, sameRoute)
+	ch.putCustomers, ch.removeCustomers = diffItems(from.Customers, to.Customers, customerKey, sameCustomer)
 	ch.limits = to.Limits
 	ch.hasLimits = !sameLimits(from.Limits, to.Limits)
 	return ch
@@ -45,6 +48,7 @@
 		services:  base.services.update(hashItems(ch.putServices, serviceKey), ch.removeServices),
 		contracts: base.contracts.update(hashItems(ch.putContracts, termsKey), ch.removeContracts),
 		routes:    base.routes.update(hashItems(ch.putRoutes, routeKey), ch.removeRoutes),
+		customers: base.customers.update(hashItems(ch.putCustomers, customerKey), ch.removeCustomers),
 	}
 }
 
@@ -59,6 +63,7 @@
 		Services:  applyItems(base.Services, ch.putServices, ch.removeServices, serviceKey),
 		Contracts: applyItems(base.Contracts, ch.putContracts, ch.removeContracts, termsKey),
 		Routes:    applyItems(base.Routes, ch.putRoutes, ch.removeRoutes, routeKey),
+		Customers: applyItems(base.Customers, ch.putCustomers, ch.removeCustomers, customerKey),
 	}
 }
 
@@ -96,7 +101,7 @@
 		return false
 	}
 	return a.Name == b.Name && a.Host == b.Host && a.PathPrefix == b.PathPrefix && a.Service == b.Service &&
-		a.Contract == b.Contract && a.Fallback == b.Fallback
+		a.Contract == b.Contract && a.Fallback == b.Fallback && a.Public == b.Public
 }
 
 func diffItems[T any](from, to []T, key func(T) string, same func(a, b T) bool) (put []T, remove []string) {
--- a/core/contract/delta.go
+++ b/core/contract/delta.go
@@ -10,12 +10,14 @@
 	Result     Version `json:"result"`
 	Digest     Digest  `json:"digest"`
 
-	PutServices     []Service     `json:"put_services,omitempty"`
-	PutContracts    []Terms       `json:"put_contracts,omitempty"`
-	PutRoutes       []Route       `json:"put_routes,omitempty"`
-	RemoveServices  []ServiceName `json:"remove_services,omitempty"`
-	RemoveContracts []TermsName   `json:"remove_contracts,omitempty"`
-	RemoveRoutes    []RouteName   `json:"remove_routes,omitempty"`
+	PutServices     []Service      `json:"put_services,omitempty"`
+	PutContracts    []Terms        `json:"put_contracts,omitempty"`
+	PutRoutes       []Route        `json:"put_routes,omitempty"`
+	RemoveServices  []ServiceName  `json:"remove_services,omitempty"`
+	RemoveContracts []TermsName    `json:"remove_contracts,omitempty"`
+	RemoveRoutes    []RouteName    `json:"remove_routes,omitempty"`
+	PutCustomers    []Customer     `json:"put_customers,omitempty"`
+	RemoveCustomers []CustomerName `json:"remove_customers,omitempty"`
 	// Limits replace those of the base when not nil.
 	Limits       *Limits `json:"limits,omitempty"`
 	RemoveLimits bool    `json:"remove_limits,omitempty"`
@@ -35,6 +37,8 @@
 		RemoveServices:  convertNames[ServiceName](ch.removeServices),
 		RemoveContracts: convertNames[TermsName](ch.removeContracts),
 		RemoveRoutes:    convertNames[RouteName](ch.removeRoutes),
+		PutCustomers:    ch.putCustomers,
+		RemoveCustomers: convertNames[CustomerName](ch.removeCustomers),
 	}
 	if ch.hasLimits {
 		de.Limits = ch.limits
@@ -59,6 +63,8 @@
 		removeServices:  convertNames[string](de.RemoveServices),
 		removeContracts: convertNames[string](de.RemoveContracts),
 		removeRoutes:    convertNames[string](de.RemoveRoutes),
+		putCustomers:    de.PutCustomers,
+		removeCustomers: convertNames[string](de.RemoveCustomers),
 		limits:          de.Limits,
 		hasLimits:       de.Limits != nil || de.RemoveLimits,
 	}
--- a/core/contract/delta_test.go
+++ b/core/contract/delta_test.go
@@ -35,6 +35,20 @@
 			Fallback:   rapid.SampledFrom([]RouteName{"", "", "r0", "r1", "r4"}).Draw(rt, "fallback"),
 		})
 	}
+	for i := range rapid.IntRange(0, 3).Draw(rt, "customers") {
+		cu := Customer{
+			Name:          CustomerName(fmt.Sprintf("u%d", i)),
+			RatePerSecond: rapid.SampledFrom([]float64{0, 2.5, 2.5, 1e8}).Draw(rt, "rate"),
+		}
+		for range rapid.IntRange(0, 2).Draw(rt, "keys") {
+			cu.Keys = append(cu.Keys, DigestKey([]byte(rapid.SampledFrom([]string{"k0", "k1", "k2", "k3", "k4", "k5"}).Draw(rt, "key"))))
+		}
+		if rapid.Bool().Draw(rt, "has priority") {
+			priority := rapid.IntRange(0, 2).Draw(rt, "priority")
+			cu.Priority = &priority
+		}
+		doc.Customers = append(doc.Customers, cu)
+	}
 	doc.normalise()
 	return doc
 }
@@ -45,6 +59,9 @@
 	for len(doc.Routes) > 0 && doc.Validate() != nil {
 		doc.Routes = doc.Routes[:len(doc.Routes)-1]
 	}
+	for len(doc.Customers) > 0 && doc.Validate() != nil {
+		doc.Customers = doc.Customers[:len(doc.Customers)-1]
+	}
 	for i := range doc.Contracts {
 		doc.Contracts[i].TimeoutMS = 100
 	}
@@ -75,6 +92,8 @@
 			RemoveServices:  convertNames[ServiceName](ch.removeServices),
 			RemoveContracts: convertNames[TermsName](ch.removeContracts),
 			RemoveRoutes:    convertNames[RouteName](ch.removeRoutes),
+			PutCustomers:    ch.putCustomers,
+			RemoveCustomers: convertNames[CustomerName](ch.removeCustomers),
 		}).Apply(base)
 		if wantErr != nil {
 			invalid++
@@ -96,6 +115,16 @@
 	assert.Equal(rt, string(got.Document.Encode()), string(want.Document.Encode()))
 	assert.Equal(rt, len(got.DanglingRoutes()), 0)
 	assert.Equal(rt, got.targets.count, want.targets.count)
+	assert.Equal(rt, got.HasCustomers(), want.HasCustomers())
+	assert.Equal(rt, got.customersByKey.count, want.customersByKey.count)
+	for _, key := range []string{"k0", "k1", "k2", "k3", "k4", "k5"} {
+		a, known := got.CustomerByKey([]byte(key))
+		b, wanted := want.CustomerByKey([]byte(key))
+		assert.Equal(rt, known, wanted)
+		assert.Assert(rt, sameCustomer(a, b))
+		byName, _ := got.Customer(a.Name)
+		assert.Assert(rt, sameCustomer(a, byName))
+	}
 	for _, method := range []string{"GET", "PUT", "POST"} {
 		for _, path := range []string{"/a", "/a/b/c", "/c/", "/d/x", "/e", "/none"} {
 			a, b := got.Match("", method, path), want.Match("", method, path)
--- a/core/contract/difference.go
+++ b/core/contract/difference.go
@@ -70,6 +70,9 @@
 	for _, ro := range doc.Routes {
 		fv.addItem("routes", string(ro.Name), ro)
 	}
+	for _, cu := range doc.Customers {
+		fv.addItem("customers", string(cu.Name), cu)
+	}
 	if doc.Limits != nil {
 		fv.addFields("limits", doc.Limits)
 	}
--- a/core/contract/digest.go
+++ b/core/contract/digest.go
@@ -9,7 +9,8 @@
 )
 
 // Digest identifies the content of a document. It is the root of a two-level hash
-// tree, in hexadecimal: a SHA-256 over the hashes of the shards and of the limits.
+// tree, in hexadecimal: a SHA-256 over the hashes of the shards and of the limits. The
+// shards of customers are left out when there are none, as in releases without them.
 // A shard's hash is a SHA-256 over the names and hashes of its items, an item's hash
 // is the SHA-256 of its JSON form. The order of items does not matter, nor whether a
 // list is empty or nil.
@@ -29,6 +30,7 @@
 	services  hashTree
 	contracts hashTree
 	routes    hashTree
+	customers hashTree
 	// limits is zero when the document has no limits.
 	limits hash
 }
@@ -92,6 +94,11 @@
 	if dh.limits != (hash{}) {
 		ha.Write(dh.limits[:])
 	}
+	if dh.customers.items.count > 0 {
+		for i := range dh.customers.shards {
+			ha.Write(dh.customers.shards[i][:])
+		}
+	}
 	return Digest(hex.EncodeToString(ha.Sum(nil)))
 }
 
--- a/core/contract/document.go
+++ b/core/contract/document.go
@@ -44,6 +44,9 @@
 	Routes    []Route   `json:"routes"`
 	// Limits bound what callers may send; nil means that each host's settings apply.
 	Limits *Limits `json:"limits,omitempty"`
+	// Customers are the users that calls identify by a key; if there are none, calls
+	// need no key.
+	Customers []Customer `json:"customers,omitempty"`
 }
 
 // Limits bound a caller's requests and connections. For a limit of 0, each
@@ -132,6 +135,8 @@
 	Contract TermsName `json:"contract"`
 	// Fallback is the route to use when the service has no usable upstream.
 	Fallback RouteName `json:"fallback,omitempty"`
+	// Public routes need no key.
+	Public bool `json:"public,omitempty"`
 }
 
 // Share is one service of a split route and its weight.
@@ -206,13 +211,14 @@
 }
 
 // Clone returns a copy of the document with copied item lists. The Methods and Split
-// slices of routes and the Limits are shared with the original.
+// slices of routes, the Keys of customers and the Limits are shared with the original.
 func (doc *Document) Clone() *Document {
 	return &Document{
 		Services:  slices.Clone(doc.Services),
 		Contracts: slices.Clone(doc.Contracts),
 		Routes:    slices.Clone(doc.Routes),
 		Limits:    doc.Limits,
+		Customers: slices.Clone(doc.Customers),
 	}
 }
 
@@ -236,6 +242,7 @@
 	slices.SortStableFunc(doc.Routes, func(a, b Route) int {
 		return strings.Compare(string(a.Name), string(b.Name))
 	})
+	doc.normaliseCustomers()
 }
 
 func orEmpty[T any](items []T) []T {
--- a/core/contract/errors.go
+++ b/core/contract/errors.go
@@ -23,6 +23,8 @@
 	FaultBadMethod          Fault = "bad_method"
 	FaultContradiction      Fault = "contradiction"
 	FaultOverlap            Fault = "overlap"
+	FaultSharedKey          Fault = "shared_key"
+	FaultBadKey             Fault = "bad_key"
 )
 
 // SyntaxError reports a document or delta that is not valid JSON or does not fit
--- a/core/contract/fuzz_test.go
+++ b/core/contract/fuzz_test.go
@@ -16,6 +16,8 @@
 	f.Add([]byte(`{"routes":[{"name":"r","fallback":"r","path_prefix":"//","methods":["get"]}]}`))
 	f.Add([]byte(`{"services":null}`))
 	f.Add([]byte(`{"contracts":[{"timeout_ms":1e99}]}`))
+	f.Add([]byte(`{"customers":[{"name":"u","keys":["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"],"priority":0,"rate_per_second":2.5,"burst":1}]}`))
+	f.Add([]byte(`{"customers":[{"keys":["a key","a key"],"burst":-1,"priority":-1},{"name":"u"},{"name":"u"}]}`))
 	f.Add([]byte(`{}{}`))
 	f.Add([]byte(`[`))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/core/contract/snapshot.go
+++ b/core/contract/snapshot.go
@@ -17,7 +17,10 @@
 	terms    table[Terms]
 	targets  table[*Target]
 	// prefixes holds the targets by the prefixKey of their routes.
-	prefixes table[[]*Target]
+	prefixes  table[[]*Target]
+	customers table[*Customer]
+	// customersByKey holds the customers by the SHA-256 of each of their keys.
+	customersByKey table[*Customer]
 }
 
 // Target is a route with the service and the contract that it refers to.
@@ -83,6 +86,7 @@
 // buildTables builds the snapshot's tables by applying a change to those of the base.
 func (sn *Snapshot) buildTables(base *Snapshot, ch *change) {
 	sn.services = base.services.update(indexByName(ch.putServices, serviceKey), ch.removeServices)
+	sn.buildCustomers(base, ch)
 	sn.terms = base.terms.update(indexByName(ch.putContracts, termsKey), ch.removeContracts)
 	rebuilt := base.affectedTargets(ch)
 	for _, ro := range ch.putRoutes {
--- a/core/contract/validate.go
+++ b/core/contract/validate.go
@@ -65,6 +65,7 @@
 	ck.checkRoutes()
 	ck.checkFallbacks()
 	ck.checkOverlaps()
+	ck.checkCustomers()
 	if len(ck.fieldErrors) == 0 {
 		return nil
 	}
--- a/core/contract/validchange.go
+++ b/core/contract/validchange.go
@@ -9,6 +9,7 @@
 			Services:  ch.putServices,
 			Contracts: ch.putContracts,
 			Routes:    ch.putRoutes,
+			Customers: ch.putCustomers,
 		},
 		maxChainLength: sn.targets.count,
 		hasService:     func(name ServiceName) bool { return sn.services.has(string(name)) },
@@ -25,7 +26,9 @@
 	ck.checkContracts()
 	ck.checkRoutes()
 	ck.checkFallbacks()
-	return len(ck.fieldErrors) == 0 && !sn.hasOverlap(ch) && !sn.hasDanglingReference(base, ch) && !sn.mixesRetrySafety()
+	ck.checkCustomers()
+	ck.checkCustomerCount(sn.customers.count, sn.customersByKey.count)
+	return len(ck.fieldErrors) == 0 && !sn.sharesKeys(base, ch) && !sn.hasOverlap(ch) && !sn.hasDanglingReference(base, ch) && !sn.mixesRetrySafety()
 }
 
 func (sn *Snapshot) route(name RouteName) (Route, bool) {
