feat: judge requests by the key of their customer

Requests on routes that are not public need the key of a customer when the configuration has customers. It removes Authorization and what the caller states as its customer, and sets the customer's header. Calls of a request that the gate runs take its customer. Refused keys have a typed reason, bounded log lines and records, and keep the connection open; a short body is skipped.

--- a/core/contract/customer.go
+++ b/core/contract/customer.go
@@ -84,8 +84,9 @@
 )
 
 var (
-	// customerPattern allows what an HTTP header can carry without quoting.
-	customerPattern = regexp.MustCompile(`^[!-~]([ -~]{0,126}[!-~])?$`)
+	// customerPattern allows printable ASCII, which HTTP headers carry, without the
+	// quotation marks and backslashes that labels of metrics would escape.
+	customerPattern = regexp.MustCompile(`^[!#-\[\]-~]([ !#-\[\]-~]{0,126}[!#-\[\]-~])?$`)
 	digestPattern   = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
@@ -131,7 +132,7 @@
 	case name == "":
 		ck.addError(path, FaultMissing, "name is missing")
 	case !customerPattern.MatchString(string(name)):
-		ck.addError(path, FaultBadName, "%q: use up to 128 printable ASCII characters", name)
+		ck.addError(path, FaultBadName, "%q: use up to 128 printable ASCII characters other than \" and \\", name)
 	case seen:
 		ck.addError(path, FaultDuplicate, "%q is used more than once", name)
 	}
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -111,6 +111,8 @@
 		RequestId:   ex.requestID,
 		Kind:        string(ex.target.Terms.Name),
 	}
+	rq.Customer = string(ex.customer.Name)
+	rq.CustomerRank = uint32(ex.customer.Rank())
 	rq.Fingerprint = uint64(ex.fingerprint)
 	rq.Crashes = ex.server.cfg.Quarantine.Evidence(ex.fingerprint)
 	rq.ServedLately = at.servedLately
--- a/io/caller/counters.go
+++ b/io/caller/counters.go
@@ -21,6 +21,7 @@
 	attempts       *metrics.Counter
 	linksLost      *metrics.Counter
 	callersGone    *metrics.Counter
+	customers      *customerCounters
 	// retries, attemptDurations and answers are updated on most calls, so their
 	// metrics are cached by label.
 	retries          *metricFamily[call.RetryReason, *metrics.Counter]
@@ -50,6 +51,7 @@
 		attempts:       set.GetOrCreateCounter(`lynxfold_attempts_total`),
 		linksLost:      set.GetOrCreateCounter(`lynxfold_lanes_lost_total`),
 		callersGone:    set.GetOrCreateCounter(`lynxfold_callers_gone_total`),
+		customers:      newCustomerCounters(set),
 		retries: newMetricFamily(func(reason call.RetryReason) *metrics.Counter {
 			return set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_retries_total{reason=%q}`, reason))
 		}),
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -45,6 +45,9 @@
 	Query(ctx context.Context, qu *wire.Query) *wire.Verdict
 	// NestedCalled reports that the upstream calls a service while it runs a request.
 	NestedCalled(ev host.NestedCalled)
+	// RunningCustomer returns the customer that a running request is made for, and
+	// reports whether the request is running.
+	RunningCustomer(id host.RequestID) (contract.CustomerName, bool)
 	// Service returns the service of the upstream.
 	Service() contract.ServiceName
 }
@@ -67,8 +70,12 @@
 	conn    *conn
 	view    *datacentre.View
 	target  *contract.Target
-	number  uint64
-	callID  record.CallID
+	// customer is the one that the request is made for; its name is empty if there is
+	// none. onBehalf reports that a running request makes the call, whose customer it takes.
+	customer contract.Customer
+	onBehalf bool
+	number   uint64
+	callID   record.CallID
 	// requestID is the ID that the caller gave to the request; empty if there is
 	// none.
 	requestID string
--- a/io/caller/exchange_start.go
+++ b/io/caller/exchange_start.go
@@ -17,7 +17,7 @@
 // startExchange starts to answer a request whose header has been read. It returns
 // true once the next request can be read, and false if the connection can't be used
 // for another one.
-func (sv *Server) startExchange(se *session, pr *pendingRequest, ta *contract.Target) bool {
+func (sv *Server) startExchange(se *session, pr *pendingRequest, ad admission) bool {
 	now := time.Now()
 	ctx := pr.httpCtx
 	vi := sv.cfg.View()
@@ -28,18 +28,20 @@
 		httpCtx:       ctx,
 		conn:          se.conn,
 		view:          vi,
-		target:        call.ResolveFallback(vi, sv.chooseSplitTarget(ta)),
+		target:        call.ResolveFallback(vi, sv.chooseSplitTarget(ad.target)),
+		customer:      ad.customer,
+		onBehalf:      ad.onBehalf,
 		number:        sv.lastCallNumber.Add(1),
 		startedAt:     now,
 		method:        string(ctx.Method()),
 		uri:           string(ctx.Request.Header.RequestURI()),
 		attemptHeader: string(ctx.Request.Header.Peek(call.HeaderAttempt)),
-		headers:       sv.requestHeaders(ctx),
+		headers:       sv.requestHeaders(ctx, ad),
 		requestID:     sv.cfg.Protocol.RequestID(&ctx.Request.Header),
 		gone:          make(chan struct{}),
 	}
 	sv.setDeadlines(ex, now)
-	ex.callID = ex.formatCallID()
+	ex.callID = sv.formatCallID(ex.number)
 	if !ex.readBody() {
 		se.finish(pr)
 		return false
--- a/io/caller/header_check.go
+++ b/io/caller/header_check.go
@@ -7,37 +7,42 @@
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/core/call"
-	"lynxfold/core/contract"
 	"lynxfold/core/host"
 	"lynxfold/io/upstream"
 )
 
 // checkHeader refuses requests that can be refused by their header, and returns the
-// status of the refusal. It returns status 0 and the target for all others.
-func (sv *Server) checkHeader(ctx *fasthttp.RequestCtx) (int, *contract.Target) {
+// status of the refusal. It returns status 0 and the admission for all others.
+func (sv *Server) checkHeader(ctx *fasthttp.RequestCtx) (int, admission) {
 	vi := sv.cfg.View()
 	if vi.Config.Version == 0 {
 		re := notRunResult(ReasonNoConfiguration)
 		now := time.Now()
 		re.RetryAfter = call.JitterRetryAfter(now, now, minRetryAfter, sv.jitter())
 		sv.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, re)
-		return fasthttp.StatusServiceUnavailable, nil
+		return fasthttp.StatusServiceUnavailable, admission{}
 	}
 	he := &ctx.Request.Header
 	if int64(len(he.RawHeaders())+len(he.RequestURI())) > sv.headerLimitBytes() {
 		sv.refuseEarly(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, notRunResult(call.ReasonBadRequest))
-		return fasthttp.StatusRequestHeaderFieldsTooLarge, nil
+		return fasthttp.StatusRequestHeaderFieldsTooLarge, admission{}
 	}
 	ta := vi.Config.Match(upstream.HostName(he.Host()), string(he.Method()), requestPath(he.RequestURI()))
 	if ta == nil {
 		sv.refuseEarly(ctx, fasthttp.StatusNotFound, notRunResult(call.ReasonNoRoute))
-		return fasthttp.StatusNotFound, nil
+		return fasthttp.StatusNotFound, admission{}
+	}
+	ad, re := sv.admitCustomer(he, vi, ta)
+	if re != host.ReasonNone {
+		sv.refuseKey(ctx, vi, ta, re)
+		return fasthttp.StatusUnauthorized, admission{}
 	}
 	if int64(he.ContentLength()) > sv.bodyLimitBytes() {
 		sv.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, notRunResult(call.ReasonBodyTooLarge))
-		return fasthttp.StatusRequestEntityTooLarge, nil
+		return fasthttp.StatusRequestEntityTooLarge, admission{}
 	}
-	return 0, ta
+	sv.cfg.Counters.countCustomer(ad.customer.Name)
+	return 0, ad
 }
 
 // ReasonNoConfiguration is the reason for refusing calls while the node has no
--- a/io/caller/headers.go
+++ b/io/caller/headers.go
@@ -72,20 +72,31 @@
 }
 
 // requestHeaders returns copies of the request headers that are forwarded, and
-// those that the protocol adds.
-func (sv *Server) requestHeaders(ctx *fasthttp.RequestCtx) []*wire.Header {
+// those that the protocol adds. Keys are not forwarded, nor is what the caller states as
+// its customer.
+func (sv *Server) requestHeaders(ctx *fasthttp.RequestCtx, ad admission) []*wire.Header {
 	skip := connectionHeaders(string(ctx.Request.Header.Peek(fasthttp.HeaderConnection)))
-	headers := make([]*wire.Header, 0, ctx.Request.Header.Len()+3)
+	headers := make([]*wire.Header, 0, ctx.Request.Header.Len()+4)
+	customerHeader := sv.cfg.Protocol.CustomerHeader()
 	for na, va := range ctx.Request.Header.All() {
 		name := string(na)
 		if hopByHopHeaders[name] || skip[name] || !sv.cfg.Protocol.ForwardsHeader(name) {
 			continue
 		}
+		if strings.EqualFold(name, customerHeader) || ad.hasKeys && strings.EqualFold(name, fasthttp.HeaderAuthorization) {
+			continue
+		}
 		headers = append(headers, &wire.Header{
 			Name:  []byte(name),
 			Value: bytes.Clone(va),
 		})
 	}
+	if ad.customer.Name != "" {
+		headers = append(headers, &wire.Header{
+			Name:  []byte(customerHeader),
+			Value: []byte(ad.customer.Name),
+		})
+	}
 	return append(headers, sv.cfg.Protocol.AddedHeaders(ctx)...)
 }
 
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -133,12 +133,17 @@
 	return platform.CallKey(string(ex.target.Route.Service) + "/" + key)
 }
 
-// requestDigest returns a hash of the request's method, URI and body.
+// requestDigest returns a hash of the request's method, URI, body and customer. One
+// customer is not given the stored answer of another. The key of the row does not contain
+// the customer, because a repeat after the first customers are configured would run again.
 func (ex *exchange) requestDigest() keyed.Digest {
 	ha := sha256.New()
 	for _, part := range []string{ex.method, ex.uri} {
 		_, _ = ha.Write([]byte(part + "\n"))
 	}
+	if name := ex.customer.Name; name != "" {
+		_, _ = ha.Write([]byte(name + "\n"))
+	}
 	_, _ = ha.Write(ex.bufferedBody)
 	return keyed.Digest(hex.EncodeToString(ha.Sum(nil)))
 }
--- a/io/caller/log.go
+++ b/io/caller/log.go
@@ -39,6 +39,7 @@
 		Str("call", string(ex.callID)).
 		Str("route", string(ex.target.Route.Name)).
 		Str("service", string(ex.target.Route.Service)).
+		Str("customer", string(ex.customer.Name)).
 		Uint64("config_version", uint64(ex.view.Config.Version)).
 		Str("outcome", string(an.Result.Outcome)).
 		Int("status", an.Result.Status).
--- a/io/caller/protocol.go
+++ b/io/caller/protocol.go
@@ -28,6 +28,10 @@
 	// ParentID returns the ID of the request that the upstream of this host runs while
 	// it makes this one; empty if it is unknown.
 	ParentID(he *fasthttp.RequestHeader) host.RequestID
+	// ParentIDs returns the IDs that the request which makes this one may have.
+	ParentIDs(he *fasthttp.RequestHeader) []host.RequestID
+	// CustomerHeader returns the name of the header that tells upstreams the customer.
+	CustomerHeader() string
 	// ForwardsHeader reports whether a request header is forwarded to the upstream.
 	ForwardsHeader(name string) bool
 	// AddedHeaders returns the headers to add to a request.
@@ -72,6 +76,12 @@
 // ParentID implements Protocol. Nested calls don't name the request that they belong to.
 func (NativeProtocol) ParentID(*fasthttp.RequestHeader) host.RequestID { return "" }
 
+// ParentIDs implements Protocol.
+func (NativeProtocol) ParentIDs(*fasthttp.RequestHeader) []host.RequestID { return nil }
+
+// CustomerHeader implements Protocol.
+func (NativeProtocol) CustomerHeader() string { return HeaderCustomer }
+
 // ForwardsHeader implements Protocol.
 func (NativeProtocol) ForwardsHeader(name string) bool { return !ownRequestHeaders[name] }
 
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -20,27 +20,28 @@
 	AddCall(en record.Entry)
 }
 
-// formatCallID returns the ID of the call, which is the prefix of the IDs of its
+// formatCallID returns the ID of a call, which is the prefix of the IDs of its
 // attempts.
-func (ex *exchange) formatCallID() record.CallID {
-	cfg := &ex.server.cfg
+func (sv *Server) formatCallID(number uint64) record.CallID {
+	cfg := &sv.cfg
 	buf := make([]byte, 0, len(cfg.Host)+48)
 	buf = append(buf, cfg.Host...)
 	buf = append(buf, '.')
 	buf = strconv.AppendUint(buf, uint64(cfg.Incarnation), 10)
 	buf = append(buf, '.')
-	buf = strconv.AppendUint(buf, ex.number, 10)
+	buf = strconv.AppendUint(buf, number, 10)
 	return record.CallID(buf)
 }
 
 // newEntry returns an entry with the fields that all entries of the call share.
 func (ex *exchange) newEntry(ki record.Kind) record.Entry {
 	return record.Entry{
-		At:      time.Now(),
-		Kind:    ki,
-		Call:    ex.callID,
-		Route:   ex.target.Route.Name,
-		Service: ex.target.Route.Service,
+		At:       time.Now(),
+		Kind:     ki,
+		Call:     ex.callID,
+		Route:    ex.target.Route.Name,
+		Service:  ex.target.Route.Service,
+		Customer: ex.customer.Name,
 	}
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"lynxfold/core/call"
 	"lynxfold/core/contract"
@@ -90,6 +91,8 @@
 	// keyedCalls tracks the keyed calls, which can outlive their exchanges.
 	keyedCalls sync.WaitGroup
 	sessions   sessions
+	// keyRefusals limits the log lines and records of refused keys.
+	keyRefusals *rate.Limiter
 
 	// mu guards the fields below and cfg.Rand.
 	mu              sync.Mutex
@@ -117,6 +120,7 @@
 			Rand:       cfg.Rand,
 		}),
 		shortages:    call.NewShortageMeter(),
+		keyRefusals:  rate.NewLimiter(keyRefusalsPerSecond, keyRefusalBurst),
 		retryBudgets: newServiceBudgets(call.FleetBudget(cfg.RetryBudget)),
 		hedgeBudgets: newServiceBudgets(call.FleetBudget(hedgeBudgetConfig(cfg.RetryBudget))),
 	}
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -149,12 +149,15 @@
 		httpCtx:  ctx,
 		answered: make(chan struct{}),
 	}
-	status, ta := se.server.checkHeader(ctx)
-	pr.concurrent = ta != nil && ta.Terms.Idempotent && ctx.Request.Header.ContentLength() <= 0 &&
+	status, ad := se.server.checkHeader(ctx)
+	pr.concurrent = ad.target != nil && ad.target.Terms.Idempotent && ctx.Request.Header.ContentLength() <= 0 &&
 		!ctx.Request.Header.ConnectionClose()
 	if !se.enqueue(pr) {
 		return false
 	}
+	if status == fasthttp.StatusUnauthorized {
+		return se.finishUnauthorized(pr)
+	}
 	if status != 0 {
 		return se.finishUnread(pr)
 	}
@@ -164,7 +167,7 @@
 		se.finish(pr)
 		return false
 	}
-	return se.server.startExchange(se, pr, ta)
+	return se.server.startExchange(se, pr, ad)
 }
 
 // finishUnread finishes a request that was refused by its header. If it has a body,
@@ -178,6 +181,31 @@
 	return !unread
 }
 
+// finishUnauthorized finishes a request that was refused for its key. It skips a short
+// body, so that the requests behind it on the connection are answered.
+func (se *session) finishUnauthorized(pr *pendingRequest) bool {
+	rq := &pr.httpCtx.Request
+	if length := rq.Header.ContentLength(); length > maxBufferedBodyBytes || rq.MayContinue() {
+		return se.finishUnread(pr)
+	} else if length > 0 || length == -1 {
+		_ = se.conn.SetReadDeadline(time.Now().Add(se.server.headerTimeout()))
+		if !se.skipBody(rq) {
+			return se.finishUnread(pr)
+		}
+	}
+	se.finish(pr)
+	return true
+}
+
+// skipBody reads a short body, and returns false if there is more of it.
+func (se *session) skipBody(rq *fasthttp.Request) bool {
+	if err := rq.ContinueReadBodyStream(se.reader, bodyPrefetchBytes, false); err != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(rq.BodyStream(), maxBufferedBodyBytes+1))
+	return err == nil && n <= maxBufferedBodyBytes
+}
+
 // refuseUnreadable enqueues and refuses a request whose header can't be read. If the
 // connection has ended, it only cancels the pending calls, except keyed ones. It
 // returns false, because the connection can't be used for another request.
--- a/io/operator/record/record.go
+++ b/io/operator/record/record.go
@@ -45,8 +45,10 @@
 	Attempt    host.AttemptID       `json:"attempt,omitempty"`
 	Route      contract.RouteName   `json:"route,omitempty"`
 	Service    contract.ServiceName `json:"service,omitempty"`
-	Outcome    string               `json:"outcome,omitempty"`
-	Reason     string               `json:"reason,omitempty"`
+	// Customer is the customer that the call was made for.
+	Customer contract.CustomerName `json:"customer,omitempty"`
+	Outcome  string                `json:"outcome,omitempty"`
+	Reason   string                `json:"reason,omitempty"`
 	// Detail is the error or the basis of the decision.
 	Detail string `json:"detail,omitempty"`
 }
--- a/io/operator/record/summary.go
+++ b/io/operator/record/summary.go
@@ -18,6 +18,7 @@
 		{label: "attempt", value: string(en.Attempt)},
 		{label: "route", value: string(en.Route)},
 		{label: "service", value: string(en.Service)},
+		{label: "customer", value: string(en.Customer)},
 		{label: "outcome", value: en.Outcome},
 		{label: "because", value: en.Reason},
 	} {
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -77,6 +77,14 @@
 // NestedCalled reports that the upstream calls a service while it runs a request.
 func (ga *Gate) NestedCalled(ev host.NestedCalled) { ga.step(ev) }
 
+// RunningCustomer returns the customer that a running request is made for, and reports
+// whether the request is running.
+func (ga *Gate) RunningCustomer(id host.RequestID) (contract.CustomerName, bool) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return ga.core.RunningCustomer(id)
+}
+
 // Service returns the service of the upstream.
 func (ga *Gate) Service() contract.ServiceName {
 	ga.mu.Lock()
