feat: customers in drafts, risks, console forms and history

The console's form takes a new key in plain text, stores its digest only and shows digests shortened. Risks name removed keys, lowered rates, and changes that make calls need a key or none.

--- a/core/draft/change.go
+++ b/core/draft/change.go
@@ -62,7 +62,8 @@
 	all = append(all, listChanges(dr.Services, KindService, serviceFields)...)
 	all = append(all, listChanges(dr.Contracts, KindContract, termsFields)...)
 	all = append(all, listChanges(dr.Routes, KindRoute, routeFields)...)
-	return append(all, listChanges(dr.Limits, KindLimits, limitsFields)...)
+	all = append(all, listChanges(dr.Limits, KindLimits, limitsFields)...)
+	return append(all, listChanges(dr.Customers, KindCustomer, customerFields)...)
 }
 
 func listChanges[T any, K ~string](edits map[K]Edit[T], ki ItemKind, fields func(T) []Field) []Change {
@@ -176,9 +177,35 @@
 		{Label: "service", Value: formatDestination(ro)},
 		{Label: "contract", Value: string(ro.Contract)},
 		{Label: "fallback", Value: orNone(string(ro.Fallback))},
+		{Label: "public", Value: yesNo(ro.Public)},
 	}
 }
 
+// customerFields shows digests shortened; a key is in no document.
+func customerFields(cu contract.Customer) []Field {
+	keys := make([]string, 0, len(cu.Keys))
+	for _, kd := range cu.Keys {
+		keys = append(keys, kd.Short())
+	}
+	priority := none
+	if cu.Priority != nil {
+		priority = fmt.Sprint(*cu.Priority)
+	}
+	return []Field{
+		{Label: "keys", Value: orNone(strings.Join(keys, ", "))},
+		{Label: "priority", Value: priority},
+		{Label: "rate", Value: formatRate(cu.RatePerSecond, " a second")},
+		{Label: "burst", Value: formatRate(cu.Burst, "")},
+	}
+}
+
+func formatRate(rate float64, unit string) string {
+	if rate == 0 {
+		return none
+	}
+	return fmt.Sprintf("%g%s", rate, unit)
+}
+
 func limitsFields(li contract.Limits) []Field {
 	return []Field{
 		{Label: "header", Value: formatLimit(li.MaxHeaderBytes, "bytes")},
--- a/core/draft/draft.go
+++ b/core/draft/draft.go
@@ -23,11 +23,12 @@
 // that any node can detect a concurrent change of the same item without the base.
 type Draft struct {
 	// Base is the version that the edits apply to.
-	Base      contract.Version                                `json:"base"`
-	Services  map[contract.ServiceName]Edit[contract.Service] `json:"services,omitempty"`
-	Contracts map[contract.TermsName]Edit[contract.Terms]     `json:"contracts,omitempty"`
-	Routes    map[contract.RouteName]Edit[contract.Route]     `json:"routes,omitempty"`
-	Limits    map[LimitsName]Edit[contract.Limits]            `json:"limits,omitempty"`
+	Base      contract.Version                                  `json:"base"`
+	Services  map[contract.ServiceName]Edit[contract.Service]   `json:"services,omitempty"`
+	Contracts map[contract.TermsName]Edit[contract.Terms]       `json:"contracts,omitempty"`
+	Routes    map[contract.RouteName]Edit[contract.Route]       `json:"routes,omitempty"`
+	Limits    map[LimitsName]Edit[contract.Limits]              `json:"limits,omitempty"`
+	Customers map[contract.CustomerName]Edit[contract.Customer] `json:"customers,omitempty"`
 }
 
 // LimitsName names a document's limits. Limits are handled like a list of items, so
@@ -52,6 +53,7 @@
 		Contracts: map[contract.TermsName]Edit[contract.Terms]{},
 		Routes:    map[contract.RouteName]Edit[contract.Route]{},
 		Limits:    map[LimitsName]Edit[contract.Limits]{},
+		Customers: map[contract.CustomerName]Edit[contract.Customer]{},
 	}
 }
 
@@ -62,6 +64,7 @@
 	diffItems(dr.Contracts, from.Document.Contracts, to.Contracts, termsName)
 	diffItems(dr.Routes, from.Document.Routes, to.Routes, routeName)
 	diffItems(dr.Limits, limitsOf(from.Document), limitsOf(to), limitsName)
+	diffItems(dr.Customers, from.Document.Customers, to.Customers, customerName)
 	return dr
 }
 
@@ -86,7 +89,8 @@
 	ok := copyNamedEdits(res.Services, dr.Services, serviceName) &&
 		copyNamedEdits(res.Contracts, dr.Contracts, termsName) &&
 		copyNamedEdits(res.Routes, dr.Routes, routeName) &&
-		copyNamedEdits(res.Limits, dr.Limits, limitsName)
+		copyNamedEdits(res.Limits, dr.Limits, limitsName) &&
+		copyNamedEdits(res.Customers, dr.Customers, customerName)
 	if !ok {
 		return nil, &SyntaxError{Detail: "an edit has another name than its item"}
 	}
@@ -104,7 +108,7 @@
 
 // Len returns the number of edits.
 func (dr *Draft) Len() int {
-	return len(dr.Services) + len(dr.Contracts) + len(dr.Routes) + len(dr.Limits)
+	return len(dr.Services) + len(dr.Contracts) + len(dr.Routes) + len(dr.Limits) + len(dr.Customers)
 }
 
 // PutService adds or changes a service of a document.
@@ -137,6 +141,16 @@
 	recordEdit(dr.Routes, doc.Routes, routeName, na, nil)
 }
 
+// PutCustomer adds or changes a customer of a document.
+func (dr *Draft) PutCustomer(doc *contract.Document, cu contract.Customer) {
+	recordEdit(dr.Customers, doc.Customers, customerName, cu.Name, &cu)
+}
+
+// RemoveCustomer removes a customer of a document.
+func (dr *Draft) RemoveCustomer(doc *contract.Document, na contract.CustomerName) {
+	recordEdit(dr.Customers, doc.Customers, customerName, na, nil)
+}
+
 // PutLimits adds or changes the limits of a document.
 func (dr *Draft) PutLimits(doc *contract.Document, li contract.Limits) {
 	recordEdit(dr.Limits, limitsOf(doc), limitsName, LimitsCallers, &li)
@@ -155,6 +169,9 @@
 		Contracts: applyEdits(doc.Contracts, dr.Contracts, termsName),
 		Routes:    applyEdits(doc.Routes, dr.Routes, routeName),
 	}
+	if customers := applyEdits(doc.Customers, dr.Customers, customerName); len(customers) > 0 {
+		out.Customers = customers
+	}
 	if limits := applyEdits(limitsOf(doc), dr.Limits, limitsName); len(limits) > 0 {
 		out.Limits = &limits[0]
 	}
@@ -169,10 +186,11 @@
 	return []contract.Limits{*doc.Limits}
 }
 
-func serviceName(se contract.Service) contract.ServiceName { return se.Name }
-func termsName(te contract.Terms) contract.TermsName       { return te.Name }
-func routeName(ro contract.Route) contract.RouteName       { return ro.Name }
-func limitsName(contract.Limits) LimitsName                { return LimitsCallers }
+func serviceName(se contract.Service) contract.ServiceName    { return se.Name }
+func termsName(te contract.Terms) contract.TermsName          { return te.Name }
+func routeName(ro contract.Route) contract.RouteName          { return ro.Name }
+func customerName(cu contract.Customer) contract.CustomerName { return cu.Name }
+func limitsName(contract.Limits) LimitsName                   { return LimitsCallers }
 
 func findItem[T any, K comparable](items []T, key func(T) K, name K) *T {
 	for i := range items {
--- a/core/draft/merge.go
+++ b/core/draft/merge.go
@@ -17,6 +17,7 @@
 	KindContract ItemKind = "contract"
 	KindRoute    ItemKind = "route"
 	KindLimits   ItemKind = "limits"
+	KindCustomer ItemKind = "customer"
 )
 
 // Item identifies one item of a document.
@@ -83,6 +84,13 @@
 		fields:  limitsFields,
 		choices: choices,
 	})...)
+	conflicts = append(conflicts, mergeEdits(out.Customers, dr.Customers, mergeInput[contract.Customer, contract.CustomerName]{
+		kind:    KindCustomer,
+		onto:    onto.Document.Customers,
+		key:     customerName,
+		fields:  customerFields,
+		choices: choices,
+	})...)
 	return out, conflicts
 }
 
--- a/core/draft/risk.go
+++ b/core/draft/risk.go
@@ -33,6 +33,14 @@
 	// RiskLimitTighter means that requests that were accepted before are refused as too
 	// large.
 	RiskLimitTighter RiskKind = "limit_tighter"
+	// RiskKeyRemoved means that calls with a key that was known are refused.
+	RiskKeyRemoved RiskKind = "key_removed"
+	// RiskKeysRequired means that calls without a key are refused that were not before.
+	RiskKeysRequired RiskKind = "keys_required"
+	// RiskKeysNotRequired means that calls without a key are served that were refused.
+	RiskKeysNotRequired RiskKind = "keys_not_required"
+	// RiskCustomerRateLower means that more calls of a customer exceed its limit.
+	RiskCustomerRateLower RiskKind = "customer_rate_lower"
 )
 
 // Risk is a possible adverse effect of applying a draft; Detail describes it to
@@ -74,6 +82,9 @@
 	for _, na := range sortedKeys(dr.Limits) {
 		as.checkLimits(na, dr.Limits[na])
 	}
+	for _, na := range sortedKeys(dr.Customers) {
+		as.checkCustomer(na, dr.Customers[na])
+	}
 	return as.risks
 }
 
@@ -169,6 +180,13 @@
 }
 
 func (as *riskAssessor) checkChangedRoute(name string, before, after *contract.Route) {
+	if before.Public != after.Public && len(as.after.Customers) > 0 {
+		if after.Public {
+			as.addRisk(RiskKeysNotRequired, KindRoute, name, "calls to %s need no key any more", after.PathPrefix)
+		} else {
+			as.addRisk(RiskKeysRequired, KindRoute, name, "calls to %s without the key of a customer are refused", after.PathPrefix)
+		}
+	}
 	if before.Service != after.Service {
 		as.addRisk(RiskRouteMoved, KindRoute, name, "calls to %s go to service %s, until now to %s",
 			after.PathPrefix, after.Service, before.Service)
--- a/io/operator/api.go
+++ b/io/operator/api.go
@@ -299,6 +299,12 @@
 	for _, ro := range de.PutRoutes {
 		changes = append(changes, "put route "+string(ro.Name))
 	}
+	for _, cu := range de.PutCustomers {
+		changes = append(changes, "put customer "+string(cu.Name))
+	}
+	for _, na := range de.RemoveCustomers {
+		changes = append(changes, "remove customer "+string(na))
+	}
 	for _, na := range de.RemoveServices {
 		changes = append(changes, "remove service "+string(na))
 	}
--- a/io/operator/form.go
+++ b/io/operator/form.go
@@ -228,6 +228,8 @@
 		taken = slices.ContainsFunc(doc.Routes, func(ro contract.Route) bool { return string(ro.Name) == it.Name })
 	case draft.KindLimits:
 		taken = doc.Limits != nil
+	case draft.KindCustomer:
+		taken = slices.ContainsFunc(doc.Customers, func(cu contract.Customer) bool { return string(cu.Name) == it.Name })
 	}
 	if taken {
 		fp.addError("name", fmt.Sprintf("there is a %s of this name already", it.Kind))
@@ -249,6 +251,8 @@
 		cr.draft.PutRoute(doc, routeOf(fp))
 	case draft.KindLimits:
 		cr.draft.PutLimits(doc, limitsOf(fp))
+	case draft.KindCustomer:
+		cr.draft.PutCustomer(doc, cr.customerOf(fp))
 	}
 	after := cr.draftDocument()
 	for _, fe := range fieldErrors(after) {
@@ -292,6 +296,8 @@
 		lo.item = draft.Item{Kind: draft.KindService, Name: string(doc.Services[i].Name)}
 	case list == "contracts" && i < len(doc.Contracts):
 		lo.item = draft.Item{Kind: draft.KindContract, Name: string(doc.Contracts[i].Name)}
+	case list == "customers" && i < len(doc.Customers):
+		lo.item = draft.Item{Kind: draft.KindCustomer, Name: string(doc.Customers[i].Name)}
 	case list == "routes" && i < len(doc.Routes):
 		lo.item = draft.Item{Kind: draft.KindRoute, Name: string(doc.Routes[i].Name)}
 	}
--- a/io/operator/item_forms.go
+++ b/io/operator/item_forms.go
@@ -25,6 +25,8 @@
 		return routeForm(cr.draftDocument())
 	case draft.KindLimits:
 		return limitsForm()
+	case draft.KindCustomer:
+		return customerForm()
 	}
 	return nil
 }
@@ -144,6 +146,10 @@
 				Name: "fallback", Label: "Fallback", Kind: inputSelect, Options: fallbacks,
 				Help: "The route that is taken when the service has no usable upstream.",
 			},
+			{
+				Name: "public", Label: "Public: calls need no key", Kind: inputCheck,
+				Help: "Where the configuration has customers, calls on all other routes need the key of one.",
+			},
 		},
 	}
 }
@@ -179,6 +185,13 @@
 			fp.fillLimits(*doc.Limits)
 			return true
 		}
+	case draft.KindCustomer:
+		for _, cu := range doc.Customers {
+			if string(cu.Name) == it.Name {
+				fp.fillCustomer(cu)
+				return true
+			}
+		}
 	}
 	return false
 }
@@ -209,6 +222,7 @@
 }
 
 func (fp *formPage) fillRoute(ro contract.Route) {
+	fp.field("public").Checked = ro.Public
 	fp.setValues(map[string]string{
 		"name":        string(ro.Name),
 		"host":        ro.Host,
@@ -270,6 +284,7 @@
 		Fallback:   contract.RouteName(fp.field("fallback").Value),
 		Host:       strings.ToLower(strings.TrimSpace(fp.field("host").Value)),
 		Split:      contract.ParseSplit(fp.field("split").Value),
+		Public:     fp.field("public").Checked,
 	}
 	if len(ro.Split) > 0 {
 		ro.Service = ""
--- a/io/operator/overview.go
+++ b/io/operator/overview.go
@@ -58,6 +58,7 @@
 			contractGroup(doc).withDraft(marks, filter),
 			routeGroup(doc).withDraft(marks, filter),
 			limitsGroup(doc).withDraft(marks, filter),
+			customerGroup(doc).withDraft(marks, filter),
 		},
 	})
 }
@@ -187,6 +188,8 @@
 		delete(cr.draft.Routes, contract.RouteName(it.Name))
 	case draft.KindLimits:
 		delete(cr.draft.Limits, draft.LimitsName(it.Name))
+	case draft.KindCustomer:
+		delete(cr.draft.Customers, contract.CustomerName(it.Name))
 	}
 	cr.notice = "The edit of " + string(it.Kind) + " " + it.Name + " is undone."
 	cr.showOverview()
@@ -204,6 +207,8 @@
 		cr.draft.RemoveRoute(doc, contract.RouteName(it.Name))
 	case draft.KindLimits:
 		cr.draft.RemoveLimits(doc)
+	case draft.KindCustomer:
+		cr.draft.RemoveCustomer(doc, contract.CustomerName(it.Name))
 	default:
 		cr.status = fasthttp.StatusBadRequest
 	}
