--- a/io/upstream/standin/serve.go
+++ b/io/upstream/standin/serve.go
@@ -25,6 +25,10 @@
 	StartedAt time.Time `json:"started_at"`
 	// FinishedAt is when the response was ready; zero while the call runs.
 	FinishedAt time.Time `json:"finished_at,omitzero"`
+	// Customer is the customer that the request names, and HasKey reports that it has an
+	// Authorization header.
+	Customer string `json:"customer,omitempty"`
+	HasKey   bool   `json:"has_key,omitempty"`
 	// Cancelled reports that the connection closed while the call ran.
 	Cancelled bool `json:"cancelled,omitempty"`
 	// CrashedAt is when the call crashed the server; zero if it did not.
@@ -52,6 +56,9 @@
 // headerAttemptID identifies an attempt; responses repeat it.
 const headerAttemptID = "Lynxfold-Attempt-Id"
 
+// headerCustomer names the customer that a request is made for.
+const headerCustomer = "Lynxfold-Customer"
+
 // disconnectPollInterval is the interval between checks for a closed connection.
 const disconnectPollInterval = 5 * time.Millisecond
 
@@ -221,6 +228,8 @@
 		Path:      string(ctx.Path()),
 		Index:     len(sv.ledger),
 		Bytes:     size,
+		Customer:  string(ctx.Request.Header.Peek(headerCustomer)),
+		HasKey:    len(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)) > 0,
 		StartedAt: time.Now(),
 	})
 	return len(sv.ledger) - 1
