fix: keep stored answers of customers apart from requests of none

The customer came before the body in the digest of a keyed request, so that a body could imitate it; it is now before the method. Explanations of calls are tested.

--- a/io/caller/customer_test.go
+++ b/io/caller/customer_test.go
@@ -245,6 +245,44 @@
 	assert.Equal(t, rq.GetCustomerRank(), rank)
 }
 
+// TestExplanationsNameTheCustomer checks that the explanation of a call says whose it was,
+// or why its key was refused.
+func TestExplanationsNameTheCustomer(t *testing.T) {
+	cf := startCustomers(t)
+	cf.setKeys(t, "s3cret-key")
+	for key, want := range map[string]string{
+		"s3cret-key": ", customer hotel",
+		"s3cret-ke":  ", because customer_key_unknown",
+	} {
+		nc, rd := cf.dial(t)
+		_, err := io.WriteString(nc, "GET /private HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+"\r\n\r\n")
+		assert.NilError(t, err)
+		rs, err := http.ReadResponse(rd, nil)
+		assert.NilError(t, err)
+		text := ""
+		eventually(t, "the decision is recorded", func() bool {
+			text = ""
+			for _, en := range cf.record.ExplainCall(rs.Header.Get(HeaderCallID)).Entries {
+				text += en.Summary()
+			}
+			return strings.Contains(text, want)
+		})
+		assert.Assert(t, !strings.Contains(text, "s3cret"))
+	}
+}
+
+// TestStoredAnswersAreNotShared guards against a customer, or a caller without a key, that
+// gets the stored answer of another customer for the same Idempotency-Key.
+func TestStoredAnswersAreNotShared(t *testing.T) {
+	digestFor := func(name contract.CustomerName, body string) string {
+		ex := &exchange{customer: contract.Customer{Name: name}, method: "POST", uri: "/", bufferedBody: []byte(body)}
+		return string(ex.requestDigest())
+	}
+	all := []string{digestFor("", "body"), digestFor("hotel", "body"), digestFor("garage", "body"), digestFor("", "hotel\nbody")}
+	slices.Sort(all)
+	assert.Equal(t, len(slices.Compact(all)), 4)
+}
+
 // TestTrailersNameNoCustomer guards against a key or a customer that reaches an upstream
 // as a trailer, which the HTTP library adds to the headers.
 func TestTrailersNameNoCustomer(t *testing.T) {
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -138,12 +138,13 @@
 // the customer, because a repeat after the first customers are configured would run again.
 func (ex *exchange) requestDigest() keyed.Digest {
 	ha := sha256.New()
+	if name := ex.customer.Name; name != "" {
+		// No method contains a space, so this can't be the request of no customer.
+		_, _ = ha.Write([]byte("customer " + name + "\n"))
+	}
 	for _, part := range []string{ex.method, ex.uri} {
 		_, _ = ha.Write([]byte(part + "\n"))
 	}
-	if name := ex.customer.Name; name != "" {
-		_, _ = ha.Write([]byte(name + "\n"))
-	}
 	_, _ = ha.Write(ex.bufferedBody)
 	return keyed.Digest(hex.EncodeToString(ha.Sum(nil)))
 }
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -181,31 +181,6 @@
 	return !unread
 }
 
-// finishUnauthorized finishes a request that was refused for its key. It skips a short
-// body, so that the requests behind it on the connection are answered.
-func (se *session) finishUnauthorized(pr *pendingRequest) bool {
-	rq := &pr.httpCtx.Request
-	if length := rq.Header.ContentLength(); length > maxBufferedBodyBytes || rq.MayContinue() {
-		return se.finishUnread(pr)
-	} else if length > 0 || length == -1 {
-		_ = se.conn.SetReadDeadline(time.Now().Add(se.server.headerTimeout()))
-		if !se.skipBody(rq) {
-			return se.finishUnread(pr)
-		}
-	}
-	se.finish(pr)
-	return true
-}
-
-// skipBody reads a short body, and returns false if there is more of it.
-func (se *session) skipBody(rq *fasthttp.Request) bool {
-	if err := rq.ContinueReadBodyStream(se.reader, bodyPrefetchBytes, false); err != nil {
-		return false
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(rq.BodyStream(), maxBufferedBodyBytes+1))
-	return err == nil && n <= maxBufferedBodyBytes
-}
-
 // refuseUnreadable enqueues and refuses a request whose header can't be read. If the
 // connection has ended, it only cancels the pending calls, except keyed ones. It
 // returns false, because the connection can't be used for another request.
