--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -133,9 +133,15 @@
 	return platform.CallKey(string(ex.target.Route.Service) + "/" + key)
 }
 
-// requestDigest returns a hash of the request's method, URI and body.
+// requestDigest returns a hash of the request's method, URI, body and customer. One
+// customer is not given the stored answer of another. The key of the row does not contain
+// the customer, because a repeat after the first customers are configured would run again.
 func (ex *exchange) requestDigest() keyed.Digest {
 	ha := sha256.New()
+	if name := ex.customer.Name; name != "" {
+		// No method contains a space, so this can't be the request of no customer.
+		_, _ = ha.Write([]byte("customer " + name + "\n"))
+	}
 	for _, part := range []string{ex.method, ex.uri} {
 		_, _ = ha.Write([]byte(part + "\n"))
 	}
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -149,12 +149,15 @@
 		httpCtx:  ctx,
 		answered: make(chan struct{}),
 	}
-	status, ta := se.server.checkHeader(ctx)
-	pr.concurrent = ta != nil && ta.Terms.Idempotent && ctx.Request.Header.ContentLength() <= 0 &&
+	status, ad := se.server.checkHeader(ctx)
+	pr.concurrent = ad.target != nil && ad.target.Terms.Idempotent && ctx.Request.Header.ContentLength() <= 0 &&
 		!ctx.Request.Header.ConnectionClose()
 	if !se.enqueue(pr) {
 		return false
 	}
+	if status == fasthttp.StatusUnauthorized {
+		return se.finishUnauthorized(pr)
+	}
 	if status != 0 {
 		return se.finishUnread(pr)
 	}
@@ -164,7 +167,7 @@
 		se.finish(pr)
 		return false
 	}
-	return se.server.startExchange(se, pr, ta)
+	return se.server.startExchange(se, pr, ad)
 }
 
 // finishUnread finishes a request that was refused by its header. If it has a body,
