feat: buckets, ledger and host list of quotas across hosts

One host keeps the bucket of a customer; the others ask it for tokens. The view of a member gains the list of live hosts and of those that were lost, which is built only when a host's state changes.

--- a/core/datacentre/records.go
+++ b/core/datacentre/records.go
@@ -23,6 +23,8 @@
 	digest uint64
 	// viewUpstreams are the upstreams of the host in the view.
 	viewUpstreams []Upstream
+	// listed is what the host list says about the host.
+	listed hostListState
 	// suspicionDeadline is when a suspected host is declared dead.
 	suspicionDeadline time.Time
 	// suspectedHere is set when this node itself raised the suspicion.
--- a/core/datacentre/types.go
+++ b/core/datacentre/types.go
@@ -49,4 +49,5 @@
 	// Basis is empty until the node may activate a version.
 	Basis     ActivationBasis
 	Upstreams map[contract.ServiceName][]Upstream
+	Hosts     *HostList
 }
--- a/core/datacentre/view.go
+++ b/core/datacentre/view.go
@@ -20,6 +20,8 @@
 	published bool
 	// dirty is set when the next view differs from the published one.
 	dirty bool
+	// hosts is the host list; nil when it must be built again.
+	hosts *HostList
 }
 
 func newViewBuilder() viewBuilder {
@@ -29,8 +31,10 @@
 	}
 }
 
-// updateView updates the upstreams of a host in the view from its record.
+// updateView updates the upstreams of a host in the view, and the host list, from its
+// record.
 func (me *Member) updateView(re *record) {
+	me.outdateHosts(re)
 	next := me.usableUpstreams(re)
 	if slices.Equal(next, re.viewUpstreams) {
 		return
@@ -52,7 +56,7 @@
 
 // usableUpstreams returns the upstreams of a host that are eligible for calls.
 func (me *Member) usableUpstreams(re *record) []Upstream {
-	if !re.live() || re.unconfirmedDead || me.centre(re.centre()).separated {
+	if !me.reachable(re) {
 		return nil
 	}
 	var ups []Upstream
@@ -111,6 +115,7 @@
 			Config:    me.versions.active,
 			Basis:     me.startup.basis,
 			Upstreams: vb.upstreams,
+			Hosts:     me.hostList(),
 		},
 	})
 }
--- /dev/null
+++ b/core/quota/keeper.go
@@ -0,0 +1,247 @@
+package quota
+
+import (
+	"time"
+
+	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
+)
+
+// KeeperConfig configures a Keeper.
+type KeeperConfig struct {
+	Host      host.ID
+	StartedAt time.Time
+	// FleetSize is the expected number of hosts. A host that knows no other hands out its
+	// part of the rate only.
+	FleetSize int
+}
+
+// Keeper holds the buckets of the customers of which this host is the quota host. It is not
+// safe for concurrent use.
+type Keeper struct {
+	cfg   KeeperConfig
+	hosts *datacentre.HostList
+	// lostAt is when the last host was lost or left; any customer may have changed its
+	// quota host at that time.
+	lostAt       time.Time
+	buckets      map[Customer]*keptBucket
+	unresponsive map[host.ID]time.Time
+	sweptAt      time.Time
+	rank         []datacentre.LiveHost
+}
+
+// keptBucket is the bucket of a customer and what its rate depends on.
+type keptBucket struct {
+	bucket *Bucket
+	limit  Limit
+	// primarySince is since when this host is the quota host; zero while it stands in.
+	primarySince time.Time
+	askedAt      time.Time
+	granted      uint64
+	refused      uint64
+	byHost       map[host.ID]uint64
+}
+
+// NewKeeper returns a keeper without buckets.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	return &Keeper{
+		cfg:          cfg,
+		hosts:        &datacentre.HostList{},
+		lostAt:       cfg.StartedAt,
+		buckets:      map[Customer]*keptBucket{},
+		unresponsive: map[host.ID]time.Time{},
+	}
+}
+
+// SetHosts sets the hosts that are alive.
+func (ke *Keeper) SetHosts(hl *datacentre.HostList, now time.Time) {
+	if hl == nil || hl == ke.hosts {
+		return
+	}
+	for _, lh := range ke.hosts.Live {
+		if !hl.Contains(lh.ID) {
+			ke.lostAt = now
+		}
+	}
+	ke.hosts = hl
+}
+
+// MarkUnresponsive notes that a host did not answer.
+func (ke *Keeper) MarkUnresponsive(id host.ID, now time.Time) {
+	ke.unresponsive[id] = now.Add(unresponsivePeriod)
+}
+
+// MarkResponsive notes that a host answered.
+func (ke *Keeper) MarkResponsive(id host.ID) { delete(ke.unresponsive, id) }
+
+// Unresponsive reports whether a host did not answer lately.
+func (ke *Keeper) Unresponsive(id host.ID, now time.Time) bool {
+	until, found := ke.unresponsive[id]
+	return found && now.Before(until)
+}
+
+// role says why this host hands out the tokens of a customer.
+type role int
+
+const (
+	roleNone role = iota
+	roleStandIn
+	rolePrimary
+)
+
+// roleFor returns this host's role for a customer, and the host to be checked before this
+// one stands in for it.
+func (ke *Keeper) roleFor(cu Customer, now time.Time) (role, host.ID) {
+	ke.rank = ke.hosts.Rank(ke.rank[:0], string(cu), rankedHosts)
+	for i, lh := range ke.rank {
+		switch {
+		case lh.ID == ke.cfg.Host && i == 0:
+			return rolePrimary, ""
+		case lh.ID == ke.cfg.Host:
+			return roleStandIn, ""
+		case !lh.Suspect && !ke.Unresponsive(lh.ID, now):
+			return roleNone, lh.ID
+		}
+	}
+	return roleNone, ""
+}
+
+// share returns the part of the rate that the hosts in reach hand out.
+func (ke *Keeper) share(ro role, now time.Time) float64 {
+	live := len(ke.hosts.Live)
+	total := live + ke.hosts.Lost(now)
+	if live <= 1 {
+		total = max(total, ke.cfg.FleetSize)
+	}
+	share := float64(max(1, live)) / float64(max(1, total))
+	if ro == roleStandIn {
+		share *= standInShare
+	}
+	return share
+}
+
+// Take handles the request of a host.
+func (ke *Keeper) Take(from host.ID, rq Request, now time.Time) Reply {
+	if rq.Want <= 0 && rq.Returned <= 0 {
+		return Reply{}
+	}
+	ke.sweep(now)
+	ro, preceding := ke.roleFor(rq.Customer, now)
+	if ro == roleNone {
+		re := Reply{Declined: true}
+		if rq.Unanswered {
+			re.Probe = preceding
+		}
+		return re
+	}
+	kb := ke.keptBucket(rq, ro, now)
+	kb.update(rq.Limit, ro, ke.share(ro, now), now)
+	kb.askedAt = now
+	granted, retryAt := kb.bucket.Take(rq.Want, rq.Returned, now)
+	kb.granted += uint64(granted)
+	kb.byHost[from] += uint64(granted)
+	if granted < rq.Want {
+		kb.refused++
+	}
+	return Reply{
+		Granted: granted,
+		RetryAt: retryAt,
+	}
+}
+
+// keptBucket returns the bucket of a customer and creates it if necessary. If the quota
+// hosts have not changed for settleTime, a bucket that nobody asked for is full.
+func (ke *Keeper) keptBucket(rq Request, ro role, now time.Time) *keptBucket {
+	kb := ke.buckets[rq.Customer]
+	if kb != nil {
+		return kb
+	}
+	share := ke.share(ro, now)
+	kb = &keptBucket{
+		bucket: NewBucket(rq.Limit.PerSecond*share, rq.Limit.takeoverDepth(), now),
+		limit:  rq.Limit,
+		byHost: map[host.ID]uint64{},
+	}
+	ke.buckets[rq.Customer] = kb
+	if ro == rolePrimary {
+		kb.primarySince = ke.lostAt
+		kb.bucket = NewBucket(rq.Limit.PerSecond*share, kb.depth(now), ke.lostAt)
+	}
+	return kb
+}
+
+// update adapts the bucket to a changed limit, role or share of the rate.
+func (kb *keptBucket) update(li Limit, ro role, share float64, now time.Time) {
+	if li.Version > kb.limit.Version {
+		kb.limit = li
+	}
+	switch {
+	case ro != rolePrimary:
+		kb.primarySince = time.Time{}
+	case kb.primarySince.IsZero():
+		kb.primarySince = now
+	}
+	kb.bucket.SetRate(kb.limit.PerSecond*share, kb.depth(now), now)
+}
+
+func (kb *keptBucket) depth(now time.Time) float64 {
+	if kb.primarySince.IsZero() || now.Sub(kb.primarySince) < settleTime {
+		return kb.limit.takeoverDepth()
+	}
+	return kb.limit.depth()
+}
+
+// sweep removes buckets that nobody asked for lately, and old marks.
+func (ke *Keeper) sweep(now time.Time) {
+	if now.Sub(ke.sweptAt) < idleTime {
+		return
+	}
+	ke.sweptAt = now
+	for cu, kb := range ke.buckets {
+		// A bucket that is not full after idleTime would be full if it was created again.
+		refill := seconds(kb.bucket.depth / max(kb.bucket.perSecond, 1e-3))
+		if now.Sub(kb.askedAt) > max(idleTime, refill) {
+			delete(ke.buckets, cu)
+		}
+	}
+	for id, until := range ke.unresponsive {
+		if now.After(until) {
+			delete(ke.unresponsive, id)
+		}
+	}
+}
+
+// BucketReport is the state of a bucket for operators.
+type BucketReport struct {
+	Customer Customer
+	Limit    Limit
+	// Share is the part of the rate that this host hands out.
+	Share   float64
+	Tokens  float64
+	Granted uint64
+	// Refused is the number of requests for tokens that were not granted in full.
+	Refused uint64
+	ByHost  map[host.ID]uint64
+}
+
+// Report returns the state of all buckets of this host.
+func (ke *Keeper) Report(now time.Time) []BucketReport {
+	reports := make([]BucketReport, 0, len(ke.buckets))
+	for cu, kb := range ke.buckets {
+		kb.bucket.refill(now)
+		byHost := make(map[host.ID]uint64, len(kb.byHost))
+		for id, n := range kb.byHost {
+			byHost[id] = n
+		}
+		reports = append(reports, BucketReport{
+			Customer: cu,
+			Limit:    kb.limit,
+			Share:    kb.bucket.perSecond / kb.limit.PerSecond,
+			Tokens:   kb.bucket.tokens,
+			Granted:  kb.granted,
+			Refused:  kb.refused,
+			ByHost:   byHost,
+		})
+	}
+	return reports
+}
--- /dev/null
+++ b/core/quota/sim_test.go
@@ -0,0 +1,337 @@
+package quota_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
+	"lynxfold/core/quota"
+)
+
+const (
+	replyTimeout  = 150 * time.Millisecond
+	maxQuotaWait  = 300 * time.Millisecond
+	window        = 5 * time.Second
+	requestBytes  = 96 // a QuotaRequest frame, its reply and two TLS records
+	replyBytes    = 48
+	maxDetectTime = 2 * time.Second
+)
+
+// event is a step of the simulation.
+type event struct {
+	at time.Time
+	do func()
+}
+
+type eventHeap []event
+
+func (eh eventHeap) Len() int           { return len(eh) }
+func (eh eventHeap) Less(i, j int) bool { return eh[i].at.Before(eh[j].at) }
+func (eh eventHeap) Swap(i, j int)      { eh[i], eh[j] = eh[j], eh[i] }
+func (eh *eventHeap) Push(x any)        { *eh = append(*eh, x.(event)) }
+func (eh *eventHeap) Pop() any {
+	last := (*eh)[len(*eh)-1]
+	*eh = (*eh)[:len(*eh)-1]
+	return last
+}
+
+// simHost is one host of the simulated mesh.
+type simHost struct {
+	id          host.ID
+	keeper      *quota.Keeper
+	ledger      *quota.Ledger
+	waiters     map[quota.Customer][]func()
+	dead        bool
+	diedAt      time.Time
+	pausedUntil time.Time
+	side        int
+	limits      map[quota.Customer]quota.Limit
+	probing     map[host.ID]bool
+}
+
+// customerLog is what became of the requests of a customer.
+type customerLog struct {
+	asked, refused int
+	served         []time.Time
+	maxLimit       quota.Limit
+	waits          []time.Duration
+}
+
+// sim is a mesh of hosts that exchange quota messages over links with latency.
+type sim struct {
+	rnd       *rand.Rand
+	now       time.Time
+	events    eventHeap
+	hosts     []*simHost
+	customers map[quota.Customer]*customerLog
+	busyShare float64
+	messages  int
+	bytes     int
+}
+
+func newSim(rnd *rand.Rand, hosts int, busyShare float64) *sim {
+	si := &sim{
+		rnd:       rnd,
+		now:       time.Unix(1_000_000, 0),
+		customers: map[quota.Customer]*customerLog{},
+		busyShare: busyShare,
+	}
+	for i := range hosts {
+		sh := &simHost{
+			id:     host.ID(fmt.Sprintf("host-%d", i)),
+			limits: map[quota.Customer]quota.Limit{},
+		}
+		si.hosts = append(si.hosts, sh)
+		si.reset(sh, si.now.Add(-time.Minute))
+	}
+	for _, sh := range si.hosts {
+		si.refreshView(sh)
+	}
+	return si
+}
+
+// reset gives a host the state after a start.
+func (si *sim) reset(sh *simHost, startedAt time.Time) {
+	sh.keeper = quota.NewKeeper(quota.KeeperConfig{
+		Host:      sh.id,
+		StartedAt: startedAt,
+		FleetSize: len(si.hosts),
+	})
+	sh.ledger = quota.NewLedger(len(si.hosts))
+	sh.waiters = map[quota.Customer][]func(){}
+	sh.probing = map[host.ID]bool{}
+}
+
+func (si *sim) after(d time.Duration, do func()) {
+	heap.Push(&si.events, event{at: si.now.Add(d), do: do})
+}
+
+func (si *sim) run(d time.Duration) {
+	end := si.now.Add(d)
+	for len(si.events) > 0 && si.events[0].at.Before(end) {
+		ev := heap.Pop(&si.events).(event)
+		si.now = ev.at
+		ev.do()
+	}
+	si.now = end
+}
+
+// latency is 1 to 4 ms, and 10 to 50 ms at a busy host.
+func (si *sim) latency() time.Duration {
+	if si.rnd.Float64() < si.busyShare {
+		return time.Duration(10+si.rnd.IntN(40)) * time.Millisecond
+	}
+	return time.Duration(1000+si.rnd.IntN(3000)) * time.Microsecond
+}
+
+// refreshView gives a host the list of the hosts that it reaches.
+func (si *sim) refreshView(sh *simHost) {
+	hl := &datacentre.HostList{}
+	for _, other := range si.hosts {
+		switch {
+		case other.dead:
+			hl.LostUntil = append(hl.LostUntil, other.diedAt.Add(20*time.Second))
+		case other.side != sh.side:
+			hl.Separated++
+		case si.now.Before(other.pausedUntil) && other != sh:
+			hl.LostUntil = append(hl.LostUntil, si.now.Add(20*time.Second))
+		default:
+			hl.Live = append(hl.Live, datacentre.NewLiveHost(other.id, string(other.id), false))
+		}
+	}
+	slices.SortFunc(hl.Live, func(a, b datacentre.LiveHost) int { return cmp.Compare(a.ID, b.ID) })
+	sh.keeper.SetHosts(hl, si.now)
+	sh.ledger.SetHosts(hl)
+}
+
+// topologyChanged lets every host detect a change after 0.5 to 2 s.
+func (si *sim) topologyChanged() {
+	for _, sh := range si.hosts {
+		si.after(500*time.Millisecond+time.Duration(si.rnd.Int64N(int64(maxDetectTime-500*time.Millisecond))), func() { si.refreshView(sh) })
+	}
+}
+
+// setLimit changes a limit, which the hosts learn within 2 s.
+func (si *sim) setLimit(cu quota.Customer, li quota.Limit, spread time.Duration) {
+	cl := si.customers[cu]
+	if cl == nil {
+		cl = &customerLog{}
+		si.customers[cu] = cl
+	}
+	cl.maxLimit.PerSecond = max(cl.maxLimit.PerSecond, li.PerSecond)
+	cl.maxLimit.Burst = max(cl.maxLimit.Burst, li.Burst)
+	for _, sh := range si.hosts {
+		if spread == 0 {
+			sh.limits[cu] = li
+			continue
+		}
+		si.after(time.Duration(si.rnd.Int64N(int64(spread))), func() { sh.limits[cu] = li })
+	}
+}
+
+// deliver runs do at a host unless it can't be reached; a paused one does so later.
+func (si *sim) deliver(from, to *simHost, do func()) {
+	si.messages++
+	si.after(si.latency(), func() {
+		switch {
+		case to.dead || from.side != to.side:
+		case si.now.Before(to.pausedUntil):
+			si.after(to.pausedUntil.Sub(si.now), do)
+		default:
+			do()
+		}
+	})
+}
+
+// ask sends a request to a host and calls done with the reply, or with nil after
+// replyTimeout.
+func (si *sim) ask(from, to *simHost, rq quota.Request, done func(*quota.Reply)) {
+	if from == to {
+		re := to.keeper.Take(from.id, rq, si.now)
+		done(&re)
+		return
+	}
+	si.bytes += requestBytes
+	ended := false
+	si.after(replyTimeout, func() {
+		if !ended {
+			ended = true
+			done(nil)
+		}
+	})
+	si.deliver(from, to, func() {
+		re := to.keeper.Take(from.id, rq, si.now)
+		if re.Probe != "" {
+			si.probe(to, re.Probe)
+		}
+		wait := re.RetryAt.Sub(si.now)
+		si.bytes += replyBytes
+		si.deliver(to, from, func() {
+			if ended {
+				return
+			}
+			ended = true
+			if !re.RetryAt.IsZero() {
+				re.RetryAt = si.now.Add(wait)
+			}
+			done(&re)
+		})
+	})
+}
+
+func (si *sim) probe(from *simHost, id host.ID) {
+	if from.probing[id] {
+		return
+	}
+	from.probing[id] = true
+	si.ask(from, si.host(id), quota.Request{}, func(re *quota.Reply) {
+		delete(from.probing, id)
+		if re == nil {
+			from.keeper.MarkUnresponsive(id, si.now)
+		} else {
+			from.keeper.MarkResponsive(id)
+		}
+	})
+}
+
+func (si *sim) host(id host.ID) *simHost {
+	at := slices.IndexFunc(si.hosts, func(sh *simHost) bool { return sh.id == id })
+	return si.hosts[at]
+}
+
+// arrive lets a request of a customer arrive at a host.
+func (si *sim) arrive(cu quota.Customer, sh *simHost, onRefused func()) {
+	if sh.dead || si.now.Before(sh.pausedUntil) {
+		return
+	}
+	si.customers[cu].asked++
+	si.decide(cu, sh, si.now, false, onRefused)
+}
+
+func (si *sim) decide(cu quota.Customer, sh *simHost, since time.Time, again bool, onRefused func()) {
+	cl := si.customers[cu]
+	if sh.dead {
+		return
+	}
+	de := sh.ledger.Admit(cu, sh.limits[cu], again, si.now)
+	next := func() { si.decide(cu, sh, since, true, onRefused) }
+	late := si.now.Sub(since) >= maxQuotaWait
+	switch {
+	case de.Admission == quota.Admitted:
+		cl.waits = append(cl.waits, si.now.Sub(since))
+		cl.served = append(cl.served, si.now.Add(time.Duration(si.rnd.IntN(20))*time.Millisecond))
+	case de.Admission == quota.Ask:
+		si.send(cu, sh, de, next)
+	case de.Admission == quota.Refused || late:
+		cl.refused++
+		onRefused()
+	case de.Admission == quota.Wait:
+		sh.waiters[cu] = append(sh.waiters[cu], next)
+	}
+}
+
+// send asks the host that the ledger has chosen and wakes the calls that wait.
+func (si *sim) send(cu quota.Customer, sh *simHost, de quota.Decision, next func()) {
+	sentAt := si.now
+	le := sh.ledger
+	si.ask(sh, si.host(de.Host.ID), de.Request, func(re *quota.Reply) {
+		if sh.ledger != le {
+			return // the host has restarted
+		}
+		if re == nil {
+			le.TimedOut(cu, de.Host.ID, si.now)
+		} else {
+			le.Replied(cu, de.Host.ID, *re, sentAt, si.now)
+		}
+		waiting := sh.waiters[cu]
+		delete(sh.waiters, cu)
+		next()
+		for _, wake := range waiting {
+			wake()
+		}
+	})
+}
+
+// load lets requests of a customer arrive at random, with the rate and the host at each
+// time given by functions.
+func (si *sim) load(cu quota.Customer, rate func() float64, at func() *simHost, onRefused func()) {
+	var next func()
+	next = func() {
+		si.arrive(cu, at(), onRefused)
+		si.after(time.Duration(si.rnd.ExpFloat64()/max(rate(), 0.01)*float64(time.Second)), next)
+	}
+	si.after(time.Duration(si.rnd.ExpFloat64()/max(rate(), 0.01)*float64(time.Second)), next)
+}
+
+// largestWindow returns the largest number of requests served in a window, and how much of
+// the permitted number that is.
+func (cl *customerLog) largestWindow() (int, float64) {
+	slices.SortFunc(cl.served, time.Time.Compare)
+	largest, first := 0, 0
+	for last := range cl.served {
+		for cl.served[last].Sub(cl.served[first]) >= window {
+			first++
+		}
+		largest = max(largest, last-first+1)
+	}
+	return largest, float64(largest) / allowed(cl.maxLimit)
+}
+
+func allowed(li quota.Limit) float64 {
+	return math.Floor((li.PerSecond*window.Seconds()+li.Burst)*1.1 + 20)
+}
+
+func limitOf(perSecond, burst float64, version int) quota.Limit {
+	return quota.Limit{
+		PerSecond: perSecond,
+		Burst:     burst,
+		Version:   contract.Version(version),
+	}
+}
