fix: a quota host that joins or resumes hands out its own part first

Random runs found 2702 requests in a window of 2660: while the other hosts learn of the resumed quota host one after another, both it and its successor grant tokens.

--- a/core/quota/keeper.go
+++ b/core/quota/keeper.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"lynxfold/core/datacentre"
@@ -23,13 +24,22 @@
 	hosts *datacentre.HostList
 	// lostAt is when the last host was lost or left; any customer may have changed its
 	// quota host at that time.
-	lostAt       time.Time
+	lostAt time.Time
+	// joins are the hosts that joined lately.
+	joins        []join
+	tickedAt     time.Time
 	buckets      map[Customer]*keptBucket
 	unresponsive map[host.ID]time.Time
 	sweptAt      time.Time
 	rank         []datacentre.LiveHost
 }
 
+// join is a number of hosts that count as out of reach until a time.
+type join struct {
+	hosts int
+	until time.Time
+}
+
 // keptBucket is the bucket of a customer and what its rate depends on.
 type keptBucket struct {
 	bucket *Bucket
@@ -63,7 +73,40 @@
 			ke.lostAt = now
 		}
 	}
+	joined := 0
+	for _, lh := range hl.Live {
+		if lh.ID != ke.cfg.Host && !ke.hosts.Contains(lh.ID) {
+			joined++
+		}
+	}
 	ke.hosts = hl
+	ke.addJoin(joined, now)
+}
+
+// addJoin counts hosts as out of reach for joinTime, and forgets earlier joins.
+func (ke *Keeper) addJoin(hosts int, now time.Time) {
+	ke.joins = slices.DeleteFunc(ke.joins, func(jo join) bool { return !now.Before(jo.until) })
+	if hosts > 0 {
+		ke.joins = append(ke.joins, join{
+			hosts: hosts,
+			until: now.Add(joinTime),
+		})
+	}
+}
+
+// Tick must be called several times a second. After a pause, the host is treated as one that
+// has just joined, because others have taken over its buckets.
+func (ke *Keeper) Tick(now time.Time) {
+	if !ke.tickedAt.IsZero() && now.Sub(ke.tickedAt) > pauseThreshold {
+		ke.lostAt = now
+		ke.addJoin(len(ke.hosts.Live), now)
+		for _, kb := range ke.buckets {
+			if !kb.primarySince.IsZero() {
+				kb.primarySince = now
+			}
+		}
+	}
+	ke.tickedAt = now
 }
 
 // MarkUnresponsive notes that a host did not answer.
@@ -113,6 +156,11 @@
 	if live <= 1 {
 		total = max(total, ke.cfg.FleetSize)
 	}
+	for _, jo := range ke.joins {
+		if now.Before(jo.until) {
+			live -= jo.hosts
+		}
+	}
 	share := float64(max(1, live)) / float64(max(1, total))
 	if ro == roleStandIn {
 		share *= standInShare
@@ -125,6 +173,7 @@
 	if rq.Want <= 0 && rq.Returned <= 0 {
 		return Reply{}
 	}
+	ke.Tick(now)
 	ke.sweep(now)
 	ro, preceding := ke.roleFor(rq.Customer, now)
 	if ro == roleNone {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -36,6 +36,12 @@
 	// settleTime is how long a host must have been the quota host before its bucket holds
 	// the burst. It is the length of the window for which the limit is guaranteed.
 	settleTime = 5 * time.Second
+	// joinTime is how long the other hosts may take to learn of a host that has joined. Until
+	// then they may ask the previous quota host, so the new one hands out only its own part.
+	joinTime = time.Second
+	// pauseThreshold is the time between two ticks from which this host counts as paused;
+	// other hosts may have taken over in the meantime.
+	pauseThreshold = 800 * time.Millisecond
 	// standInShare is the part of the rate that a host hands out while the quota host does
 	// not answer but is not known to be lost. For about 2 s both may hand out tokens, and a
 	// window has room for half of a second's rate.
