--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -115,6 +115,7 @@
 	client           *upstream.Client
 	callPool         *node.CallPool
 	callServer       *node.CallServer
+	quotas           *node.Quotas
 	caller           *caller.Server
 	operator         *operator.Server
 	health           *operator.HealthServer
@@ -168,7 +169,7 @@
 		newCertificates, node.NewCounters, newDialer, newAdapters, platform.NewVersions, platform.NewKeyedCalls,
 		platform.NewIntroductions, newInvariants, newControl,
 		newByteBudget, newUpstreamClient, newGate, upstream.NewAnnouncementServer,
-		node.NewCallPool, newCallServer, newCaller, newRecord, newMesh, newKeyPair, newOperator, newHealth, newListener,
+		node.NewCallPool, newQuotas, newCallServer, newCaller, newRecord, newMesh, newKeyPair, newOperator, newHealth, newListener,
 		newProcess,
 	} {
 		if err := co.Provide(constructor); err != nil {
@@ -195,6 +196,7 @@
 	Client           *upstream.Client
 	CallPool         *node.CallPool
 	CallServer       *node.CallServer
+	Quotas           *node.Quotas
 	Caller           *caller.Server
 	Operator         *operator.Server
 	Health           *operator.HealthServer
@@ -220,6 +222,7 @@
 		client:           pa.Client,
 		callPool:         pa.CallPool,
 		callServer:       pa.CallServer,
+		quotas:           pa.Quotas,
 		caller:           pa.Caller,
 		operator:         pa.Operator,
 		health:           pa.Health,
@@ -305,6 +308,7 @@
 	bb *upstream.ByteBudget,
 	set *metrics.Set,
 	re *record.Record,
+	qs *node.Quotas,
 	log zerolog.Logger,
 	routine RoutineLog,
 ) *caller.Server {
@@ -334,12 +338,25 @@
 		Counters:             caller.NewCounters(set),
 		Recorder:             re,
 		Quarantine:           ct.crashes,
+		Quotas:               qs,
 	})
 }
 
-func newCallServer(ga *upstream.Gate, set *metrics.Set) *node.CallServer {
+func newQuotas(se *ini.Settings, ct *Control, cp *node.CallPool, set *metrics.Set) *node.Quotas {
+	return node.NewQuotas(node.QuotasConfig{
+		Host:      se.Host.ID,
+		FleetSize: se.Mesh.FleetSize,
+		StartedAt: time.Now(),
+		View:      ct.View,
+		Asker:     cp,
+		Metrics:   set,
+	})
+}
+
+func newCallServer(ga *upstream.Gate, qs *node.Quotas, set *metrics.Set) *node.CallServer {
 	delays := set.GetOrCreateHistogram(`lynxfold_request_delay_seconds`)
 	cs := node.NewCallServer(ga)
+	cs.Quotas = qs
 	cs.ObserveDelay = func(delay time.Duration) { delays.Update(delay.Seconds()) }
 	return cs
 }
@@ -407,6 +424,7 @@
 	tickCtx, stopTicking := context.WithCancel(context.Background())
 	defer stopTicking()
 	pr.start("probe upstream", func() error { return pr.probeUpstream(tickCtx) })
+	pr.start("quotas", func() error { pr.quotas.Run(tickCtx); return nil })
 	pr.start("tick", func() error { pr.tickGate(tickCtx); return nil })
 	pr.log.Info().Interface("addresses", pr.Addresses()).Msg("node started")
 	<-ctx.Done()
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -50,7 +50,7 @@
 	// served is the number of admitted requests a second, as of servedAt.
 	served   float64
 	servedAt time.Time
-	// promisedAt is when the caller that was refused last is to come back.
+	// promisedAt is when the caller that is refused next is to come back.
 	promisedAt time.Time
 	admitted   uint64
 	refused    uint64
@@ -225,15 +225,16 @@
 	if ac.promisedAt.Before(first) {
 		ac.promisedAt = first
 	}
-	part := ac.limit.PerSecond / float64(max(1, len(le.hosts.Live)))
-	rate := max(average(ac.served, ac.servedAt, now), part)
-	ac.promisedAt = ac.promisedAt.Add(seconds(1 / rate))
 	if latest := first.Add(maxCallerRetryAfter); ac.promisedAt.After(latest) {
 		ac.promisedAt = latest
 	}
+	retryAt := ac.promisedAt
+	part := ac.limit.PerSecond / float64(max(1, len(le.hosts.Live)))
+	rate := max(average(ac.served, ac.servedAt, now), part)
+	ac.promisedAt = retryAt.Add(seconds(1 / rate))
 	return Decision{
 		Admission: Refused,
-		RetryAt:   ac.promisedAt,
+		RetryAt:   retryAt,
 	}
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -18,6 +18,15 @@
 	Version contract.Version
 }
 
+// LimitOf returns the limit of a customer in a configuration.
+func LimitOf(sn *contract.Snapshot, cu contract.Customer) Limit {
+	return Limit{
+		PerSecond: cu.RatePerSecond,
+		Burst:     cu.Burst,
+		Version:   sn.Version,
+	}
+}
+
 // Unlimited reports whether there is no limit.
 func (li Limit) Unlimited() bool { return li.PerSecond <= 0 }
 
--- /dev/null
+++ b/io/caller/quota.go
@@ -0,0 +1,136 @@
+package caller
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lynxfold/core/call"
+	"lynxfold/core/contract"
+	"lynxfold/core/host"
+	"lynxfold/core/quota"
+	"lynxfold/io/operator/record"
+)
+
+// ReasonQuota is the reason for refusing requests of a customer above its limit.
+const ReasonQuota host.Reason = "quota"
+
+const (
+	// quotaRefusalsPerSecond and quotaRefusalBurst bound the log lines and records of
+	// refusals above a limit, which may come at any rate.
+	quotaRefusalsPerSecond = 5
+	quotaRefusalBurst      = 20
+)
+
+// Quotas admits requests within the limits that hold for all hosts together.
+type Quotas interface {
+	// Admit takes a token for a request of a customer; it may wait for one. When there is
+	// none, it returns when the caller should come back.
+	Admit(cu contract.CustomerName, li quota.Limit) (retryAt time.Time, ok bool)
+	// GiveBack returns the token of a request that was refused without having run.
+	GiveBack(cu contract.CustomerName)
+	// ReportOf returns the use of this host by a customer.
+	ReportOf(cu contract.CustomerName) quota.AccountReport
+}
+
+// quotaToken is the token that a request has taken.
+type quotaToken struct {
+	quotas   Quotas
+	customer contract.CustomerName
+}
+
+// giveBack returns the token once, if there is one.
+func (qt *quotaToken) giveBack() {
+	if qt.quotas != nil {
+		qt.quotas.GiveBack(qt.customer)
+		qt.quotas = nil
+	}
+}
+
+// takeToken takes a token for a request. Requests without a limit, and calls that a running
+// request makes, need none. When there is no token, it returns when the caller should come
+// back.
+func (sv *Server) takeToken(ad *admission, sn *contract.Snapshot) (quotaToken, time.Time, bool) {
+	li := quota.LimitOf(sn, ad.customer)
+	if sv.cfg.Quotas == nil || ad.onBehalf || li.Unlimited() {
+		return quotaToken{}, time.Time{}, true
+	}
+	retryAt, ok := sv.cfg.Quotas.Admit(ad.customer.Name, li)
+	if !ok {
+		now := time.Now()
+		return quotaToken{}, call.JitterRetryAfter(retryAt, now, minRetryAfter, sv.jitter()), false
+	}
+	return quotaToken{
+		quotas:   sv.cfg.Quotas,
+		customer: ad.customer.Name,
+	}, time.Time{}, true
+}
+
+// admitQuota takes a token for a request whose header has been read, or refuses it. Keyed
+// calls take theirs when it is known that they are no repeats.
+func (sv *Server) admitQuota(ctx *fasthttp.RequestCtx, ad *admission) bool {
+	if ad.target.Terms.Keyed {
+		return true
+	}
+	sn := sv.cfg.View().Config
+	token, retryAfter, ok := sv.takeToken(ad, sn)
+	ad.token = token
+	if ok {
+		return true
+	}
+	re := notRunResult(ReasonQuota)
+	re.RetryAfter = retryAfter
+	sv.refuse(ctx, fasthttp.StatusTooManyRequests, re)
+	id := sv.formatCallID(sv.lastCallNumber.Add(1))
+	ctx.Response.Header.Set(HeaderCallID, string(id))
+	sv.recordQuotaRefusal(ctx, ad, sn, id, re)
+	return false
+}
+
+// recordQuotaRefusal logs and records a refusal. Beyond a rate, refusals are only counted.
+func (sv *Server) recordQuotaRefusal(ctx *fasthttp.RequestCtx, ad *admission, sn *contract.Snapshot, id record.CallID, re call.Result) {
+	now := time.Now()
+	if !sv.quotaRefusals.AllowN(now, 1) {
+		return
+	}
+	ar := sv.cfg.Quotas.ReportOf(ad.customer.Name)
+	sv.cfg.Log.Warn().
+		Str("event", "quota_refused").
+		Str("request", sv.cfg.Protocol.RequestID(&ctx.Request.Header)).
+		Str("call", string(id)).
+		Str("route", string(ad.target.Route.Name)).
+		Str("customer", string(ad.customer.Name)).
+		Float64("limit_per_second", ad.customer.RatePerSecond).
+		Float64("demand_per_second", ar.Demand).
+		Str("quota_host", string(ar.QuotaHost)).
+		Int64("come_back_in_ms", re.RetryAfter.Sub(now).Milliseconds()).
+		Uint64("config_version", uint64(sn.Version)).
+		Msg("request was refused above the customer's limit")
+	if sv.cfg.Recorder == nil {
+		return
+	}
+	sv.cfg.Recorder.AddCall(record.Entry{
+		At:      now,
+		Kind:    record.KindRefused,
+		Call:    id,
+		Route:   ad.target.Route.Name,
+		Service: ad.target.Route.Service,
+		Version: sn.Version,
+		Outcome: string(re.Outcome),
+		Reason:  string(re.Reason),
+		Detail:  describeQuota(ar, re, now),
+	})
+}
+
+// describeQuota tells operators which limit a request was refused by.
+func describeQuota(ar quota.AccountReport, re call.Result, now time.Time) string {
+	decimal := func(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+	text := "customer " + string(ar.Customer) + ": limit " + decimal(ar.Limit.PerSecond) + " a second and " +
+		decimal(ar.Limit.Burst) + " at once for all hosts together; this host has " + strconv.Itoa(ar.Tokens) +
+		" tokens left and received " + strconv.FormatFloat(ar.Demand, 'f', 1, 64) + " requests in the last second"
+	if !ar.RefusedUntil.IsZero() {
+		text += "; tokens are likely in " + ar.RefusedUntil.Sub(now).Round(time.Millisecond).String()
+	}
+	return text + "; the caller was told to come back in " + re.RetryAfter.Sub(now).Round(time.Millisecond).String()
+}
--- a/io/node/quotas.go
+++ b/io/node/quotas.go
@@ -242,7 +242,7 @@
 func (qs *Quotas) newestLimit(name contract.CustomerName, rq *wire.QuotaRequest) quota.Limit {
 	sn := qs.cfg.View().Config
 	if cu, ok := sn.Customer(name); ok && uint64(sn.Version) >= rq.GetVersion() {
-		return LimitOf(sn, cu)
+		return quota.LimitOf(sn, cu)
 	}
 	return quota.Limit{
 		PerSecond: rq.GetPerSecond(),
@@ -251,15 +251,6 @@
 	}
 }
 
-// LimitOf returns the limit of a customer in a configuration.
-func LimitOf(sn *contract.Snapshot, cu contract.Customer) quota.Limit {
-	return quota.Limit{
-		PerSecond: cu.RatePerSecond,
-		Burst:     cu.Burst,
-		Version:   sn.Version,
-	}
-}
-
 // startProbe checks whether a host that others report as unresponsive answers; qs.mu is
 // held.
 func (qs *Quotas) startProbe(id host.ID) {
