feat: requests above a customer's limit are refused with 429

The ingress takes a token when the customer is known, before the body is read; keyed calls take theirs before their first claim. A request that is refused later without having run gives its token back once.

--- a/core/quota/keeper.go
+++ b/core/quota/keeper.go
@@ -231,6 +231,10 @@
 	case kb.primarySince.IsZero():
 		kb.primarySince = now
 	}
+	settledAt := kb.primarySince.Add(settleTime)
+	if !kb.primarySince.IsZero() && kb.bucket.refilledAt.Before(settledAt) && !now.Before(settledAt) {
+		kb.bucket.SetRate(kb.bucket.perSecond, kb.limit.depth(), settledAt)
+	}
 	kb.bucket.SetRate(kb.limit.PerSecond*share, kb.depth(now), now)
 }
 
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -42,6 +42,8 @@
 		return fasthttp.StatusUnprocessableEntity
 	case re.Reason == keyed.ReasonInProgress:
 		return fasthttp.StatusConflict
+	case re.Reason == ReasonQuota:
+		return fasthttp.StatusTooManyRequests
 	case re.Outcome == call.OutcomeNotRun:
 		return fasthttp.StatusServiceUnavailable
 	case re.Reason == host.ReasonUpstreamTimeout || re.Reason == host.ReasonDeadline:
--- a/io/caller/customer.go
+++ b/io/caller/customer.go
@@ -41,6 +41,8 @@
 	// hasKeys reports that the configuration has customers, so that Authorization is not
 	// forwarded.
 	hasKeys bool
+	// token is what the request has taken of its customer's quota.
+	token quotaToken
 }
 
 // admitCustomer determines the customer of a request by the configuration of a view. It
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -74,8 +74,10 @@
 	// none. onBehalf reports that a running request makes the call, whose customer it takes.
 	customer contract.Customer
 	onBehalf bool
-	number   uint64
-	callID   record.CallID
+	// token is what the request has taken of its customer's quota.
+	token  quotaToken
+	number uint64
+	callID record.CallID
 	// requestID is the ID that the caller gave to the request; empty if there is
 	// none.
 	requestID string
@@ -295,6 +297,9 @@
 	defer ex.logAnswer(an)
 	sv := ex.server
 	winner := ex.findAttempt(an.Attempt)
+	if an.Result.Outcome == call.OutcomeNotRun {
+		ex.token.giveBack()
+	}
 	ex.releaseLosers(winner)
 	sv.cfg.Counters.countAnswer(an, time.Since(ex.startedAt))
 	sv.cfg.Counters.countServiceAnswer(ex.target.Route.Service, an.Result)
--- a/io/caller/exchange_start.go
+++ b/io/caller/exchange_start.go
@@ -31,6 +31,7 @@
 		target:        call.ResolveFallback(vi, sv.chooseSplitTarget(ad.target)),
 		customer:      ad.customer,
 		onBehalf:      ad.onBehalf,
+		token:         ad.token,
 		number:        sv.lastCallNumber.Add(1),
 		startedAt:     now,
 		method:        string(ctx.Method()),
@@ -43,6 +44,7 @@
 	sv.setDeadlines(ex, now)
 	ex.callID = sv.formatCallID(ex.number)
 	if !ex.readBody() {
+		ex.token.giveBack()
 		se.finish(pr)
 		return false
 	}
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -70,6 +70,9 @@
 	// answers delivers at most one answer to the exchange and is then closed.
 	answers  chan keyedAnswer
 	answered bool
+	// quotaAsked is set when the token of the call has been asked for, and quotaRefused when
+	// there was none.
+	quotaAsked, quotaRefused bool
 	// streaming reports that the answer is still being read from its attempt.
 	streaming bool
 }
@@ -176,7 +179,7 @@
 		for _, ac := range ke.call.Step(ev, time.Now()) {
 			ke.execute(ac)
 		}
-		if ke.call.Done() {
+		if ke.call.Done() || ke.quotaRefused {
 			break
 		}
 		ev = ke.awaitEvent(gone)
@@ -266,7 +269,15 @@
 		ke.sendAnswer(&ka)
 	case keyed.AnswerFromRow:
 		ke.replayAnswer()
-	case keyed.ReadRow, keyed.CreateRow, keyed.UpdateRow:
+	case keyed.CreateRow:
+		if ke.admitQuota(ac.Row) {
+			ke.runRowOperation(ac)
+		}
+	case keyed.UpdateRow:
+		if ke.admitQuota(ac.Row) {
+			ke.runRowOperation(ac)
+		}
+	case keyed.ReadRow:
 		ke.runRowOperation(ac)
 	}
 }
@@ -313,6 +324,9 @@
 func (ex *exchange) answerKeyed(ka keyedAnswer) {
 	sv := ex.server
 	sv.cfg.Counters.countAnswer(ka.answer, time.Since(ex.startedAt))
+	if ka.answer.Result.Outcome == call.OutcomeNotRun {
+		ex.token.giveBack()
+	}
 	if ka.answer.Result.Outcome != call.OutcomeRan || ka.reply.Response == nil {
 		ex.refuse(ka.answer)
 		sv.activeCalls.Add(-1)
--- a/io/caller/quota.go
+++ b/io/caller/quota.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/core/call"
+	"lynxfold/core/call/keyed"
 	"lynxfold/core/contract"
 	"lynxfold/core/host"
 	"lynxfold/core/quota"
@@ -134,3 +135,29 @@
 	}
 	return text + "; the caller was told to come back in " + re.RetryAfter.Sub(now).Round(time.Millisecond).String()
 }
+
+// admitQuota takes a token before the first claim of a keyed call, or refuses the call.
+// Repeats claim nothing, so they need none.
+func (ke *keyedCall) admitQuota(row keyed.Row) bool {
+	ex := ke.exchange
+	if ke.quotaAsked || row.State != keyed.RowClaimed {
+		return true
+	}
+	ke.quotaAsked = true
+	ad := admission{
+		target:   ex.target,
+		customer: ex.customer,
+		onBehalf: ex.onBehalf,
+	}
+	token, retryAfter, ok := ex.server.takeToken(&ad, ex.view.Config)
+	ex.token = token
+	if ok {
+		return true
+	}
+	ke.quotaRefused = true
+	re := notRunResult(ReasonQuota)
+	re.RetryAfter = retryAfter
+	ex.server.recordQuotaRefusal(ex.httpCtx, &ad, ex.view.Config, ex.callID, re)
+	ke.sendAnswer(&keyedAnswer{answer: call.Respond{Result: re}})
+	return false
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -55,6 +55,8 @@
 	Recorder Recorder
 	// Quarantine decides about requests that crash upstreams; nil admits all.
 	Quarantine *upstream.Quarantine
+	// Quotas enforces the limits of customers; nil enforces none.
+	Quotas Quotas
 }
 
 const (
@@ -93,6 +95,8 @@
 	sessions   sessions
 	// keyRefusals limits the log lines and records of refused keys.
 	keyRefusals *rate.Limiter
+	// quotaRefusals limits those of requests above a customer's limit.
+	quotaRefusals *rate.Limiter
 
 	// mu guards the fields below and cfg.Rand.
 	mu              sync.Mutex
@@ -119,10 +123,11 @@
 			DataCentre: cfg.DataCentre,
 			Rand:       cfg.Rand,
 		}),
-		shortages:    call.NewShortageMeter(),
-		keyRefusals:  rate.NewLimiter(keyRefusalsPerSecond, keyRefusalBurst),
-		retryBudgets: newServiceBudgets(call.FleetBudget(cfg.RetryBudget)),
-		hedgeBudgets: newServiceBudgets(call.FleetBudget(hedgeBudgetConfig(cfg.RetryBudget))),
+		shortages:     call.NewShortageMeter(),
+		keyRefusals:   rate.NewLimiter(keyRefusalsPerSecond, keyRefusalBurst),
+		quotaRefusals: rate.NewLimiter(quotaRefusalsPerSecond, quotaRefusalBurst),
+		retryBudgets:  newServiceBudgets(call.FleetBudget(cfg.RetryBudget)),
+		hedgeBudgets:  newServiceBudgets(call.FleetBudget(hedgeBudgetConfig(cfg.RetryBudget))),
 	}
 	sv.SetLimits(Limits{
 		MaxHeaderBytes: cfg.MaxHeaderBytes,
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -158,10 +158,14 @@
 	if status == fasthttp.StatusUnauthorized {
 		return se.finishUnauthorized(pr)
 	}
+	if status == 0 && !se.server.admitQuota(ctx, &ad) {
+		status = fasthttp.StatusTooManyRequests
+	}
 	if status != 0 {
 		return se.finishUnread(pr)
 	}
 	if err := se.prepareBody(ctx); err != nil {
+		ad.token.giveBack()
 		se.server.refuseMalformed(ctx, err)
 		ctx.SetConnectionClose()
 		se.finish(pr)
