fix: repeats of keyed calls are answered above the limit

A keyed call claims its row before it knows that it is a repeat. Without a token, the row is read first; a repeat that took a token gives it back.

--- a/core/quota/keeper.go
+++ b/core/quota/keeper.go
@@ -150,23 +150,26 @@
 	return roleNone, ""
 }
 
-// share returns the part of the rate that the hosts in reach hand out.
-func (ke *Keeper) share(ro role, now time.Time) float64 {
+// rate returns how many tokens a second this host hands out. The hosts in reach hand out
+// their part of the limit. A host that stands in, or whose others have joined lately, hands
+// out less of that, because another host may do so too.
+func (ke *Keeper) rate(li Limit, ro role, now time.Time) float64 {
 	live := len(ke.hosts.Live)
 	total := live + ke.hosts.Lost(now)
 	if live <= 1 {
 		total = max(total, ke.cfg.FleetSize)
 	}
+	full := li.PerSecond * float64(max(1, live)) / float64(max(1, total))
 	for _, jo := range ke.joins {
 		if now.Before(jo.until) {
 			live -= jo.hosts
 		}
 	}
-	share := float64(max(1, live)) / float64(max(1, total))
+	rate := li.PerSecond * float64(max(1, live)) / float64(max(1, total))
 	if ro == roleStandIn {
-		share *= standInShare
+		rate *= standInShare
 	}
-	return share
+	return min(full, max(rate, minHandoverRate))
 }
 
 // Take handles the request of a host.
@@ -185,7 +188,7 @@
 		return re
 	}
 	kb := ke.keptBucket(rq, ro, now)
-	kb.update(rq.Limit, ro, ke.share(ro, now), now)
+	kb.update(ke, rq.Limit, ro, now)
 	kb.askedAt = now
 	granted, retryAt := kb.bucket.Take(rq.Want, rq.Returned, now)
 	kb.granted += uint64(granted)
@@ -206,22 +209,22 @@
 	if kb != nil {
 		return kb
 	}
-	share := ke.share(ro, now)
+	rate := ke.rate(rq.Limit, ro, now)
 	kb = &keptBucket{
-		bucket: NewBucket(rq.Limit.PerSecond*share, rq.Limit.takeoverDepth(), now),
+		bucket: NewBucket(rate, rq.Limit.takeoverDepth(), now),
 		limit:  rq.Limit,
 		byHost: map[host.ID]uint64{},
 	}
 	ke.buckets[rq.Customer] = kb
 	if ro == rolePrimary {
 		kb.primarySince = ke.lostAt
-		kb.bucket = NewBucket(rq.Limit.PerSecond*share, kb.depth(now), ke.lostAt)
+		kb.bucket = NewBucket(rate, kb.depth(now), ke.lostAt)
 	}
 	return kb
 }
 
 // update adapts the bucket to a changed limit, role or share of the rate.
-func (kb *keptBucket) update(li Limit, ro role, share float64, now time.Time) {
+func (kb *keptBucket) update(ke *Keeper, li Limit, ro role, now time.Time) {
 	if li.Version > kb.limit.Version {
 		kb.limit = li
 	}
@@ -235,7 +238,7 @@
 	if !kb.primarySince.IsZero() && kb.bucket.refilledAt.Before(settledAt) && !now.Before(settledAt) {
 		kb.bucket.SetRate(kb.bucket.perSecond, kb.limit.depth(), settledAt)
 	}
-	kb.bucket.SetRate(kb.limit.PerSecond*share, kb.depth(now), now)
+	kb.bucket.SetRate(ke.rate(kb.limit, ro, now), kb.depth(now), now)
 }
 
 func (kb *keptBucket) depth(now time.Time) float64 {
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -52,6 +52,10 @@
 	// not answer but is not known to be lost. For about 2 s both may hand out tokens, and a
 	// window has room for half of a second's rate.
 	standInShare = 0.25
+	// minHandoverRate is what a host hands out in any case while it stands in or others have
+	// just joined, up to the limit. Small customers would be refused most of their calls
+	// otherwise, and 3 a second for 3 s are within the slack of a window.
+	minHandoverRate = 3.0
 	// tokenLifetime is how long a token may be used. Late use moves requests from one
 	// window into the next; with 500 ms at most a tenth of a window's.
 	tokenLifetime = 500 * time.Millisecond
--- a/io/caller/bench_test.go
+++ b/io/caller/bench_test.go
@@ -62,13 +62,23 @@
 	ingress   string
 	upstreams []string
 	set       *metrics.Set
+	quotas    caller.Quotas
 }
 
 // startBenchPath starts a benchPath. With rotate, each call sees a single
 // upstream, in round-robin order.
 func startBenchPath(b *testing.B, rotate bool, upstreams ...standin.Config) *benchPath {
 	b.Helper()
-	bp := &benchPath{set: metrics.NewSet()}
+	return startBenchPathWith(b, rotate, nil, upstreams...)
+}
+
+// startBenchPathWith is like startBenchPath, with quotas of a customer unless they are nil.
+func startBenchPathWith(b *testing.B, rotate bool, quotas caller.Quotas, upstreams ...standin.Config) *benchPath {
+	b.Helper()
+	bp := &benchPath{
+		set:    metrics.NewSet(),
+		quotas: quotas,
+	}
 	var all []datacentre.Upstream
 	for i, cfg := range upstreams {
 		up, announceTo := startGate(b, i)
@@ -129,6 +139,13 @@
 	b.Helper()
 	doc, err := contract.ParseDocument([]byte(benchDocument))
 	assert.NilError(b, err)
+	if bp.quotas != nil {
+		doc.Customers = []contract.Customer{{
+			Name:          "bench",
+			Keys:          []contract.KeyDigest{contract.DigestKey([]byte("bench"))},
+			RatePerSecond: 1,
+		}}
+	}
 	sn, err := contract.Compile(1, doc)
 	assert.NilError(b, err)
 	views := []*datacentre.View{{
@@ -163,6 +180,7 @@
 		Rand:     rand.New(rand.NewPCG(1, 2)),
 		Log:      zerolog.Nop(),
 		Counters: caller.NewCounters(bp.set),
+		Quotas:   bp.quotas,
 	})
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -324,7 +324,7 @@
 func (ex *exchange) answerKeyed(ka keyedAnswer) {
 	sv := ex.server
 	sv.cfg.Counters.countAnswer(ka.answer, time.Since(ex.startedAt))
-	if ka.answer.Result.Outcome == call.OutcomeNotRun {
+	if ka.replayed || ka.answer.Result.Outcome == call.OutcomeNotRun {
 		ex.token.giveBack()
 	}
 	if ka.answer.Result.Outcome != call.OutcomeRan || ka.reply.Response == nil {
--- a/io/caller/quota.go
+++ b/io/caller/quota.go
@@ -136,8 +136,8 @@
 	return text + "; the caller was told to come back in " + re.RetryAfter.Sub(now).Round(time.Millisecond).String()
 }
 
-// admitQuota takes a token before the first claim of a keyed call, or refuses the call.
-// Repeats claim nothing, so they need none.
+// admitQuota takes a token before the first claim of a keyed call, or refuses the call. A
+// repeat, whose claim will fail, gives the token back when it is answered.
 func (ke *keyedCall) admitQuota(row keyed.Row) bool {
 	ex := ke.exchange
 	if ke.quotaAsked || row.State != keyed.RowClaimed {
@@ -151,7 +151,7 @@
 	}
 	token, retryAfter, ok := ex.server.takeToken(&ad, ex.view.Config)
 	ex.token = token
-	if ok {
+	if ok || ke.isRepeat() {
 		return true
 	}
 	ke.quotaRefused = true
@@ -161,3 +161,12 @@
 	ke.sendAnswer(&keyedAnswer{answer: call.Respond{Result: re}})
 	return false
 }
+
+// isRepeat reports whether the table has a row of the call, so that it does not run again.
+func (ke *keyedCall) isRepeat() bool {
+	re, err := ke.exchange.server.cfg.KeyStore.Read(ke.context, ke.key)
+	if err != nil {
+		return false // without a token, the call may only run if it has run before
+	}
+	return rowStates[re.State] == keyed.RowClaimed || rowStates[re.State] == keyed.RowFinished
+}
