--- a/cmd/process/mesh.go
+++ b/cmd/process/mesh.go
@@ -17,13 +17,15 @@
 	settings *ini.Settings
 	control  *Control
 	dialer   *node.Dialer
+	quotas   *node.Quotas
 }
 
-func newMesh(se *ini.Settings, ct *Control, di *node.Dialer) *mesh {
+func newMesh(se *ini.Settings, ct *Control, di *node.Dialer, qs *node.Quotas) *mesh {
 	return &mesh{
 		settings: se,
 		control:  ct,
 		dialer:   di,
+		quotas:   qs,
 	}
 }
 
@@ -81,15 +83,32 @@
 		Host:           host.ID(an.GetHost()),
 		Version:        contract.Version(an.GetVersion()),
 		RefusedVersion: contract.Version(an.GetRefused()),
+		Customers:      customerUses(an.GetCustomers()),
 	}, nil
 }
 
+func customerUses(of []*wire.CustomerUse) []operator.CustomerUse {
+	uses := make([]operator.CustomerUse, 0, len(of))
+	for _, cu := range of {
+		uses = append(uses, operator.CustomerUse{
+			Customer:         contract.CustomerName(cu.GetCustomer()),
+			ServedPerSecond:  cu.GetServedPerSecond(),
+			RefusedPerSecond: cu.GetRefusedPerSecond(),
+		})
+	}
+	return uses
+}
+
+// CustomerUse implements operator.Mesh.
+func (ms *mesh) CustomerUse() []operator.CustomerUse { return customerUses(ms.quotas.CustomerUse()) }
+
 // surveyAnswer returns this node's answer to another node's survey.
 func (ms *mesh) surveyAnswer() *wire.SurveyAnswer {
 	an := &wire.SurveyAnswer{
 		Host:    string(ms.settings.Host.ID),
 		Version: uint64(ms.control.View().Config.Version),
 	}
+	an.Customers = ms.quotas.CustomerUse()
 	for _, re := range ms.control.Report().Refused {
 		an.Refused = max(an.Refused, uint64(re.Version))
 	}
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -88,6 +88,7 @@
 		rows = append(rows, []string{string(se.Service), strconv.Itoa(se.Upstreams)})
 	}
 	table(co.out, rows)
+	co.printCustomers(st)
 	for _, re := range st.RefusedVersions {
 		_, _ = fmt.Fprintf(co.out, "\nversion %d was refused by host %s: %s\n", re.Version, st.Host, re.Detail)
 	}
@@ -96,6 +97,26 @@
 	}
 }
 
+func (co *statusCommand) printCustomers(st operator.Status) {
+	if len(st.Customers) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(co.out)
+	rows := [][]string{{"CUSTOMER", "LIMIT/S", "BURST", "SERVED/S", "REFUSED/S", "QUOTA HOST", "SHARE BY HOST"}}
+	for _, cs := range st.Customers {
+		rows = append(rows, []string{
+			string(cs.Customer),
+			strconv.FormatFloat(cs.LimitPerSecond, 'f', -1, 64),
+			strconv.FormatFloat(cs.Burst, 'f', -1, 64),
+			strconv.FormatFloat(cs.ServedPerSecond, 'f', 1, 64),
+			strconv.FormatFloat(cs.RefusedPerSecond, 'f', 1, 64),
+			string(cs.QuotaHost),
+			cs.DescribeShares(),
+		})
+	}
+	table(co.out, rows)
+}
+
 func dataCentreRow(ce operator.DataCentreStatus) []string {
 	readers := make([]string, 0, len(ce.Readers))
 	for _, id := range ce.Readers {
--- a/core/quota/keeper.go
+++ b/core/quota/keeper.go
@@ -48,9 +48,6 @@
 	// primarySince is since when this host is the quota host; zero while it stands in.
 	primarySince time.Time
 	askedAt      time.Time
-	granted      uint64
-	refused      uint64
-	byHost       map[host.ID]uint64
 }
 
 // NewKeeper returns a keeper without buckets.
@@ -173,7 +170,7 @@
 }
 
 // Take handles the request of a host.
-func (ke *Keeper) Take(from host.ID, rq Request, now time.Time) Reply {
+func (ke *Keeper) Take(rq Request, now time.Time) Reply {
 	if rq.Want <= 0 && rq.Returned <= 0 {
 		return Reply{}
 	}
@@ -191,11 +188,6 @@
 	kb.update(ke, rq.Limit, ro, now)
 	kb.askedAt = now
 	granted, retryAt := kb.bucket.Take(rq.Want, rq.Returned, now)
-	kb.granted += uint64(granted)
-	kb.byHost[from] += uint64(granted)
-	if granted < rq.Want {
-		kb.refused++
-	}
 	return Reply{
 		Granted: granted,
 		RetryAt: retryAt,
@@ -213,7 +205,6 @@
 	kb = &keptBucket{
 		bucket: NewBucket(rate, rq.Limit.takeoverDepth(), now),
 		limit:  rq.Limit,
-		byHost: map[host.ID]uint64{},
 	}
 	ke.buckets[rq.Customer] = kb
 	if ro == rolePrimary {
@@ -267,38 +258,3 @@
 		}
 	}
 }
-
-// BucketReport is the state of a bucket for operators.
-type BucketReport struct {
-	Customer contract.CustomerName
-	Limit    Limit
-	// Share is the part of the rate that this host hands out.
-	Share   float64
-	Tokens  float64
-	Granted uint64
-	// Refused is the number of requests for tokens that were not granted in full.
-	Refused uint64
-	ByHost  map[host.ID]uint64
-}
-
-// Report returns the state of all buckets of this host.
-func (ke *Keeper) Report(now time.Time) []BucketReport {
-	reports := make([]BucketReport, 0, len(ke.buckets))
-	for cu, kb := range ke.buckets {
-		kb.bucket.refill(now)
-		byHost := make(map[host.ID]uint64, len(kb.byHost))
-		for id, n := range kb.byHost {
-			byHost[id] = n
-		}
-		reports = append(reports, BucketReport{
-			Customer: cu,
-			Limit:    kb.limit,
-			Share:    kb.bucket.perSecond / kb.limit.PerSecond,
-			Tokens:   kb.bucket.tokens,
-			Granted:  kb.granted,
-			Refused:  kb.refused,
-			ByHost:   byHost,
-		})
-	}
-	return reports
-}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -332,7 +332,9 @@
 	Customer contract.CustomerName
 	Limit    Limit
 	// Demand is the number of requests a second.
-	Demand   float64
+	Demand float64
+	// Served is the number of admitted requests a second.
+	Served   float64
 	Tokens   int
 	Admitted uint64
 	Refused  uint64
@@ -362,6 +364,7 @@
 		Customer:  cu,
 		Limit:     ac.limit,
 		Demand:    average(ac.demand, ac.arrivedAt, now),
+		Served:    average(ac.served, ac.servedAt, now),
 		Tokens:    ac.tokens,
 		Admitted:  ac.admitted,
 		Refused:   ac.refused,
--- a/core/quota/script_test.go
+++ b/core/quota/script_test.go
@@ -91,7 +91,7 @@
 		sc.keeper.MarkUnresponsive(host.ID(td.CmdArgs[0].Key), sc.now)
 		return ""
 	case "take":
-		return sc.take(sc.keeper.Take("asker", quota.Request{
+		return sc.take(sc.keeper.Take(quota.Request{
 			Customer:   cu,
 			Limit:      sc.limit,
 			Want:       scan[int](t, td, "want"),
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -212,7 +212,7 @@
 // replyTimeout.
 func (si *sim) ask(from, to *simHost, rq quota.Request, done func(*quota.Reply)) {
 	if from == to {
-		re := to.keeper.Take(from.id, rq, si.now)
+		re := to.keeper.Take(rq, si.now)
 		done(&re)
 		return
 	}
@@ -225,7 +225,7 @@
 		}
 	})
 	si.deliver(from, to, func() {
-		re := to.keeper.Take(from.id, rq, si.now)
+		re := to.keeper.Take(rq, si.now)
 		if re.Probe != "" {
 			si.probe(to, re.Probe)
 		}
--- a/io/node/quotas.go
+++ b/io/node/quotas.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -177,7 +179,7 @@
 		now := time.Now()
 		qs.mu.Lock()
 		defer qs.mu.Unlock()
-		return qs.keeper.Take(lh.ID, rq, now), nil
+		return qs.keeper.Take(rq, now), nil
 	}
 	re, err := qs.cfg.Asker.AskQuota(lh.Address, &wire.QuotaRequest{
 		Customer:   string(rq.Customer),
@@ -217,7 +219,7 @@
 	if li.Unlimited() {
 		return &wire.QuotaReply{Granted: rq.GetTokens()}
 	}
-	re := qs.keeper.Take(host.ID(rq.GetHost()), quota.Request{
+	re := qs.keeper.Take(quota.Request{
 		Customer:   name,
 		Limit:      li,
 		Want:       int(min(rq.GetTokens(), maxTokensPerRequest)),
@@ -281,12 +283,24 @@
 	qs.counters.returned.Inc()
 }
 
-// Reports returns the use of this host by each customer, and the buckets that it keeps.
-func (qs *Quotas) Reports() ([]quota.AccountReport, []quota.BucketReport) {
-	now := time.Now()
+// maxReportedCustomers limits the customers of a survey's answer.
+const maxReportedCustomers = 100
+
+// CustomerUse returns the use of this host by customers with limits, the largest first.
+func (qs *Quotas) CustomerUse() []*wire.CustomerUse {
 	qs.mu.Lock()
-	defer qs.mu.Unlock()
-	return qs.ledger.Report(now), qs.keeper.Report(now)
+	reports := qs.ledger.Report(time.Now())
+	qs.mu.Unlock()
+	slices.SortFunc(reports, func(a, b quota.AccountReport) int { return cmp.Compare(b.Demand, a.Demand) })
+	var uses []*wire.CustomerUse
+	for _, ar := range reports[:min(len(reports), maxReportedCustomers)] {
+		uses = append(uses, &wire.CustomerUse{
+			Customer:         string(ar.Customer),
+			ServedPerSecond:  ar.Served,
+			RefusedPerSecond: max(0, ar.Demand-ar.Served),
+		})
+	}
+	return uses
 }
 
 // ReportOf returns the use of this host by one customer.
--- a/io/operator/fake_mesh_test.go
+++ b/io/operator/fake_mesh_test.go
@@ -36,6 +36,8 @@
 	return []operator.RefusedVersion{{Version: 9, Detail: "digest"}}
 }
 
+func (fakeMesh) CustomerUse() []operator.CustomerUse { return nil }
+
 func (fakeMesh) QueryHost(_ context.Context, address string) (operator.HostAnswer, error) {
 	if address == "10.0.0.2:7400" {
 		return operator.HostAnswer{Host: "curing-room-1", RefusedVersion: 9}, nil
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -32,6 +32,8 @@
 	DataCentres() []DataCentreStatus
 	// RefusedVersions lists the versions that this node could not activate.
 	RefusedVersions() []RefusedVersion
+	// CustomerUse returns the use of this node by customers with limits.
+	CustomerUse() []CustomerUse
 	// QueryHost queries the node at a link address for its active version.
 	QueryHost(ctx context.Context, address string) (HostAnswer, error)
 }
@@ -42,6 +44,7 @@
 	Version contract.Version
 	// RefusedVersion is the highest version that the node could not activate; 0 if there is none.
 	RefusedVersion contract.Version
+	Customers      []CustomerUse
 }
 
 // Status is the state of the mesh as seen by one node.
@@ -57,6 +60,9 @@
 	Services        []ServiceStatus    `json:"services"`
 	DataCentres     []DataCentreStatus `json:"data_centres"`
 	RefusedVersions []RefusedVersion   `json:"refused_versions"`
+	// Customers are those with limits that were active lately; without a survey, only at
+	// this node.
+	Customers []CustomerStatus `json:"customers,omitempty"`
 }
 
 // ServiceStatus is the number of usable upstreams of a service.
@@ -86,6 +92,7 @@
 	Version  contract.Version `json:"config_version,omitempty"`
 	// RefusedVersion is the highest version that the host could not activate.
 	RefusedVersion contract.Version `json:"refused_version,omitempty"`
+	customers      []CustomerUse
 }
 
 // RefusedVersion is a version that could not be activated.
@@ -120,6 +127,7 @@
 			Upstreams: len(vi.Upstreams[se.Name]),
 		})
 	}
+	st.Customers = sv.localCustomerStatuses(&st, vi)
 	return st
 }
 
@@ -156,12 +164,13 @@
 	}
 	wg.Wait()
 	st.Surveyed = true
+	st.Customers = customerStatuses(st, sv.cfg.View())
 	st.OldestVersion = oldestVersion(st)
 }
 
 func (sv *Server) queryHost(ctx context.Context, ho *HostStatus) {
 	if ho.Host == sv.cfg.Host {
-		ho.Answered, ho.Version = true, sv.cfg.View().Config.Version
+		ho.Answered, ho.Version, ho.customers = true, sv.cfg.View().Config.Version, sv.cfg.Mesh.CustomerUse()
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, hostQueryTimeout)
@@ -170,7 +179,7 @@
 	if err != nil || an.Host != ho.Host {
 		return
 	}
-	ho.Answered, ho.Version, ho.RefusedVersion = true, an.Version, an.RefusedVersion
+	ho.Answered, ho.Version, ho.RefusedVersion, ho.customers = true, an.Version, an.RefusedVersion, an.Customers
 }
 
 // oldestVersion returns the lowest active version among this node and the hosts that
