fix: a stand-in hands out 15 % of the rate

Both the quota host and its stand-in hand out tokens until a cut is known, for up to 3 s. The wait for a token counts towards the call's deadline.

--- a/core/datacentre/script_test.go
+++ b/core/datacentre/script_test.go
@@ -51,6 +51,8 @@
 		si.run(span)
 	case "show":
 		return si.show()
+	case "hosts":
+		return si.showHostList(td)
 	case "notes":
 		return si.notes(td)
 	case "platform":
@@ -181,6 +183,16 @@
 	return sb.String()
 }
 
+// showHostList prints the host list of a host's view.
+func (si *simulation) showHostList(td *datadriven.TestData) string {
+	hl := si.hosts[host.ID(td.CmdArgs[0].Key)].view.Hosts
+	var live []string
+	for _, lh := range hl.Live {
+		live = append(live, strings.TrimPrefix(string(lh.ID), "host-"))
+	}
+	return fmt.Sprintf("live %s, separated %d, died %d\n", strings.Join(live, " "), hl.Separated, len(hl.LostUntil))
+}
+
 // notes prints for each given kind whether it was noted since the last call.
 func (si *simulation) notes(td *datadriven.TestData) string {
 	var sb strings.Builder
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -49,9 +49,9 @@
 	// other hosts may have taken over in the meantime.
 	pauseThreshold = 800 * time.Millisecond
 	// standInShare is the part of the rate that a host hands out while the quota host does
-	// not answer but is not known to be lost. For about 2 s both may hand out tokens, and a
-	// window has room for half of a second's rate.
-	standInShare = 0.25
+	// not answer but is not known to be lost. For up to 3 s both may hand out tokens, and a
+	// window has room for about half of a second's rate.
+	standInShare = 0.15
 	// minHandoverRate is what a host hands out in any case while it stands in or others have
 	// just joined, up to the limit. Small customers would be refused most of their calls
 	// otherwise, and 3 a second for 3 s are within the slack of a window.
--- a/io/caller/customer.go
+++ b/io/caller/customer.go
@@ -43,6 +43,8 @@
 	hasKeys bool
 	// token is what the request has taken of its customer's quota.
 	token quotaToken
+	// quotaWait is how long the request waited for the token.
+	quotaWait time.Duration
 }
 
 // admitCustomer determines the customer of a request by the configuration of a view. It
--- a/io/caller/exchange_start.go
+++ b/io/caller/exchange_start.go
@@ -18,7 +18,8 @@
 // true once the next request can be read, and false if the connection can't be used
 // for another one.
 func (sv *Server) startExchange(se *session, pr *pendingRequest, ad admission) bool {
-	now := time.Now()
+	// The wait for a token counts towards the deadline.
+	now := time.Now().Add(-ad.quotaWait)
 	ctx := pr.httpCtx
 	vi := sv.cfg.View()
 	ex := &exchange{
--- a/io/caller/quota.go
+++ b/io/caller/quota.go
@@ -75,8 +75,9 @@
 		return true
 	}
 	sn := sv.cfg.View().Config
+	begun := time.Now()
 	token, retryAfter, ok := sv.takeToken(ad, sn)
-	ad.token = token
+	ad.token, ad.quotaWait = token, time.Since(begun)
 	if ok {
 		return true
 	}
--- a/testkit/quotas_test.go
+++ b/testkit/quotas_test.go
@@ -195,4 +195,6 @@
 	t.Logf("largest window %d of %d; statuses: loud %v, quiet %v", largest, allowed, ql.statuses["loud"], ql.statuses["quiet"])
 	assert.Check(t, largest <= allowed)
 	assert.Check(t, largest > loudPerSecond*4, "the limit was never reached")
+	quiet := ql.statuses["quiet"]
+	assert.Check(t, quiet[fasthttp.StatusTooManyRequests] <= quiet[fasthttp.StatusOK]/10, "the small customer was refused below its limit")
 }
