fix: fewer refusals below the limit after kills

A quota host whose address refuses connections hands out nothing, so the next one hands out the whole rate; a restarted host hands out 40 % for a second.

--- a/core/quota/keeper.go
+++ b/core/quota/keeper.go
@@ -30,7 +30,7 @@
 	joins        []join
 	tickedAt     time.Time
 	buckets      map[contract.CustomerName]*keptBucket
-	unresponsive map[host.ID]time.Time
+	unresponsive map[host.ID]silence
 	sweptAt      time.Time
 	rank         []datacentre.LiveHost
 }
@@ -57,7 +57,7 @@
 		hosts:        &datacentre.HostList{},
 		lostAt:       cfg.StartedAt,
 		buckets:      map[contract.CustomerName]*keptBucket{},
-		unresponsive: map[host.ID]time.Time{},
+		unresponsive: map[host.ID]silence{},
 	}
 }
 
@@ -107,26 +107,34 @@
 	ke.tickedAt = now
 }
 
-// MarkUnresponsive notes that a host did not answer.
-func (ke *Keeper) MarkUnresponsive(id host.ID, now time.Time) {
-	ke.unresponsive[id] = now.Add(unresponsivePeriod)
+// silence is what is known of a host that does not answer.
+type silence struct {
+	until time.Time
+	// stopped is set when its address refuses connections: it hands out nothing.
+	stopped bool
+}
+
+// MarkUnresponsive notes that a host did not answer. stopped is set when its address refuses
+// connections.
+func (ke *Keeper) MarkUnresponsive(id host.ID, stopped bool, now time.Time) {
+	ke.unresponsive[id] = silence{
+		until:   now.Add(unresponsivePeriod),
+		stopped: stopped,
+	}
 }
 
 // MarkResponsive notes that a host answered.
 func (ke *Keeper) MarkResponsive(id host.ID) { delete(ke.unresponsive, id) }
 
-// Unresponsive reports whether a host did not answer lately.
-func (ke *Keeper) Unresponsive(id host.ID, now time.Time) bool {
-	until, found := ke.unresponsive[id]
-	return found && now.Before(until)
-}
-
 // role says why this host hands out the tokens of a customer.
 type role int
 
 const (
 	roleNone role = iota
+	// roleStandIn: the hosts before this one do not answer, but may hand out tokens.
 	roleStandIn
+	// roleSuccessor: the processes of the hosts before this one have ended.
+	roleSuccessor
 	rolePrimary
 )
 
@@ -134,13 +142,19 @@
 // one stands in for it.
 func (ke *Keeper) roleFor(cu contract.CustomerName, now time.Time) (role, host.ID) {
 	ke.rank = ke.hosts.Rank(ke.rank[:0], string(cu), rankedHosts)
-	for i, lh := range ke.rank {
+	ro := rolePrimary
+	for _, lh := range ke.rank {
+		if lh.ID == ke.cfg.Host {
+			return ro, ""
+		}
+		si := ke.unresponsive[lh.ID]
+		silent := now.Before(si.until)
 		switch {
-		case lh.ID == ke.cfg.Host && i == 0:
-			return rolePrimary, ""
-		case lh.ID == ke.cfg.Host:
-			return roleStandIn, ""
-		case !lh.Suspect && !ke.Unresponsive(lh.ID, now):
+		case silent && si.stopped:
+			ro = min(ro, roleSuccessor)
+		case silent || lh.Suspect:
+			ro = roleStandIn
+		default:
 			return roleNone, lh.ID
 		}
 	}
@@ -162,7 +176,7 @@
 			live -= jo.hosts
 		}
 	}
-	rate := li.PerSecond * float64(max(1, live)) / float64(max(1, total))
+	rate := max(li.PerSecond*float64(max(1, live))/float64(max(1, total)), joinShare*full)
 	if ro == roleStandIn {
 		rate *= standInShare
 	}
@@ -252,8 +266,8 @@
 			delete(ke.buckets, cu)
 		}
 	}
-	for id, until := range ke.unresponsive {
-		if now.After(until) {
+	for id, si := range ke.unresponsive {
+		if now.After(si.until) {
 			delete(ke.unresponsive, id)
 		}
 	}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -43,8 +43,12 @@
 	// the burst. It is the length of the window for which the limit is guaranteed.
 	settleTime = 5 * time.Second
 	// joinTime is how long the other hosts may take to learn of a host that has joined. Until
-	// then they may ask the previous quota host, so the new one hands out only its own part.
+	// then they may ask the previous quota host, so the new one hands out only a part.
 	joinTime = time.Second
+	// joinShare is the least part of its rate that a host hands out meanwhile. Two hosts then
+	// hand out 0.4 s of the rate too much at most; with no such part, customers below their
+	// limit are refused for a second after each restart.
+	joinShare = 0.4
 	// pauseThreshold is the time between two ticks from which this host counts as paused;
 	// other hosts may have taken over in the meantime.
 	pauseThreshold = 800 * time.Millisecond
--- a/core/quota/script_test.go
+++ b/core/quota/script_test.go
@@ -90,7 +90,7 @@
 		sc.ledger.GiveBack(cu, sc.now)
 		return ""
 	case "unresponsive":
-		sc.keeper.MarkUnresponsive(host.ID(td.CmdArgs[0].Key), sc.now)
+		sc.keeper.MarkUnresponsive(host.ID(td.CmdArgs[0].Key), td.HasArg("stopped"), sc.now)
 		return ""
 	case "take":
 		return sc.take(sc.keeper.Take(quota.Request{
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -218,7 +218,11 @@
 	}
 	si.bytes += requestBytes
 	ended := false
-	si.after(replyTimeout, func() {
+	timeout := replyTimeout
+	if to.dead && to.side == from.side {
+		timeout = si.latency() // its address refuses connections
+	}
+	si.after(timeout, func() {
 		if !ended {
 			ended = true
 			done(nil)
@@ -251,14 +255,20 @@
 	from.probing[id] = true
 	si.ask(from, si.host(id), quota.Request{}, func(re *quota.Reply) {
 		delete(from.probing, id)
-		if re == nil {
-			from.keeper.MarkUnresponsive(id, si.now)
-		} else {
-			from.keeper.MarkResponsive(id)
-		}
+		from.answered(id, re, si)
 	})
 }
 
+// answered notes whether a host answered.
+func (sh *simHost) answered(id host.ID, re *quota.Reply, si *sim) {
+	if re != nil {
+		sh.keeper.MarkResponsive(id)
+		return
+	}
+	to := si.host(id)
+	sh.keeper.MarkUnresponsive(id, to.dead && to.side == sh.side, si.now)
+}
+
 func (si *sim) host(id host.ID) *simHost {
 	at := slices.IndexFunc(si.hosts, func(sh *simHost) bool { return sh.id == id })
 	return si.hosts[at]
@@ -309,7 +319,9 @@
 		}
 		if re == nil {
 			le.TimedOut(cu, de.Host.ID, si.now)
+			sh.answered(de.Host.ID, nil, si)
 		} else {
+			sh.answered(de.Host.ID, re, si)
 			le.Replied(cu, de.Host.ID, *re, sentAt, si.now)
 		}
 		next()
--- a/core/quota/table_test.go
+++ b/core/quota/table_test.go
@@ -27,16 +27,23 @@
 	waitP50, waitP99 time.Duration
 }
 
+// permittedRefusals is the part of the requests below the limit that may be refused. With
+// kills, a host is killed and restarted every 5 s.
+var permittedRefusals = map[string]float64{
+	"quota hosts": 0.01,
+	"with kills":  0.02,
+}
+
 // TestPlayedLoad compares equal parts, this design, and one request to the quota host for
 // each request, under the same load. It guards against refusals below the limit.
 func TestPlayedLoad(t *testing.T) {
-	for _, design := range []string{"equal parts", "quota hosts", "one ask for each"} {
+	for _, design := range []string{"equal parts", "quota hosts", "with kills", "one ask for each"} {
 		ro := playTable(design, *tableHosts, 30*time.Second)
 		t.Logf("%3d hosts, %-16s asked %6d served %6d below the limit %6d refused of these %5d (%.2f %%) largest window %.2f of allowed, per host %.1f messages/s %.0f bytes/s, wait p50 %v p99 %v",
 			*tableHosts, design, ro.asked, ro.served, ro.belowLimit, ro.refusedBelow, 100*float64(ro.refusedBelow)/float64(ro.belowLimit),
 			ro.largestWindow, ro.messages, ro.bytes, ro.waitP50, ro.waitP99)
-		if design == "quota hosts" {
-			assert.Assert(t, float64(ro.refusedBelow) < 0.01*float64(ro.belowLimit))
+		if permitted, found := permittedRefusals[design]; found {
+			assert.Assert(t, float64(ro.refusedBelow) < permitted*float64(ro.belowLimit))
 			assert.Assert(t, ro.largestWindow <= 1)
 		}
 	}
@@ -93,11 +100,31 @@
 			}
 		})
 	}
+	if design == "with kills" {
+		for at := 4 * time.Second; at < lasts; at += 5 * time.Second {
+			sh := si.hosts[si.rnd.IntN(len(si.hosts))]
+			si.playRestart(sh, at, 3*time.Second)
+		}
+	}
 	si.run(lasts)
 	si.summarize(&ro, lasts)
 	return ro
 }
 
+// playRestart kills a host and starts it again.
+func (si *sim) playRestart(sh *simHost, at, lasts time.Duration) {
+	si.after(at, func() {
+		sh.dead, sh.diedAt = true, si.now
+		si.topologyChanged(maxDetectTime)
+	})
+	si.after(at+lasts, func() {
+		sh.dead = false
+		si.reset(sh, si.now)
+		si.refreshView(sh)
+		si.topologyChanged(maxJoinTime)
+	})
+}
+
 // loadDesign lets the requests of a customer arrive under one of the designs.
 func (si *sim) loadDesign(design string, cu contract.CustomerName, li quota.Limit, rate func() float64, at func() *simHost, onRefused func() func()) {
 	cl := si.customers[cu]
@@ -111,7 +138,7 @@
 		sh := at()
 		refused := onRefused()
 		switch design {
-		case "quota hosts":
+		case "quota hosts", "with kills":
 			si.arrive(cu, sh, refused)
 		default:
 			if part == 1 {
--- a/io/node/quotas.go
+++ b/io/node/quotas.go
@@ -5,9 +5,11 @@
 	"context"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
@@ -167,7 +169,7 @@
 	qs.counters.countAsk(de.Request, re, err)
 	if err != nil {
 		qs.ledger.TimedOut(cu, de.Host.ID, now)
-		qs.keeper.MarkUnresponsive(de.Host.ID, now)
+		qs.keeper.MarkUnresponsive(de.Host.ID, errors.Is(err, syscall.ECONNREFUSED), now)
 	} else {
 		qs.ledger.Replied(cu, de.Host.ID, re, sentAt, now)
 		qs.keeper.MarkResponsive(de.Host.ID)
@@ -278,7 +280,7 @@
 		delete(qs.probing, id)
 		qs.counters.countProbe(err)
 		if err != nil {
-			qs.keeper.MarkUnresponsive(id, time.Now())
+			qs.keeper.MarkUnresponsive(id, errors.Is(err, syscall.ECONNREFUSED), time.Now())
 			return
 		}
 		qs.keeper.MarkResponsive(id)
