--- a/io/caller/quota.go
+++ b/io/caller/quota.go
@@ -113,22 +113,23 @@
 		return
 	}
 	sv.cfg.Recorder.AddCall(record.Entry{
-		At:      now,
-		Kind:    record.KindRefused,
-		Call:    id,
-		Route:   ad.target.Route.Name,
-		Service: ad.target.Route.Service,
-		Version: sn.Version,
-		Outcome: string(re.Outcome),
-		Reason:  string(re.Reason),
-		Detail:  describeQuota(ar, re, now),
+		At:       now,
+		Kind:     record.KindRefused,
+		Call:     id,
+		Route:    ad.target.Route.Name,
+		Service:  ad.target.Route.Service,
+		Customer: ad.customer.Name,
+		Version:  sn.Version,
+		Outcome:  string(re.Outcome),
+		Reason:   string(re.Reason),
+		Detail:   describeQuota(ar, re, now),
 	})
 }
 
 // describeQuota tells operators which limit a request was refused by.
 func describeQuota(ar quota.AccountReport, re call.Result, now time.Time) string {
 	decimal := func(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
-	text := "customer " + string(ar.Customer) + ": limit " + decimal(ar.Limit.PerSecond) + " a second and " +
+	text := "limit " + decimal(ar.Limit.PerSecond) + " a second and " +
 		decimal(ar.Limit.Burst) + " at once for all hosts together; this host has " + strconv.Itoa(ar.Tokens) +
 		" tokens left and received " + strconv.FormatFloat(ar.Demand, 'f', 1, 64) + " requests in the last second"
 	if !ar.RefusedUntil.IsZero() {
--- a/io/node/quotas_test.go
+++ b/io/node/quotas_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,6 +140,13 @@
 	assert.Check(t, re.GetDeclined())
 }
 
+// TestQuotaHostStopped checks that an address that refuses connections is told apart from
+// one that does not answer; only then may the next host hand out the whole rate.
+func TestQuotaHostStopped(t *testing.T) {
+	_, err := newCallPool(t).AskQuota("127.0.0.1:1", &wire.QuotaRequest{Tokens: 1}, time.Second)
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
+
 // BenchmarkQuota measures a request for one token over a pooled connection, and the refusal
 // of a call without asking.
 func BenchmarkQuota(b *testing.B) {
