--- a/io/caller/quota_test.go
+++ b/io/caller/quota_test.go
@@ -13,7 +13,6 @@
 	"gotest.tools/v3/assert"
 
 	"lynxfold/core/contract"
-	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 	"lynxfold/core/quota"
 	"lynxfold/io/upstream/standin"
@@ -47,9 +46,7 @@
 // startWithCustomer starts a fixture whose configuration has the customer acme, with a limit.
 func startWithCustomer(t *testing.T, cfg Config) *fixture {
 	t.Helper()
-	fx := startFixture(t, cfg, standin.Config{})
-	old := fx.server.cfg.View()
-	doc := *old.Config.Document
+	doc := *compile(t).Document
 	doc.Customers = []contract.Customer{{
 		Name:          "acme",
 		Keys:          []contract.KeyDigest{contract.DigestKey([]byte("secret"))},
@@ -58,12 +55,7 @@
 	}}
 	sn, err := contract.Compile(2, &doc)
 	assert.NilError(t, err)
-	view := &datacentre.View{
-		Config:    sn,
-		Upstreams: old.Upstreams,
-	}
-	fx.server.cfg.View = func() *datacentre.View { return view }
-	return fx
+	return startFixtureWith(t, sn, cfg, standin.Config{})
 }
 
 func (fx *fixture) post(t *testing.T, path, key string, body io.Reader) *http.Response {
