--- a/io/caller/exchange_start.go
+++ b/io/caller/exchange_start.go
@@ -18,7 +18,8 @@
 // true once the next request can be read, and false if the connection can't be used
 // for another one.
 func (sv *Server) startExchange(se *session, pr *pendingRequest, ad admission) bool {
-	now := time.Now()
+	// The wait for a token counts towards the deadline.
+	now := time.Now().Add(-ad.quotaWait)
 	ctx := pr.httpCtx
 	vi := sv.cfg.View()
 	ex := &exchange{
@@ -31,6 +32,7 @@
 		target:        call.ResolveFallback(vi, sv.chooseSplitTarget(ad.target)),
 		customer:      ad.customer,
 		onBehalf:      ad.onBehalf,
+		token:         ad.token,
 		number:        sv.lastCallNumber.Add(1),
 		startedAt:     now,
 		method:        string(ctx.Method()),
@@ -43,6 +45,7 @@
 	sv.setDeadlines(ex, now)
 	ex.callID = sv.formatCallID(ex.number)
 	if !ex.readBody() {
+		ex.token.giveBack()
 		se.finish(pr)
 		return false
 	}
--- a/io/caller/server_test.go
+++ b/io/caller/server_test.go
@@ -66,13 +66,19 @@
 
 // startFixture starts a fixture. The first upstream is on the server's own host.
 func startFixture(t *testing.T, cfg Config, upstreams ...standin.Config) *fixture {
+	t.Helper()
+	return startFixtureWith(t, compile(t), cfg, upstreams...)
+}
+
+// startFixtureWith is like startFixture, with another configuration.
+func startFixtureWith(t *testing.T, sn *contract.Snapshot, cfg Config, upstreams ...standin.Config) *fixture {
 	t.Helper()
 	fx := &fixture{
 		set:   metrics.NewSet(),
 		gates: map[string]*upstream.Gate{},
 	}
 	view := &datacentre.View{
-		Config:    compile(t),
+		Config:    sn,
 		Upstreams: map[contract.ServiceName][]datacentre.Upstream{},
 	}
 	for i, uc := range upstreams {
