feat: gates report their load and the slowdown of their upstream

An ingress learnt only the share of the slots in use, and no gate used what an upstream states of its machine.

The fourth figure of the load header is decoded by the protocols, bounded, and scales the service time estimates while it makes them better; a stuck value changes nothing. GateLoad goes with each response and refusal without the fields that the receiver knows.

--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -122,7 +122,7 @@
 func (ga *Gate) meanServiceTime() time.Duration {
 	for _, mean := range []time.Duration{ga.lookupTime.mean, ga.bulkTime.mean} {
 		if mean > 0 {
-			return mean
+			return time.Duration(float64(mean) * ga.slowdown.factor())
 		}
 	}
 	return defaultServiceTime
@@ -131,8 +131,14 @@
 // maxKinds bounds the number of kinds with service time estimates of their own.
 const maxKinds = 64
 
-// estimateFor returns the service time estimate for an attempt.
-func (ga *Gate) estimateFor(at Attempt) *estimate {
+// estimateFor returns the service time estimate for an attempt under the slowdown that the
+// upstream states.
+func (ga *Gate) estimateFor(at Attempt) estimate {
+	return ga.recordedEstimate(at).scaled(ga.slowdown.factor())
+}
+
+// recordedEstimate returns the estimate that the service time of an attempt belongs to.
+func (ga *Gate) recordedEstimate(at Attempt) *estimate {
 	if at.Kind != "" {
 		if es := ga.kindTimes[at.Kind]; es != nil {
 			return es
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -155,7 +155,8 @@
 
 // recordServiceTime updates the service time estimates with a finished attempt.
 func (ga *Gate) recordServiceTime(at Attempt, took time.Duration) {
-	es := ga.estimateFor(at)
+	es := ga.recordedEstimate(at)
+	ga.slowdown.recordServiceTime(es.mean, took)
 	es.add(took)
 	class := &ga.lookupTime
 	if at.Class == contract.ClassBulk {
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -66,6 +66,7 @@
 	lookupTime   estimate
 	bulkTime     estimate
 	kindTimes    map[Kind]*estimate
+	slowdown     slowdownTracker
 	actions      []Action
 }
 
@@ -99,6 +100,7 @@
 	}
 	ga.orphans.rotate(ga.startedCount, now)
 	ga.orphans.expire(now)
+	ga.slowdown.expire(now)
 	switch ev := ev.(type) {
 	case Arrived:
 		ga.handleArrived(ev.Attempt, now)
--- a/core/host/notice.go
+++ b/core/host/notice.go
@@ -14,6 +14,8 @@
 	UnreadableLimit string
 	// Leaving says that the upstream is leaving.
 	Leaving bool
+	// Slowdown says how long work takes on the upstream's machine; 0 when unknown.
+	Slowdown Slowdown
 }
 
 // ProcessID identifies an upstream process across the incarnations of its gate; 0 when
@@ -54,6 +56,7 @@
 		ga.reportCrash(now)
 	}
 	ga.crashes.forgetProcess()
+	ga.slowdown = slowdownTracker{}
 	ga.processSince = now
 	ga.limiter = rateLimiter{}
 	ga.leavingAt = time.Time{}
@@ -80,6 +83,7 @@
 	if ev.SentAt.Before(ga.processSince) {
 		return
 	}
+	ga.slowdown.record(ev.Notice.Slowdown, now)
 	if ev.Notice.Leaving {
 		ga.markLeaving(now.Add(ga.cfg.DrainGrace), now)
 	}
--- a/core/host/queue.go
+++ b/core/host/queue.go
@@ -150,7 +150,19 @@
 }
 
 // upper returns an upper bound on the service time of most attempts.
-func (es *estimate) upper() time.Duration { return es.mean + upperHalfDeviations*es.deviation/2 }
+func (es estimate) upper() time.Duration { return es.mean + upperHalfDeviations*es.deviation/2 }
+
+// scaled returns the estimate for work that takes a multiple of the time.
+func (es *estimate) scaled(factor float64) estimate {
+	if factor == 1 {
+		return *es
+	}
+	return estimate{
+		mean:      time.Duration(float64(es.mean) * factor),
+		low:       time.Duration(float64(es.low) * factor),
+		deviation: time.Duration(float64(es.deviation) * factor),
+	}
+}
 
 // Windows of the moving averages in samples: a new sample has the weight 1/window.
 const (
--- a/io/upstream/gate_attempt.go
+++ b/io/upstream/gate_attempt.go
@@ -252,14 +252,17 @@
 func (ga *Gate) withGateState(re Reply) Reply {
 	ga.mu.Lock()
 	lo := ga.core.LoadPermille(time.Now())
+	load := loadToWire(ga.core.Load(time.Now()), ga.core.Upstream())
 	no := ga.core.PeerNotice()
 	ga.mu.Unlock()
 	if re.Response != nil {
 		re.Response.LoadPermille = lo
+		re.Response.Load = load
 		re.Response.Notice = PeerNoticeToWire(no, time.Now())
 	}
 	if re.Refusal != nil {
 		re.Refusal.LoadPermille = lo
+		re.Refusal.Load = load
 	}
 	return re
 }
--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -20,6 +20,9 @@
 	HeaderRateLimit = "Lynxfold-Rate-Limit"
 	// HeaderLeaving is 1 if the upstream is leaving.
 	HeaderLeaving = "Lynxfold-Leaving"
+	// HeaderLoad is the upstream's load as four numbers, separated by commas: running,
+	// waiting, slots, and how long work takes now in hundredths of the usual time.
+	HeaderLoad = "Lynxfold-Load"
 )
 
 // Protocol adds protocol headers to requests and classifies responses.
@@ -84,7 +87,9 @@
 
 // Notice implements Protocol.
 func (NativeProtocol) Notice(he *fasthttp.ResponseHeader) host.Notice {
-	return ParseNotice(he.PeekAll(HeaderRateLimit), he.Peek(HeaderLeaving))
+	no := ParseNotice(he.PeekAll(HeaderRateLimit), he.Peek(HeaderLeaving))
+	no.Slowdown = ParseSlowdown(he.Peek(HeaderLoad))
+	return no
 }
 
 // leavingValue is the value of the header by which an upstream states that it is leaving.
