feat: choose upstreams by the expected time to an answer

A load report was taken as exact and faded to an idle upstream within 2 s, data centres equally far were filled in the order of their names, and calls waited locally for half of their slack while slots elsewhere were free.

The report now loses its weight with its age towards the mean of its data centre, with what this node has sent since; the cost is the expected wait, with its uncertainty, and the service time that the gate reports. Data centres of about the same distance form one tier, and a call spills over when it would wait for an eighth of its slack.

--- a/core/call/balance_model_test.go
+++ b/core/call/balance_model_test.go
@@ -35,6 +35,8 @@
 	balanceSlowFactor = 2.5
 	// balanceWarmUp is not measured.
 	balanceWarmUp = 3 * time.Second
+	// balanceWaitDivisor is queueWaitDivisor in package caller.
+	balanceWaitDivisor = 8
 	// Sizes of messages between data centres, assumed from calls of the deployments.
 	balanceRequestBytes, balanceResponseBytes, balanceRefusalBytes = 700, 1500, 60
 )
@@ -316,10 +318,10 @@
 	}
 }
 
-// maxWait is as in package caller: half of the time that is left.
+// maxWait is as in package caller: a share of the time that is left.
 func (bc *balanceCall) maxWait() time.Duration {
 	expected := bc.host.picker.ExpectedLatency(service)
-	return max(0, bc.begun.Add(balanceObjective).Sub(bc.model.now)-expected-expected/2) / 2
+	return max(0, bc.begun.Add(balanceObjective).Sub(bc.model.now)-expected-expected/2) / balanceWaitDivisor
 }
 
 // Pick implements call.Picker.
@@ -411,7 +413,12 @@
 		return
 	}
 	bc.dispatched = bm.now
+	sentAt := bm.now
 	bm.schedule(bu.runTime(bc.work, bm.now), func() {
+		bm.step(bu, host.Noticed{
+			SentAt: sentAt,
+			Notice: host.Notice{Slowdown: host.Slowdown(100 * bu.slowdown(bm.now))},
+		})
 		bm.step(bu, host.Ended{ID: id, Outcome: host.OutcomeRan})
 		bm.reply(bu, id, call.Result{Outcome: call.OutcomeRan, Status: 200})
 	})
@@ -425,6 +432,8 @@
 		Result:       re,
 		LoadPermille: bu.gate.LoadPermille(bm.now),
 		HasLoad:      true,
+		Load:         bu.gate.Load(bm.now),
+		HasDetail:    true,
 	}
 	if bm.cfg.fault != nil {
 		bm.cfg.fault(bu.index, &ob)
--- a/core/call/chooser.go
+++ b/core/call/chooser.go
@@ -51,6 +51,10 @@
 	// thousandths of its slots. It is valid only if HasLoad is set.
 	LoadPermille uint32
 	HasLoad      bool
+	// Load is the load in detail, as gates of this release report it. It is valid only if
+	// HasDetail is set.
+	Load      host.Load
+	HasDetail bool
 	// Cancelled says that the attempt was cancelled; nothing else is learned
 	// from it.
 	Cancelled bool
@@ -62,9 +66,10 @@
 	HasNotice bool
 }
 
-// Pick returns the better of two random upstreams that were not tried yet. It
-// considers data centres in the order of their round-trip time, and moves on to
-// the next one only if its choice is full or slow. The slice must be the view's
+// Pick returns the better of two random upstreams that were not tried yet, by the expected
+// time to an answer. It considers data centres in the order of their round-trip time, those
+// that are about equally far together, and moves on to the next ones only if its choice is
+// full or slow. The slice must be the view's
 // own, not a copy: a changed view is recognised by the address of the first element
 // and the length.
 func (ch *Chooser) Pick(
@@ -76,8 +81,8 @@
 	return ch.PickWithMaxWait(name, all, tried, 0, now)
 }
 
-// PickWithCapacity returns the best upstream that was not tried yet and is not known to
-// be full, in the nearest data centre that has one.
+// PickWithCapacity returns the better of two random upstreams that were not tried yet and
+// are not known to be full, in the nearest data centres that have one.
 func (ch *Chooser) PickWithCapacity(
 	name contract.ServiceName,
 	all []datacentre.Upstream,
@@ -89,21 +94,39 @@
 	}
 	po := ch.pool(name, all, now)
 	from := 0
-	for _, end := range po.dataCentreEnds {
-		var best *upstreamStats
-		for _, us := range po.upstreams[from:end] {
-			if us.hasCapacity(tried, now) && (best == nil || us.score(po, now) < best.score(po, now)) {
-				best = us
-			}
-		}
-		if best != nil {
-			return best.upstream, true
+	for _, end := range po.tierEnds {
+		if us := ch.bestWithCapacity(po, from, end, tried, now); us != nil {
+			return us.upstream, true
 		}
 		from = end
 	}
 	return datacentre.Upstream{}, false
 }
 
+// bestWithCapacity returns the best of a few random upstreams, from one index of a pool to
+// another, that are not known to be full; nil if there is none.
+func (ch *Chooser) bestWithCapacity(po *pool, from, end int, tried []host.ID, now time.Time) *upstreamStats {
+	candidates := ch.localBuf[:0]
+	for _, us := range po.upstreams[from:end] {
+		if us.hasCapacity(po, tried, now) {
+			candidates = append(candidates, us)
+		}
+	}
+	ch.localBuf = candidates
+	if len(candidates) == 0 {
+		return nil
+	}
+	var best *upstreamStats
+	lowest := 0.0
+	for range min(sampleSize, len(candidates)) {
+		us := candidates[ch.cfg.Rand.IntN(len(candidates))]
+		if sc := us.score(po, now); best == nil || sc < lowest {
+			best, lowest = us, sc
+		}
+	}
+	return best
+}
+
 // PickLocal returns the better of two random upstreams of the local data centre
 // that were not tried yet and are not known to be full.
 func (ch *Chooser) PickLocal(
@@ -119,21 +142,11 @@
 	if po.upstreams[0].upstream.DataCentre != ch.cfg.DataCentre {
 		return datacentre.Upstream{}, false
 	}
-	candidates := ch.localBuf[:0]
-	for _, us := range po.upstreams[:po.dataCentreEnds[0]] {
-		if us.hasCapacity(tried, now) {
-			candidates = append(candidates, us)
-		}
-	}
-	ch.localBuf = candidates
-	if len(candidates) == 0 {
+	us := ch.bestWithCapacity(po, 0, po.tierEnds[0], tried, now)
+	if us == nil {
 		return datacentre.Upstream{}, false
 	}
-	a, b := candidates[ch.cfg.Rand.IntN(len(candidates))], candidates[ch.cfg.Rand.IntN(len(candidates))]
-	if b.score(po, now) < a.score(po, now) {
-		a = b
-	}
-	return a.upstream, true
+	return us.upstream, true
 }
 
 // PickHost returns the upstream of a host if it was not tried yet and is not known to be
@@ -148,9 +161,10 @@
 	if len(all) == 0 {
 		return datacentre.Upstream{}, false
 	}
-	for _, us := range ch.pool(name, all, now).upstreams {
+	po := ch.pool(name, all, now)
+	for _, us := range po.upstreams {
 		if us.upstream.Host == id {
-			return us.upstream, us.hasCapacity(tried, now)
+			return us.upstream, us.hasCapacity(po, tried, now)
 		}
 	}
 	return datacentre.Upstream{}, false
@@ -171,15 +185,15 @@
 	po := ch.pool(name, all, now)
 	var best *upstreamStats
 	from := 0
-	for _, end := range po.dataCentreEnds {
-		us := ch.betterOfTwo(po, from, end, tried, now)
+	for _, end := range po.tierEnds {
+		us := ch.bestOfSample(po, from, end, tried, now)
 		from = end
 		switch {
 		case us == nil:
 			continue
 		case us.canServeWithin(po, maxWait, now):
 			return us.upstream, true
-		case best == nil || us.utilisation(now)+spilloverMinGain < best.utilisation(now):
+		case best == nil || us.expect(po, now).fill()+spilloverMinGain < best.expect(po, now).fill():
 			best = us
 		}
 	}
@@ -189,18 +203,26 @@
 	return best.upstream, true
 }
 
-// betterOfTwo returns the better of two random usable upstreams of one data centre,
-// or nil if there is none.
-func (ch *Chooser) betterOfTwo(po *pool, from, end int, tried []host.ID, now time.Time) *upstreamStats {
+// bestOfSample returns the best of a few random usable upstreams from one index of a pool
+// to another, or nil if there is none. It does not return the best of all: the hosts that
+// know the same would all choose that one.
+func (ch *Chooser) bestOfSample(po *pool, from, end int, tried []host.ID, now time.Time) *upstreamStats {
 	upstreams := po.upstreams[from:end]
-	a := ch.sampleUsable(upstreams, tried, now)
-	if a == nil {
-		return nil
-	}
-	if b := ch.sampleUsable(upstreams, tried, now); b.score(po, now) < a.score(po, now) {
-		return b
+	var best *upstreamStats
+	lowest := 0.0
+	for range min(sampleSize, len(upstreams)) {
+		us := ch.sampleUsable(upstreams, tried, now)
+		if us == nil {
+			return nil
+		}
+		if us == best {
+			continue
+		}
+		if sc := us.score(po, now); best == nil || sc < lowest {
+			best, lowest = us, sc
+		}
 	}
-	return a
+	return best
 }
 
 // pickAvoided picks an untried upstream, avoided or ejected as it may be. It is used
@@ -216,6 +238,10 @@
 	return datacentre.Upstream{}, false
 }
 
+// sampleSize is the number of random upstreams of which the best is picked. With more, the
+// nodes that know the same overload the best ones.
+const sampleSize = 2
+
 // maxSamples bounds the random candidates tried before a linear search.
 const maxSamples = 4
 
@@ -242,6 +268,7 @@
 func (ch *Chooser) Started(up datacentre.Upstream) {
 	if us := ch.upstreams[up.Host]; us != nil {
 		us.outstanding++
+		us.sentSince++
 	}
 }
 
--- a/core/call/pool.go
+++ b/core/call/pool.go
@@ -20,6 +20,9 @@
 	// slowLatencyFactor is the ratio to the latency of its service above which an
 	// upstream is slow, and calls spill over to the next data centre.
 	slowLatencyFactor = 3
+	// maxTierRatio is the ratio of round-trip times up to which data centres count as
+	// equally far, so that not all others spill over to the same one first.
+	maxTierRatio = 1.25
 	// defaultRTT is assumed for a data centre without a measured round-trip time.
 	defaultRTT = 10 * time.Millisecond
 	// maxEjectedShare bounds the share of a service's upstreams that are ejected.
@@ -37,9 +40,9 @@
 	firstUpstream *datacentre.Upstream
 	size          int
 	upstreams     []*upstreamStats
-	// dataCentreEnds are the indexes in upstreams after the last upstream of each data
-	// centre.
-	dataCentreEnds []int
+	// tierEnds are the indexes in upstreams after the last upstream of each tier: the data
+	// centres that are about equally far.
+	tierEnds []int
 	// latency is the moving average of the service's latency; 0 when unknown.
 	latency time.Duration
 }
@@ -74,7 +77,7 @@
 			cmp.Compare(a.upstream.DataCentre, b.upstream.DataCentre),
 		)
 	})
-	po.markDataCentreEnds()
+	ch.markTiers(po)
 	return po
 }
 
@@ -124,13 +127,25 @@
 	return defaultRTT
 }
 
-// markDataCentreEnds sets dataCentreEnds.
-func (po *pool) markDataCentreEnds() {
-	po.dataCentreEnds = po.dataCentreEnds[:0]
+// markTiers sets tierEnds and the sites of the upstreams.
+func (ch *Chooser) markTiers(po *pool) {
+	po.tierEnds = po.tierEnds[:0]
+	si := &siteLoad{}
+	nearest := ch.rtt(po.upstreams[0].upstream.DataCentre)
 	for i, us := range po.upstreams {
-		last := i == len(po.upstreams)-1
-		if last || po.upstreams[i+1].upstream.DataCentre != us.upstream.DataCentre {
-			po.dataCentreEnds = append(po.dataCentreEnds, i+1)
+		us.site = si
+		if i == len(po.upstreams)-1 {
+			po.tierEnds = append(po.tierEnds, i+1)
+			break
+		}
+		next := po.upstreams[i+1].upstream.DataCentre
+		if next == us.upstream.DataCentre {
+			continue
+		}
+		si = &siteLoad{}
+		if rtt := ch.rtt(next); float64(rtt) > maxTierRatio*float64(nearest) {
+			po.tierEnds = append(po.tierEnds, i+1)
+			nearest = rtt
 		}
 	}
 }
--- a/core/call/upstream_stats.go
+++ b/core/call/upstream_stats.go
@@ -1,7 +1,6 @@
 package call
 
 import (
-	"slices"
 	"time"
 
 	"lynxfold/core/datacentre"
@@ -14,8 +13,6 @@
 	latencyEWMADivisor = 8
 	// defaultLatency is assumed for an upstream without samples.
 	defaultLatency = time.Millisecond
-	// loadDecay is the time over which a load reported by a gate decays to 0.
-	loadDecay = 2 * time.Second
 	// latencyDecay is the time without a sample over which an upstream's average
 	// latency decays to that of its service.
 	latencyDecay = 20 * time.Second
@@ -56,9 +53,15 @@
 	latency        time.Duration
 	latencyAt      time.Time
 	latencySamples int
-	// load is the load that the gate reported at loadAt, relative to its slots.
-	load   float64
-	loadAt time.Time
+	// active is the number of attempts in the slots and the queue of the gate at loadAt, and
+	// sentSince how many this node has sent since.
+	active    float64
+	loadAt    time.Time
+	sentSince int
+	// site is shared by the upstreams of the pool in the same data centre.
+	site *siteLoad
+	// serviceTime is the mean service time that the gate reported; 0 when unknown.
+	serviceTime time.Duration
 	// limitedUntil is when the upstream accepts another call, as its gate or it itself
 	// said with the last refusal.
 	limitedUntil time.Time
@@ -90,16 +93,6 @@
 	us.removed = false
 }
 
-// isUsable reports whether the upstream is neither avoided nor ejected nor tried yet.
-func (us *upstreamStats) isUsable(tried []host.ID, now time.Time) bool {
-	return !now.Before(us.avoidedUntil) && !now.Before(us.ejectedUntil) && !slices.Contains(tried, us.upstream.Host)
-}
-
-// hasCapacity reports whether the upstream is usable and not known to be full.
-func (us *upstreamStats) hasCapacity(tried []host.ID, now time.Time) bool {
-	return us.isUsable(tried, now) && us.utilisation(now) < spilloverUtilisation
-}
-
 // slowStartWeight returns the probability that a sampled upstream is taken, from 0
 // to 1.
 func (us *upstreamStats) slowStartWeight(now time.Time) float64 {
@@ -114,12 +107,6 @@
 	return max(minSlowStartWeight, share)
 }
 
-// decayedLoad returns the last load that the gate reported, decayed by its age.
-func (us *upstreamStats) decayedLoad(now time.Time) float64 {
-	left := 1 - now.Sub(us.loadAt).Seconds()/loadDecay.Seconds()
-	return us.load * min(1, max(0, left))
-}
-
 // decayedLatency returns the average latency. Without new samples it decays to the
 // latency of the service, so that an upstream that was slow is tried again.
 func (us *upstreamStats) decayedLatency(po *pool, now time.Time) time.Duration {
@@ -131,17 +118,6 @@
 	return serviceLatency + time.Duration(float64(us.latency-serviceLatency)*max(0, weight))
 }
 
-// utilisation returns the share of the slots in use: by the attempts of this node,
-// or by all calls as reported by the gate if that is more. Above 1, calls queue; an
-// upstream whose rate limit allows no call counts as full.
-func (us *upstreamStats) utilisation(now time.Time) float64 {
-	own := float64(us.outstanding) / float64(max(1, us.upstream.Slots))
-	if now.Before(us.limitedUntil) {
-		own = max(own, 1)
-	}
-	return max(own, us.decayedLoad(now))
-}
-
 // canServeWithin reports whether the upstream is not slow, and a call is expected to
 // get a slot within maxWait.
 func (us *upstreamStats) canServeWithin(po *pool, maxWait time.Duration, now time.Time) bool {
@@ -152,17 +128,16 @@
 	if us.limitedUntil.Sub(now) > maxWait {
 		return false
 	}
-	excess := us.utilisation(now) - spilloverUtilisation
-	return excess < 0 || time.Duration(excess*float64(latency)) <= maxWait
+	ep := us.expect(po, now)
+	excess := ep.fill() - spilloverUtilisation
+	return excess < 0 || excess*ep.runTime <= maxWait.Seconds()
 }
 
 // score returns the cost of sending an attempt to the upstream: lower is better.
 func (us *upstreamStats) score(po *pool, now time.Time) float64 {
-	slots := float64(max(1, us.upstream.Slots))
 	limitWait := max(0, us.limitedUntil.Sub(now).Seconds())
 	served := 1 - us.decayedShedShare(now)
-	return limitWait + (us.utilisation(now)+1/slots)*us.decayedLatency(po, now).Seconds()*
-		float64(1+us.consecutiveFailures)/(served*served)
+	return limitWait + us.expect(po, now).cost()*float64(1+us.consecutiveFailures)/(served*served)
 }
 
 // decayedShedShare returns the share of attempts that the upstream turns away. Without new
@@ -206,10 +181,7 @@
 
 // observe updates the statistics with the result of an attempt.
 func (us *upstreamStats) observe(ob Observation, now time.Time) {
-	if ob.HasLoad {
-		us.load = float64(ob.LoadPermille) / 1000
-		us.loadAt = now
-	}
+	us.observeLoad(ob, now)
 	us.limitedUntil = time.Time{}
 	if ob.Result.RateLimited {
 		us.limitedUntil = ob.Result.RetryAfter
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -60,11 +60,14 @@
 	re := at.result(now)
 	at.finalResult = re
 	at.duration = now.Sub(start)
+	load, hasDetail := upstream.LoadFromWire(at.reply.Load(), at.action.Upstream.Slots)
 	ob := call.Observation{
 		Result:       re,
 		Latency:      now.Sub(start),
 		HasLoad:      at.reply.Response != nil || at.reply.Refusal.GetLoadPermille() > 0,
 		LoadPermille: max(at.reply.Response.GetLoadPermille(), at.reply.Refusal.GetLoadPermille()),
+		Load:         load,
+		HasDetail:    hasDetail,
 		Cancelled:    at.abandoned.Load(),
 		Bulk:         at.exchange.target.Terms.Class == contract.ClassBulk,
 		Notice:       upstream.PeerNoticeFromWire(at.reply.Response.GetNotice(), now),
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -234,8 +234,9 @@
 
 // queueWaitDivisor determines the share of a call's slack that it may spend in a
 // local queue before a remote upstream is tried. Bulk calls may spend all of it,
-// because their bodies are expensive to transfer.
-const queueWaitDivisor = 2
+// because their bodies are expensive to transfer. What is known of a queue is old: with
+// half of the slack, calls were served late or refused while slots elsewhere were free.
+const queueWaitDivisor = 8
 
 // maxQueueWait returns how long a call may wait in a queue and still meet its
 // objective. sv.mu must be held.
--- a/io/upstream/reply.go
+++ b/io/upstream/reply.go
@@ -35,3 +35,11 @@
 		},
 	}
 }
+
+// Load returns the load of the gate that the reply is from, nil if there is none.
+func (re Reply) Load() *wire.GateLoad {
+	if re.Refusal != nil {
+		return re.Refusal.GetLoad()
+	}
+	return re.Response.GetLoad()
+}
