--- a/core/call/expectation.go
+++ b/core/call/expectation.go
@@ -27,6 +27,10 @@
 	// minRelativeVariance bounds the variance of a load of which nothing is known, as a
 	// share of the slots.
 	minRelativeVariance = 0.1
+	// maxReportedFill bounds a load report, and maxSiteFill its part in the mean of a site, so
+	// that an absurd one does not make a whole site look full.
+	maxReportedFill = 6
+	maxSiteFill     = 1.5
 	// maxServiceTimeRatio bounds the service time that a gate reports, relative to the
 	// latency of the service as this node measures it.
 	maxServiceTimeRatio = 8
@@ -54,7 +58,7 @@
 			continue
 		}
 		we := math.Exp(-now.Sub(it.loadAt).Seconds() / siteWindow.Seconds())
-		sum += we * it.active / it.slots()
+		sum += we * min(it.active/it.slots(), maxSiteFill)
 		weights += we
 	}
 	si.mean = sum / max(weights, minSiteReports)
@@ -166,7 +170,7 @@
 	if !ob.HasLoad && !ob.HasDetail {
 		return
 	}
-	us.active = float64(ob.LoadPermille) / 1000 * us.slots()
+	us.active = min(float64(ob.LoadPermille)/1000, maxReportedFill) * us.slots()
 	us.loadAt = now
 	us.sentSince = 0
 	if !ob.HasDetail {
@@ -177,6 +181,7 @@
 		// The rate limit makes attempts wait beside free slots.
 		us.active = max(us.active, float64(ob.LoadPermille)/1000*us.slots())
 	}
+	us.active = min(max(us.active, 0), maxReportedFill*us.slots())
 	us.serviceTime = ob.Load.ServiceTime
 }
 
