feat: tell operators why an upstream was chosen and how even the load is

The record of an attempt said only that load and latency decided. It now has the expected load, wait and run time and the age of the report; a gauge by service has the spread of the expected load, and one of each gate the mean service time.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -149,6 +149,7 @@
 	{pattern: regexp.MustCompile(`-1\.\d{15,}\.\d+`), replacement: "-1.INCARNATION.N"},
 	{pattern: regexp.MustCompile(`\b[0-9a-f]{64}\b`), replacement: "DIGEST"},
 	{pattern: regexp.MustCompile(`(?m)^in force on \d+ of .*\n`), replacement: ""},
+	{pattern: regexp.MustCompile(`expected there: \d+\.\d\d of its slots in use, \d+ ms to wait, \d+ ms to run, (no load report|load report \d+ ms old)`), replacement: "EXPECTATION"},
 	{pattern: regexp.MustCompile(`(hosts after|_after_ms":) [0-9.]+(ms|s|)`), replacement: "$1 DURATION"},
 }
 
--- a/cmd/process/gauges.go
+++ b/cmd/process/gauges.go
@@ -20,6 +20,7 @@
 	} {
 		set.NewGauge(name, func() float64 { return float64(value()) })
 	}
+	set.NewGauge(`lynxfold_gate_mean_service_seconds`, func() float64 { return ga.Stats().MeanService.Seconds() })
 	set.NewGauge(`lynxfold_gate_rate_limit`, ga.RateLimitGauge)
 	set.NewGauge(`lynxfold_view_age_seconds`, ct.viewChangedAt.ageSeconds)
 }
--- a/core/call/balance_figures_test.go
+++ b/core/call/balance_figures_test.go
@@ -162,7 +162,7 @@
 	return up, ok
 }
 
-func (ep *exactPicker) PickWithCapacity(_ contract.ServiceName, all []datacentre.Upstream, tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
+func (ep *exactPicker) PickWithCapacity(_ contract.ServiceName, all []datacentre.Upstream, tried []host.ID, _ time.Time) (datacentre.Upstream, bool) {
 	for _, remote := range []bool{false, true} {
 		if up, load, ok := ep.pick(all, tried, remote); ok && load < 1 {
 			return up, true
--- a/core/call/expectation.go
+++ b/core/call/expectation.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 )
@@ -165,6 +166,29 @@
 	return ex, true
 }
 
+// Spread returns the ratio of the highest to the mean expected utilisation of a service's
+// upstreams in the nearest data centre, 1 if they are idle or unknown.
+func (ch *Chooser) Spread(name contract.ServiceName, now time.Time) float64 {
+	po := ch.pools[name]
+	if po == nil || len(po.upstreams) == 0 {
+		return 1
+	}
+	highest, sum, count := 0.0, 0.0, 0
+	for _, us := range po.upstreams {
+		if us.site != po.upstreams[0].site {
+			break
+		}
+		fill := us.expect(po, now).fill()
+		highest = max(highest, fill)
+		sum += fill
+		count++
+	}
+	if sum == 0 {
+		return 1
+	}
+	return highest * float64(count) / sum
+}
+
 // observeLoad takes over the load that a reply reports.
 func (us *upstreamStats) observeLoad(ob Observation, now time.Time) {
 	if !ob.HasLoad && !ob.HasDetail {
--- a/io/caller/counters.go
+++ b/io/caller/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -26,6 +27,8 @@
 	retries          *metricFamily[call.RetryReason, *metrics.Counter]
 	attemptDurations *metricFamily[attemptLabels, *metrics.Histogram]
 	answers          *metricFamily[answerLabels, *metrics.Counter]
+	// spreads holds the services whose spread of load is registered.
+	spreads sync.Map
 }
 
 // attemptLabels are the metric labels of an attempt.
@@ -97,6 +100,16 @@
 	co.attemptDurations.metric(attemptLabels{service: service, outcome: ou}).Update(took.Seconds())
 }
 
+// registerSpread registers the gauge of a service's spread of load once.
+func (co *Counters) registerSpread(service contract.ServiceName, value func() float64) {
+	if _, known := co.spreads.Load(service); known {
+		return
+	}
+	if _, known := co.spreads.LoadOrStore(service, struct{}{}); !known {
+		co.set.NewGauge(fmt.Sprintf(`lynxfold_load_spread_upstreams{service=%q}`, service), value)
+	}
+}
+
 // countServiceAnswer counts an answer by service, outcome and reason.
 func (co *Counters) countServiceAnswer(service contract.ServiceName, re call.Result) {
 	co.answers.metric(answerLabels{service: service, outcome: re.Outcome, reason: re.Reason}).Inc()
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -194,6 +194,7 @@
 		case call.SendAttempt:
 			at := ex.newAttempt(ac)
 			ex.server.cfg.Counters.countAttempt(ac.Reason)
+			ex.server.registerSpread(ac.Upstream.Service)
 			ex.recordAttempt(ac)
 			if len(actions) == 1 && ex.asyncCount == 0 && ex.noTimerDue() {
 				return nil, ex.callerGoneOr(at.run())
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -56,9 +56,23 @@
 	en.DataCentre = string(sa.Upstream.DataCentre)
 	en.Reason = string(sa.Reason)
 	en.Detail = fmt.Sprintf("chosen by load and latency among %d usable upstreams", len(ex.view.Upstreams[sa.Upstream.Service]))
+	if ep, ok := ex.server.expectation(sa.Upstream, en.At); ok {
+		en.Detail += describeExpectation(ep)
+	}
 	ex.server.cfg.Recorder.AddCall(en)
 }
 
+// describeExpectation describes what was expected of the chosen upstream, with the attempt
+// itself.
+func describeExpectation(ep call.Expectation) string {
+	text := fmt.Sprintf("; expected there: %.2f of its slots in use, %d ms to wait, %d ms to run, ",
+		ep.Fill, ep.Wait.Milliseconds(), ep.RunTime.Milliseconds())
+	if ep.ReportAge < 0 {
+		return text + "no load report"
+	}
+	return text + fmt.Sprintf("load report %d ms old", ep.ReportAge.Milliseconds())
+}
+
 // recordEnd records the result of an attempt.
 func (at *attempt) recordEnd(re call.Result) {
 	ex := at.exchange
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -270,6 +270,23 @@
 	}
 }
 
+// expectation returns what is expected of an upstream, and whether it is known.
+func (sv *Server) expectation(up datacentre.Upstream, now time.Time) (call.Expectation, bool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.chooser.Expectation(up, now)
+}
+
+// registerSpread registers the gauge of a service's spread of load when it gets its first
+// attempt.
+func (sv *Server) registerSpread(name contract.ServiceName) {
+	sv.cfg.Counters.registerSpread(name, func() float64 {
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		return sv.chooser.Spread(name, time.Now())
+	})
+}
+
 func (sv *Server) expectedLatency(name contract.ServiceName) time.Duration {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
--- a/io/upstream/stats.go
+++ b/io/upstream/stats.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "lynxfold/core/host"
+import (
+	"time"
+
+	"lynxfold/core/host"
+)
 
 // Stats is a snapshot of a gate's occupancy.
 type Stats struct {
@@ -9,6 +13,8 @@
 	Queued  int
 	// KeptBytes is the size of the responses kept for queries after a lost connection.
 	KeptBytes int
+	// MeanService is the mean service time of short calls; 0 before the first.
+	MeanService time.Duration
 }
 
 // Stats returns the gate's current occupancy.
@@ -20,5 +26,7 @@
 		Running:   ga.core.Running(),
 		Queued:    ga.core.Queued(),
 		KeptBytes: ga.core.KeptBytes(),
+
+		MeanService: ga.core.Load(time.Now()).ServiceTime,
 	}
 }
