--- a/core/call/balance_figures_test.go
+++ b/core/call/balance_figures_test.go
@@ -22,9 +22,9 @@
 
 // balanceFigures are the measurements of a run.
 type balanceFigures struct {
-	started, done, refused, inTime, attempts int
-	remoteMessages, remoteBytes              int
-	waits                                    []time.Duration
+	started, done, refused, inTime, attempts, moved int
+	remoteMessages, remoteBytes                     int
+	waits                                           []time.Duration
 	// busy holds the slots in use of each upstream in each sample, and unserved the calls
 	// that waited then and the slots that calls refused since the last sample would need.
 	busy     [][]int
@@ -119,7 +119,7 @@
 		spread, stranded := bf.windows(wi, slots)
 		line += fmt.Sprintf(" %d ms: spread %.2f stranded %.4f |", wi*int(balanceSamplePeriod.Milliseconds()), spread, stranded)
 	}
-	return line + fmt.Sprintf(" attempts %.3f | between data centres a call %.3f messages %.0f bytes", float64(bf.attempts)/float64(max(1, bf.started)), per(bf.remoteMessages), per(bf.remoteBytes))
+	return line + fmt.Sprintf(" attempts %.3f moves %.3f | between data centres a call %.3f messages %.0f bytes", float64(bf.attempts)/float64(max(1, bf.started)), per(bf.moved), per(bf.remoteMessages), per(bf.remoteBytes))
 }
 
 // exactPicker chooses the better of two random upstreams by their load at this moment,
@@ -239,6 +239,14 @@
 		change func(bc *balanceConfig)
 	}{
 		{name: "chooser", change: func(bc *balanceConfig) { bc.make = chooserOf }},
+		{name: "chooser, calls move locally", change: func(bc *balanceConfig) {
+			bc.make = chooserOf
+			bc.moves = moveLocal
+		}},
+		{name: "chooser, calls move anywhere", change: func(bc *balanceConfig) {
+			bc.make = chooserOf
+			bc.moves = moveAny
+		}},
 		{name: "exact two", change: func(bc *balanceConfig) { bc.make = exactOf }},
 		{name: "one queue", change: func(bc *balanceConfig) {
 			bc.make = exactOf
--- a/core/call/balance_model_test.go
+++ b/core/call/balance_model_test.go
@@ -57,10 +57,23 @@
 	sheds func(i int) bool
 	// make returns the picker of a host.
 	make func(bm *balanceModel, i int) balancePicker
+	// moves lets queued calls move at no cost to slots that have become free: within their
+	// data centre, or to any. It bounds what moving waiting calls can gain.
+	moves moveScope
 	// single replaces all gates by one queue that every free slot takes from.
 	single bool
 }
 
+// moveScope is how far queued calls move.
+type moveScope int
+
+// Scopes of moves.
+const (
+	moveNone moveScope = iota
+	moveLocal
+	moveAny
+)
+
 // balancePicker chooses upstreams for the calls of one host.
 type balancePicker interface {
 	PickWithMaxWait(name contract.ServiceName, all []datacentre.Upstream, tried []host.ID, maxWait time.Duration, now time.Time) (datacentre.Upstream, bool)
@@ -116,6 +129,9 @@
 	// dispatched is when an upstream began to run the call.
 	dispatched time.Time
 	number     uint64
+	// queuedAs is the attempt that was sent last, and moving is set while it is withdrawn.
+	queuedAs host.Attempt
+	moving   bool
 }
 
 func dataCentreName(i int) datacentre.Name { return datacentre.Name(fmt.Sprint("dc-", i)) }
@@ -249,6 +265,9 @@
 		}
 	}
 	bm.schedule(balanceWarmUp, bm.sample)
+	if bm.cfg.moves != moveNone {
+		bm.schedule(balanceWarmUp, bm.move)
+	}
 	for bm.queue.Len() > 0 {
 		te := heap.Pop(&bm.queue).(timedEvent)
 		bm.now = te.at
@@ -369,17 +388,16 @@
 }
 
 func (bm *balanceModel) arrive(bc *balanceCall, sa call.SendAttempt) {
-	bm.step(bm.byHost[sa.Upstream.Host], host.Arrived{
-		Attempt: host.Attempt{
-			ID:          sa.Attempt,
-			Incarnation: 1,
-			Service:     service,
-			Kind:        "page",
-			NoQueue:     sa.NoQueue,
-			Objective:   bc.begun.Add(balanceObjective),
-			Deadline:    sa.Deadline,
-		},
-	})
+	bc.queuedAs = host.Attempt{
+		ID:          sa.Attempt,
+		Incarnation: 1,
+		Service:     service,
+		Kind:        "page",
+		NoQueue:     sa.NoQueue,
+		Objective:   bc.begun.Add(balanceObjective),
+		Deadline:    sa.Deadline,
+	}
+	bm.step(bm.byHost[sa.Upstream.Host], host.Arrived{Attempt: bc.queuedAs})
 }
 
 // step passes an event to a gate and executes its actions.
@@ -427,6 +445,9 @@
 // reply sends the reply to an attempt, with the gate's load.
 func (bm *balanceModel) reply(bu *balanceUpstream, id host.AttemptID, re call.Result) {
 	bc := bm.calls[id]
+	if bc.moving {
+		return
+	}
 	delete(bm.calls, id)
 	ob := call.Observation{
 		Result:       re,
