--- a/core/call/balance_test.go
+++ b/core/call/balance_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"lynxfold/core/call"
+	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
 )
 
@@ -93,3 +94,22 @@
 		})
 	}
 }
+
+// TestRecoveredUpstreamGetsItsShare plays an upstream whose gate reports that it is idle
+// again after it was full: it does not get more than twice its share of the next calls.
+func TestRecoveredUpstreamGetsItsShare(t *testing.T) {
+	cf := newChooserFixture(t, map[datacentre.Name]int{local: 10})
+	busy := succeeded(100*time.Millisecond, 700)
+	cf.picks(500, onHost("press-hall-3", succeeded(100*time.Millisecond, 1500), busy))
+	cf.chooser.Ended(cf.all[3], succeeded(100*time.Millisecond, 0), cf.now)
+	taken := 0
+	for range 100 {
+		up, found := cf.chooser.Pick(service, cf.all, nil, cf.now)
+		assert.Assert(t, found)
+		cf.chooser.Started(up)
+		if up.Host == "press-hall-3" {
+			taken++
+		}
+	}
+	assert.Assert(t, taken <= 20, "%d of 100 calls", taken)
+}
