--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -243,8 +243,9 @@
 
 // queueWaitDivisor determines the share of a call's slack that it may spend in a
 // local queue before a remote upstream is tried. Bulk calls may spend all of it,
-// because their bodies are expensive to transfer.
-const queueWaitDivisor = 2
+// because their bodies are expensive to transfer. What is known of a queue is old: with
+// half of the slack, calls were served late or refused while slots elsewhere were free.
+const queueWaitDivisor = 8
 
 // maxQueueWait returns how long a call may wait in a queue and still meet its
 // objective. sv.mu must be held.
@@ -278,6 +279,23 @@
 	}
 }
 
+// expectation returns what is expected of an upstream, and whether it is known.
+func (sv *Server) expectation(up datacentre.Upstream, now time.Time) (call.Expectation, bool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.chooser.Expectation(up, now)
+}
+
+// registerSpread registers the gauge of a service's spread of load when it gets its first
+// attempt.
+func (sv *Server) registerSpread(name contract.ServiceName) {
+	sv.cfg.Counters.registerSpread(name, func() float64 {
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		return sv.chooser.Spread(name, time.Now())
+	})
+}
+
 func (sv *Server) expectedLatency(name contract.ServiceName) time.Duration {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
