fix: less urgent calls take no room from the queue of urgent ones

The bound of the queue counted all attempts of a class. A queue full of less urgent calls therefore refused urgent ones, which would have been dispatched next. Now only the attempts that go before an attempt count. A part of the ledger still bounds the sum.

Acts without customers, where a service has kinds of several ranks.

--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -109,9 +109,7 @@
 	if at.NoQueue {
 		return ReasonBusy
 	}
-	// The queues of both classes use at most half of the ledger, and running attempts
-	// the other half.
-	if ga.queue.count(at.Class) >= min(ga.cfg.QueuePerSlot*ga.concurrencyLimit(), ga.ledger.cfg.MaxEntries/4-1) {
+	if ga.queueFull(en) {
 		return ReasonQueueFull
 	}
 	if ga.limitWait(en, now) > en.maxLimitWait() {
@@ -127,6 +125,15 @@
 	return ReasonNone
 }
 
+// queueFull reports whether the queue has no room for an attempt. Less urgent attempts
+// take no room from it, since they are dispatched after it. The queues of both classes
+// use at most half of the ledger, and running attempts the other half.
+func (ga *Gate) queueFull(en *entry) bool {
+	cl := en.attempt.Class
+	return ga.queue.countAhead(en) >= ga.cfg.QueuePerSlot*ga.concurrencyLimit() ||
+		ga.queue.count(cl) >= ga.ledger.cfg.MaxEntries/4-1
+}
+
 // quarantineReason returns why an attempt is refused for crashes that its request may have
 // caused, or ReasonNone.
 func (ga *Gate) quarantineReason(at Attempt, now time.Time) Reason {
--- a/core/host/queue.go
+++ b/core/host/queue.go
@@ -25,6 +25,28 @@
 // count returns the number of queued attempts of a class.
 func (qu *queue) count(cl contract.Class) int { return len(*qu.list(cl)) }
 
+// countAhead returns the number of queued attempts of the same class that are not less
+// urgent than en.
+func (qu *queue) countAhead(en *entry) int {
+	list := *qu.list(en.attempt.Class)
+	at, _ := slices.BinarySearchFunc(list, en, func(it, en *entry) int {
+		if en.moreUrgentThan(it) {
+			return 1
+		}
+		return -1
+	})
+	return at
+}
+
+// moreUrgentThan reports whether an attempt is dispatched before another one of its class
+// whatever their objectives are.
+func (en *entry) moreUrgentThan(it *entry) bool {
+	if en.attempt.Nested != it.attempt.Nested {
+		return en.attempt.Nested
+	}
+	return en.attempt.Rank < it.attempt.Rank
+}
+
 func (qu *queue) list(cl contract.Class) *[]*entry {
 	if cl == contract.ClassBulk {
 		return &qu.bulk
@@ -50,10 +72,10 @@
 // due time.
 func (en *entry) before(it *entry) bool {
 	switch {
-	case en.attempt.Nested != it.attempt.Nested:
-		return en.attempt.Nested
-	case en.attempt.Rank != it.attempt.Rank:
-		return en.attempt.Rank < it.attempt.Rank
+	case en.moreUrgentThan(it):
+		return true
+	case it.moreUrgentThan(en):
+		return false
 	case en.deferred != it.deferred:
 		return it.deferred
 	}
