fix: expect of a call the latency of its own kind

An ingress expected of each attempt the mean latency of its service. Where long calls dominate, a short call with a timeout below this mean got no second attempt after the first busy gate, and was refused while others had room. The latency is now tracked by kind of call.

--- a/core/call/room_load_test.go
+++ b/core/call/room_load_test.go
@@ -89,9 +89,10 @@
 
 // roomIngress is the ingress of one host.
 type roomIngress struct {
-	chooser *call.Chooser
-	calls   uint64
-	id      host.ID
+	chooser   *call.Chooser
+	latencies call.KindLatencies
+	calls     uint64
+	id        host.ID
 }
 
 // roomTry is one call at an ingress: the first try of a caller or its retry.
@@ -275,7 +276,7 @@
 		Deadline:        rc.deadline,
 		DeadlineMargin:  min(20*time.Millisecond, rc.deadline.Sub(rl.now)/10),
 		Replayable:      true,
-		ExpectedLatency: in.chooser.ExpectedLatency(roomService),
+		ExpectedLatency: tr.expectedLatency(),
 		Picker:          tr,
 		LocalPicker:     tr,
 		MaxQueueWait:    tr.maxQueueWait(rl.now),
@@ -289,10 +290,15 @@
 
 // maxQueueWait follows that of the server.
 func (tr *roomTry) maxQueueWait(now time.Time) time.Duration {
-	estimate := tr.ingress.chooser.ExpectedLatency(roomService)
+	estimate := tr.expectedLatency()
 	return max(0, tr.objective.Sub(now)-estimate-estimate/2) / 2
 }
 
+func (tr *roomTry) expectedLatency() time.Duration {
+	in := tr.ingress
+	return in.latencies.Expected(roomService, contract.TermsName(tr.call.kind.name), in.chooser.ExpectedLatency(roomService))
+}
+
 // Pick implements call.Picker.
 func (tr *roomTry) Pick(tried []host.ID, now time.Time) (datacentre.Upstream, bool) {
 	return tr.ingress.chooser.PickWithMaxWait(roomService, tr.load.upstreams, tried, tr.maxQueueWait(now), now)
@@ -424,6 +430,9 @@
 			HasLoad:      true,
 			LoadPermille: load,
 		}, rl.now)
+		if re.Outcome == call.OutcomeRan {
+			ra.try.ingress.latencies.Observe(roomService, contract.TermsName(ra.try.call.kind.name), rl.now.Sub(ra.sentAt))
+		}
 		ra.try.step(call.AttemptEnded{Attempt: id, Result: re})
 	})
 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -70,7 +70,7 @@
 		Notice:       upstream.PeerNoticeFromWire(at.reply.Response.GetNotice(), now),
 		HasNotice:    at.reply.Response != nil,
 	}
-	at.exchange.server.attemptEnded(at.action.Upstream, at.exchange.fingerprint, ob, now)
+	at.exchange.server.attemptEnded(at.exchange, at.action.Upstream, ob, now)
 	at.recordEnd(re)
 	at.exchange.server.cfg.Counters.observeAttempt(at.action.Upstream.Service, re.Outcome, now.Sub(start))
 	if at.reply.LinkLost {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -146,7 +146,7 @@
 		DeadlineMargin:    min(maxDeadlineMargin, ex.deadline.Sub(ex.startedAt)/deadlineMarginDivisor),
 		Replayable:        ex.streamedBody == nil,
 		UpperLayerRetries: call.UpperLayerRetries(ex.attemptHeader),
-		ExpectedLatency:   sv.expectedLatency(ex.target.Route.Service),
+		ExpectedLatency:   sv.expectedLatency(ex.target),
 		Picker:            ex,
 		LocalPicker:       ex.localPicker(),
 		MaxQueueWait:      sv.maxLocalQueueWait(ex),
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -96,6 +96,7 @@
 	chooser         *call.Chooser
 	splits          call.TrafficSplitter
 	typicalTimeouts call.TypicalTimeouts
+	latencies       call.KindLatencies
 	shortages       *call.ShortageMeter
 	served          host.RecentRequests
 }
@@ -243,7 +244,7 @@
 	if ex.objective.IsZero() {
 		return 0
 	}
-	estimate := sv.chooser.ExpectedLatency(ex.target.Route.Service)
+	estimate := sv.expectedLatencyLocked(ex.target)
 	slack := max(0, ex.objective.Sub(now)-estimate-estimate/2)
 	if ex.target.Terms.Class == contract.ClassBulk {
 		return slack
@@ -260,19 +261,29 @@
 	sv.chooser.Noticed(up, upstream.PeerNoticeFromWire(un, now), sentAt, now)
 }
 
-func (sv *Server) attemptEnded(up datacentre.Upstream, fp host.Fingerprint, ob call.Observation, now time.Time) {
+func (sv *Server) attemptEnded(ex *exchange, up datacentre.Upstream, ob call.Observation, now time.Time) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.chooser.Ended(up, ob, now)
 	if ob.Result.Outcome == call.OutcomeRan {
-		sv.served.Add(fp, now)
+		if !ob.Cancelled && !ob.Bulk {
+			sv.latencies.Observe(up.Service, ex.target.Terms.Name, ob.Latency)
+		}
+		sv.served.Add(ex.fingerprint, now)
 	}
 }
 
-func (sv *Server) expectedLatency(name contract.ServiceName) time.Duration {
+func (sv *Server) expectedLatency(ta *contract.Target) time.Duration {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return sv.chooser.ExpectedLatency(name)
+	return sv.expectedLatencyLocked(ta)
+}
+
+// expectedLatencyLocked returns the expected latency of a call of the target's kind.
+// sv.mu must be held.
+func (sv *Server) expectedLatencyLocked(ta *contract.Target) time.Duration {
+	name := ta.Route.Service
+	return sv.latencies.Expected(name, ta.Terms.Name, sv.chooser.ExpectedLatency(name))
 }
 
 func (sv *Server) jitter() float64 {
