feat: customers' priorities, fair shares and slots reserved by urgency at a gate

Attempts are now ordered by the priority of their customer before the rank of their route, also in the slots that are kept free. Customers of one priority and rank share by start-time fair queueing over expected slot time. Slots are kept not only from bulk but from all less urgent attempts that would make urgent ones miss their objectives, as learnt from their recent slack, demand and service times.

--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -26,14 +26,16 @@
 	}
 	ga.adoptNotice(at.Notice, now)
 	en := ga.ledger.add(at, or)
+	en.level = ga.levels.of(at.urgency())
 	ga.setDue(en, now)
 	if re := ga.refusalReason(en, now); re != ReasonNone {
 		ga.refuse(en, re, now)
 		return
 	}
+	ga.fair.charge(en, ga.levels.list)
 	ga.queue.push(en)
 	if at.Class != contract.ClassBulk {
-		ga.recordLookupDemand(at.Rank)
+		ga.recordLookupDemand()
 	}
 }
 
@@ -47,6 +49,9 @@
 func (ga *Gate) setDue(en *entry, now time.Time) {
 	at := en.attempt
 	en.arrived = now
+	en.fairTag = ga.fair.tag(en)
+	en.fairCost = ga.estimateFor(at).mean
+	ga.recordSlack(en, now)
 	en.due = at.Objective
 	if at.Objective.IsZero() {
 		en.due = now.Add(noObjectiveDelay)
@@ -100,7 +105,7 @@
 	if en.deferred && at.BodyWait > maxLateBodyWait {
 		return ReasonQueueFull
 	}
-	if ga.hasFreeSlot(at, now) {
+	if ga.hasFreeSlot(en, now) {
 		return ReasonNone
 	}
 	if ga.draining() {
@@ -178,6 +183,10 @@
 		RetryAfter:  ga.retryAt(re, en, now),
 		RateLimited: ga.isRateLimited(en, re, now),
 	})
+	if en.charged {
+		en.charged = false
+		ga.fair.refund(en)
+	}
 	ga.endAttempt(en, stateRefused, re, 0, now)
 }
 
--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -25,69 +24,35 @@
 	return slices.ContainsFunc(ga.activeEntries(), func(en *entry) bool { return en.attempt.Quarantine.Isolated })
 }
 
-// slowBulkRatio is the ratio of bulk to lookup service time above which slots are
-// reserved for lookups.
-const slowBulkRatio = 4
-
-// bulkAllowed reports whether a bulk attempt may take a slot. It reserves slots for
-// lookups of the same or a higher priority: their recent average concurrency plus its
-// square root as headroom. Bulk always gets at least one slot. Bulk that is about
-// as fast as lookups delays none and may take every slot. No bulk attempt is dispatched
-// while its body could not be received.
-func (ga *Gate) bulkAllowed(rank int) bool {
-	if ga.transfers.full() {
-		return false
-	}
-	if ga.bulkTime.mean > 0 && ga.bulkTime.mean <= slowBulkRatio*ga.lookupTime.mean {
-		return true
-	}
-	demand := 0.0
-	for ra, de := range ga.lookupDemand {
-		if ra <= rank {
-			demand += de
-		}
-	}
-	reserve := int(math.Ceil(demand + math.Sqrt(demand)))
-	return ga.runningBulk < max(1, ga.concurrencyLimit()-max(1, reserve))
-}
-
-// demandWindow is the window of the moving average of the lookup demand, in samples.
-const demandWindow = 64
-
 // hasFreeSlot reports whether an arriving attempt gets a slot at once and the rate limit
-// allows it. Queued bulk that may not take a slot does not count as ahead of a lookup.
-func (ga *Gate) hasFreeSlot(at Attempt, now time.Time) bool {
+// allows it. Queued attempts that may not take a slot do not count as ahead of one that is
+// dispatched before them.
+func (ga *Gate) hasFreeSlot(en *entry, now time.Time) bool {
+	at := &en.attempt
 	if at.Class == contract.ClassBulk && at.BodyBytes != 0 && ga.transfers.full() {
 		return false
 	}
+	if at.Class != contract.ClassBulk && !ga.mayTakeSlot(en) {
+		return false
+	}
 	ahead := ga.queue.len()
-	if at.Class != contract.ClassBulk && len(ga.queue.bulk) > 0 && !ga.bulkAllowed(ga.queue.bulk[0].attempt.Rank) {
-		ahead = len(ga.queue.lookups)
+	if at.Class != contract.ClassBulk {
+		ahead = ga.queuedAhead(en)
 	}
 	return ga.freeSlots() > ahead && ga.limiter.allows(ahead+1, now)
 }
 
-// recordLookupDemand samples the number of concurrent lookups by rank when a lookup
-// arrives.
-func (ga *Gate) recordLookupDemand(rank int) {
-	counts := ga.lookupCounts
-	clear(counts)
-	counts[rank] = 0
-	for _, en := range ga.running {
-		if en.attempt.Class != contract.ClassBulk {
-			counts[en.attempt.Rank]++
-		}
-	}
-	for _, en := range ga.queue.lookups {
-		counts[en.attempt.Rank]++
-	}
-	// Ranks without lookups are sampled as 0.
-	for ra := range ga.lookupDemand {
-		counts[ra] += 0
+// queuedAhead returns the number of queued attempts that count as ahead of an arriving
+// lookup.
+func (ga *Gate) queuedAhead(en *entry) int {
+	ahead := ga.queue.len()
+	if bulk := ga.queue.bulk; len(bulk) > 0 && !ga.mayTakeSlot(bulk[0]) {
+		ahead -= len(bulk)
 	}
-	for ra, co := range counts {
-		ga.lookupDemand[ra] += (float64(co) - ga.lookupDemand[ra]) / demandWindow
+	if lookups := ga.queue.lookups; len(lookups) > 0 && en.moreUrgentThan(lookups[0]) && !ga.mayTakeSlot(lookups[0]) {
+		ahead -= len(lookups)
 	}
+	return ahead
 }
 
 // estimateWait estimates how long a new attempt waits until a slot is free, the rate
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -10,7 +10,7 @@
 // allows it.
 func (ga *Gate) dispatchQueued(now time.Time) {
 	for ga.freeSlots() > 0 && ga.queue.len() > 0 && ga.limiter.allows(1, now) && ga.UnavailableReason(now) == ReasonNone {
-		en := ga.queue.pop(ga.bulkAllowed)
+		en := ga.queue.pop(ga.mayTakeSlot)
 		if en == nil {
 			return
 		}
@@ -73,6 +73,8 @@
 	en.state = stateRunning
 	en.dispatched = now
 	ga.running[en.attempt.ID] = en
+	en.level.running++
+	en.level.virtualTime = max(en.level.virtualTime, en.fairTag)
 	ga.limiter.take(now)
 	if en.attempt.Class == contract.ClassBulk {
 		ga.runningBulk++
@@ -130,6 +132,7 @@
 		return
 	}
 	delete(ga.running, ev.ID)
+	en.level.running--
 	ga.transfers.end(en, 0, now)
 	if en.attempt.Class == contract.ClassBulk {
 		ga.runningBulk--
@@ -144,7 +147,7 @@
 	ga.crashes.recordEnd(en, ev, now)
 	switch ev.Outcome {
 	case OutcomeRan:
-		ga.recordServiceTime(en.attempt, now.Sub(en.dispatched))
+		ga.recordServiceTime(en, now.Sub(en.dispatched))
 		ga.endAttempt(en, stateFinished, ev.Reason, ev.KeptBytes, now)
 	case OutcomeNotRun:
 		ga.endAttempt(en, stateRefused, ev.Reason, 0, now)
@@ -154,7 +157,11 @@
 }
 
 // recordServiceTime updates the service time estimates with a finished attempt.
-func (ga *Gate) recordServiceTime(at Attempt, took time.Duration) {
+func (ga *Gate) recordServiceTime(en *entry, took time.Duration) {
+	at := en.attempt
+	if at.Class != contract.ClassBulk {
+		en.level.time.add(took)
+	}
 	es := ga.estimateFor(at)
 	es.add(took)
 	class := &ga.lookupTime
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -47,10 +47,8 @@
 	running      map[AttemptID]*entry
 	runningBulk  int
 	startedCount int
-	// lookupDemand is a moving average of the number of running and queued lookups, by
-	// rank; lookupCounts is the buffer for a sample of it.
-	lookupDemand map[int]float64
-	lookupCounts map[int]int
+	levels       levels
+	fair         fairShares
 	orphans      orphanTracker
 	transfers    transferLimiter
 	downstream   downstreamShortages
@@ -79,8 +77,6 @@
 		cfg:          cfg,
 		ledger:       le,
 		running:      map[AttemptID]*entry{},
-		lookupDemand: map[int]float64{},
-		lookupCounts: map[int]int{},
 		kindTimes:    map[Kind]*estimate{},
 		orphans: orphanTracker{
 			lag:            cfg.AnnounceLag,
--- a/core/host/ledger.go
+++ b/core/host/ledger.go
@@ -33,6 +33,13 @@
 	due      time.Time
 	deferred bool
 	arrived  time.Time
+	// level is that of the attempt's urgency; nil before its arrival is handled.
+	level *level
+	// fairTag orders the attempts of different customers at one level, and fairCost is the
+	// expected service time; charged is set while the customer is charged with it.
+	fairTag  time.Duration
+	fairCost time.Duration
+	charged  bool
 	// interrupted is set once the running attempt has been told to stop.
 	interrupted bool
 	waiters     []waiter
--- a/core/host/queue.go
+++ b/core/host/queue.go
@@ -44,7 +44,7 @@
 	if en.attempt.Nested != it.attempt.Nested {
 		return en.attempt.Nested
 	}
-	return en.attempt.Rank < it.attempt.Rank
+	return en.attempt.urgency() < it.attempt.urgency()
 }
 
 func (qu *queue) list(cl contract.Class) *[]*entry {
@@ -68,8 +68,8 @@
 
 // before reports whether an attempt is dispatched before another of its class. Nested
 // attempts come first, since the call that they are part of already holds a slot; then
-// attempts are ordered by rank, by whether they can still meet their objective, and by
-// due time.
+// attempts are ordered by urgency, by whether they can still meet their objective, by the
+// fair shares of their customers, and by due time.
 func (en *entry) before(it *entry) bool {
 	switch {
 	case en.moreUrgentThan(it):
@@ -78,24 +78,37 @@
 		return false
 	case en.deferred != it.deferred:
 		return it.deferred
+	case en.fairTag != it.fairTag:
+		return en.fairTag < it.fairTag
 	}
 	return en.due.Before(it.due)
 }
 
-// pop removes and returns the next attempt; a bulk attempt only when bulkAllowed
-// permits it.
-func (qu *queue) pop(bulkAllowed func(rank int) bool) *entry {
-	if len(qu.bulk) > 0 && qu.bulkNext() && bulkAllowed(qu.bulk[0].attempt.Rank) {
+// pop removes and returns the next attempt that may take a slot, or nil.
+func (qu *queue) pop(mayTakeSlot func(en *entry) bool) *entry {
+	bulkAllowed := len(qu.bulk) > 0 && mayTakeSlot(qu.bulk[0])
+	if bulkAllowed && qu.bulkNext() {
 		qu.lookupsSinceBulk = 0
 		return popFront(&qu.bulk)
 	}
-	if len(qu.lookups) == 0 {
-		return nil
+	for i, en := range qu.lookups {
+		if i > 0 && en.level == qu.lookups[i-1].level || !mayTakeSlot(en) {
+			continue
+		}
+		if len(qu.bulk) > 0 {
+			qu.lookupsSinceBulk++
+		}
+		if i == 0 {
+			return popFront(&qu.lookups)
+		}
+		qu.lookups = slices.Delete(qu.lookups, i, i+1)
+		return en
 	}
-	if len(qu.bulk) > 0 {
-		qu.lookupsSinceBulk++
+	if bulkAllowed {
+		qu.lookupsSinceBulk = 0
+		return popFront(&qu.bulk)
 	}
-	return popFront(&qu.lookups)
+	return nil
 }
 
 // bulkNext reports whether the first bulk attempt precedes the first lookup.
@@ -103,7 +116,7 @@
 	if len(qu.lookups) == 0 {
 		return true
 	}
-	bulk, lookup := qu.bulk[0].attempt.Rank, qu.lookups[0].attempt.Rank
+	bulk, lookup := qu.bulk[0].attempt.urgency(), qu.lookups[0].attempt.urgency()
 	if qu.lookups[0].attempt.Nested {
 		return false
 	}
@@ -117,13 +130,13 @@
 // which is not in the queue.
 func (qu *queue) visitAhead(en *entry, visit func(it *entry)) {
 	for _, it := range qu.lookups {
-		if en.attempt.Class == contract.ClassBulk && (it.attempt.Nested || it.attempt.Rank <= en.attempt.Rank) ||
+		if en.attempt.Class == contract.ClassBulk && (it.attempt.Nested || it.attempt.urgency() <= en.attempt.urgency()) ||
 			en.attempt.Class != contract.ClassBulk && !en.before(it) {
 			visit(it)
 		}
 	}
 	for _, it := range qu.bulk {
-		if en.attempt.Class != contract.ClassBulk && !en.attempt.Nested && it.attempt.Rank < en.attempt.Rank ||
+		if en.attempt.Class != contract.ClassBulk && !en.attempt.Nested && it.attempt.urgency() < en.attempt.urgency() ||
 			en.attempt.Class == contract.ClassBulk && !en.before(it) {
 			visit(it)
 		}
