feat: correct estimated waits, guard against starvation, refuse calls early (model)

A gate now learns how much longer attempts wait than the queue ahead of them takes, since they are overtaken, and counts only the slots that more urgent attempts leave. Levels of which too small a share is served are dispatched like the most urgent one. An ingress can refuse calls of a group of which recent ones found no room; it is used in the played loads so far.

--- a/core/call/room_load_test.go
+++ b/core/call/room_load_test.go
@@ -91,6 +91,7 @@
 type roomIngress struct {
 	chooser   *call.Chooser
 	latencies call.KindLatencies
+	throttle  call.Throttle
 	calls     uint64
 	id        host.ID
 }
@@ -115,9 +116,12 @@
 
 // roomLoad plays a load through the gates, choosers and calls of a mesh in virtual time.
 type roomLoad struct {
-	cfg       roomConfig
-	start     time.Time
-	now       time.Time
+	cfg   roomConfig
+	start time.Time
+	now   time.Time
+	// arrivals draws the offered load, which is the same whatever becomes of the calls, and
+	// rnd all other choices.
+	arrivals  *rand.Rand
 	rnd       *rand.Rand
 	timers    eventQueue
 	gates     map[host.ID]*host.Gate
@@ -136,7 +140,8 @@
 	rl := &roomLoad{
 		cfg:      cfg,
 		now:      time.Unix(1_000_000, 0),
-		rnd:      rand.New(rand.NewPCG(cfg.seed, 9)),
+		arrivals: rand.New(rand.NewPCG(cfg.seed, 9)),
+		rnd:      rand.New(rand.NewPCG(cfg.seed, 10)),
 		gates:    map[host.ID]*host.Gate{},
 		attempts: map[host.AttemptID]*roomAttempt{},
 		tallies:  map[string]*roomTally{},
@@ -207,7 +212,7 @@
 			total = (float64(rl.cfg.customers-rl.cfg.heavy) + float64(rl.cfg.heavy)*weight) / float64(rl.cfg.customers)
 		}
 		rl.begin(ki, rl.pickCustomer(weight))
-		rl.arrive(ki, time.Duration(rl.rnd.ExpFloat64()/(rate*total)*float64(time.Second)))
+		rl.arrive(ki, time.Duration(rl.arrivals.ExpFloat64()/(rate*total)*float64(time.Second)))
 	})
 }
 
@@ -224,7 +229,7 @@
 		return 0
 	}
 	heavy := float64(rl.cfg.heavy) * weight
-	at := rl.rnd.Float64() * (heavy + float64(rl.cfg.customers-rl.cfg.heavy))
+	at := rl.arrivals.Float64() * (heavy + float64(rl.cfg.customers-rl.cfg.heavy))
 	if at < heavy {
 		return 1 + int(at/weight)
 	}
@@ -248,7 +253,7 @@
 		customer: customer,
 		begun:    rl.now,
 		deadline: rl.now.Add(ki.timeout),
-		work:     time.Duration(float64(ki.work) * (0.8 + 0.4*rl.rnd.Float64())),
+		work:     time.Duration(float64(ki.work) * (0.8 + 0.4*rl.arrivals.Float64())),
 	}
 	rl.offered = append(rl.offered, rc)
 	rl.try(rc)
@@ -284,10 +289,28 @@
 		MinRetryAfter:   time.Second,
 		Jitter:          rl.rnd.Float64,
 	})
+	if at, refuse := in.throttle.Refuse(tr.throttleKey(), rc.retried, rl.now); refuse {
+		at = call.JitterRetryAfter(at, rl.now, time.Second, rl.rnd.Float64())
+		tr.respond(call.Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonServiceFull, RetryAfter: at})
+		return
+	}
 	tr.step(call.Begin{})
 	rl.after(rc.deadline.Sub(rl.now), func() { tr.step(call.Tick{}) })
 }
 
+func (tr *roomTry) throttleKey() call.ThrottleKey {
+	rc := tr.call
+	key := call.ThrottleKey{
+		Service:      roomService,
+		CustomerRank: tr.load.customerRank(rc.customer),
+		Rank:         rc.kind.rank,
+	}
+	if rc.customer > 0 {
+		key.Customer = contract.CustomerName(fmt.Sprint("customer-", rc.customer))
+	}
+	return key
+}
+
 // maxQueueWait follows that of the server.
 func (tr *roomTry) maxQueueWait(now time.Time) time.Duration {
 	estimate := tr.expectedLatency()
@@ -329,6 +352,7 @@
 		case call.CancelAttempt:
 			rl.after(oneWayTime, func() { rl.cancel(ac.Attempt) })
 		case call.Respond:
+			tr.ingress.throttle.Record(tr.throttleKey(), ac.Result, rl.now)
 			tr.respond(ac.Result)
 			return
 		}
--- a/core/call/shortage.go
+++ b/core/call/shortage.go
@@ -42,7 +42,11 @@
 	if re.Outcome != OutcomeNotRun {
 		return false
 	}
-	return re.Reason == host.ReasonQueueFull || re.Reason == host.ReasonBusy || re.Reason == host.ReasonDeadline
+	switch re.Reason {
+	case host.ReasonQueueFull, host.ReasonBusy, host.ReasonDeadline, ReasonServiceFull:
+		return true
+	}
+	return false
 }
 
 // Record records the result of a call.
--- /dev/null
+++ b/core/call/throttle.go
@@ -0,0 +1,138 @@
+package call
+
+import (
+	"math"
+	"time"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/host"
+)
+
+const (
+	// throttleWindow is the time constant with which older results are forgotten.
+	throttleWindow = 2 * time.Second
+	// throttleSurplus is how many calls are let through for each one that is served, so that
+	// room is noticed and no slot stays idle.
+	throttleSurplus = 1.5
+	// throttlePrior is the number of calls that few refusals are weighed against.
+	throttlePrior = 4.0
+	// maxThrottled bounds the groups of calls whose results are remembered.
+	maxThrottled = 1024
+)
+
+// ThrottleKey names a group of calls that find the same room: those to one service of one
+// rank, and of one customer if the calls are made for customers.
+type ThrottleKey struct {
+	Service      contract.ServiceName
+	Customer     contract.CustomerName
+	CustomerRank int
+	Rank         int
+}
+
+// Throttle refuses calls before their first attempt when recent ones of their group were
+// refused for want of room. Without it each such call costs attempts at several gates. Of
+// the calls of a group, throttleSurplus times as many are let through as were served.
+type Throttle struct {
+	groups map[ThrottleKey]*throttled
+}
+
+// throttled is what is known of one group.
+type throttled struct {
+	// calls and served decay exponentially; calls includes those refused without an attempt.
+	calls, served float64
+	updatedAt     time.Time
+	// due is the number of calls to be refused: each call adds the share to be refused.
+	due float64
+	// retryDelay is the moving average of the time after which gates told to retry.
+	retryDelay time.Duration
+}
+
+// retryDelayWindow is the window of the moving average of the retry delay, in samples.
+const retryDelayWindow = 8
+
+// share returns the share of the calls to be refused.
+func (th *throttled) share() float64 {
+	return max(0, (th.calls-throttleSurplus*th.served-throttlePrior)/(th.calls+1))
+}
+
+func (th *throttled) decay(now time.Time) {
+	if now.After(th.updatedAt) {
+		factor := math.Exp(-now.Sub(th.updatedAt).Seconds() / throttleWindow.Seconds())
+		th.calls *= factor
+		th.served *= factor
+		th.updatedAt = now
+	}
+}
+
+// Refuse decides whether to refuse a call without an attempt, and returns when the caller
+// may retry. A caller that comes back is not refused, so that new calls of its group are
+// not served in its place.
+func (th *Throttle) Refuse(key ThrottleKey, returning bool, now time.Time) (time.Time, bool) {
+	it := th.groups[key]
+	if it == nil || returning {
+		return time.Time{}, false
+	}
+	it.decay(now)
+	share := it.share()
+	if share == 0 {
+		it.due = 0
+		return time.Time{}, false
+	}
+	it.due += share
+	if it.due < 1 {
+		return time.Time{}, false
+	}
+	it.due--
+	it.calls++
+	return now.Add(it.retryDelay), true
+}
+
+// Record records the result of a call that was let through.
+func (th *Throttle) Record(key ThrottleKey, re Result, now time.Time) {
+	short := isShortage(re)
+	it := th.groups[key]
+	if it == nil {
+		if !short {
+			return // served calls matter only beside refused ones
+		}
+		if it = th.add(key, now); it == nil {
+			return
+		}
+	}
+	it.decay(now)
+	it.calls++
+	if !short {
+		it.served++
+		return
+	}
+	if delay := re.RetryAfter.Sub(now); delay > 0 {
+		if it.retryDelay == 0 {
+			it.retryDelay = delay
+		}
+		it.retryDelay += (delay - it.retryDelay) / retryDelayWindow
+	}
+}
+
+// add returns a new group, or nil if there are too many.
+func (th *Throttle) add(key ThrottleKey, now time.Time) *throttled {
+	if th.groups == nil {
+		th.groups = map[ThrottleKey]*throttled{}
+	}
+	if len(th.groups) >= maxThrottled {
+		for ke, it := range th.groups {
+			if it.decay(now); it.calls < 1 {
+				delete(th.groups, ke)
+			}
+		}
+		if len(th.groups) >= maxThrottled {
+			return nil
+		}
+	}
+	it := &throttled{updatedAt: now}
+	th.groups[key] = it
+	return it
+}
+
+// ReasonServiceFull refuses a call without an attempt because recent calls like it found
+// no room at the gates of the service.
+const ReasonServiceFull host.Reason = "service_full"
--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -26,12 +26,16 @@
 	}
 	ga.adoptNotice(at.Notice, now)
 	en := ga.ledger.add(at, or)
-	en.level = ga.levels.of(at.urgency())
+	ga.setUrgency(en)
 	ga.setDue(en, now)
 	if re := ga.refusalReason(en, now); re != ReasonNone {
 		ga.refuse(en, re, now)
 		return
 	}
+	if !at.Nested && !en.deferred && at.Class != contract.ClassBulk {
+		en.estimatedWait = ga.queueWait(en)
+		en.waits = en.waitError()
+	}
 	ga.fair.charge(en, ga.levels.list)
 	ga.queue.push(en)
 	if at.Class != contract.ClassBulk {
@@ -183,6 +187,12 @@
 		RetryAfter:  ga.retryAt(re, en, now),
 		RateLimited: ga.isRateLimited(en, re, now),
 	})
+	if isCapacityReason(re) {
+		ga.recordWait(en, now)
+		if re != ReasonBusy {
+			ga.recordShare(en, 1)
+		}
+	}
 	if en.charged {
 		en.charged = false
 		ga.fair.refund(en)
--- a/core/host/capacity.go
+++ b/core/host/capacity.go
@@ -64,21 +64,37 @@
 // slotWait estimates how long a new attempt waits until a slot is free and its body may
 // be received.
 func (ga *Gate) slotWait(en *entry) time.Duration {
-	work := ga.estimateFor(en.attempt).mean
-	bodies := 0
-	ga.queue.visitAhead(en, func(it *entry) {
-		work += ga.estimateFor(it.attempt).mean
-		if it.attempt.BodyBytes != 0 {
-			bodies++
+	wait := ga.queueWait(en)
+	if en.attempt.Class != contract.ClassBulk {
+		if !en.attempt.Nested && !en.deferred {
+			wait = en.correctWait(wait)
 		}
-	})
-	wait := work / time.Duration(max(1, ga.concurrencyLimit()))
-	if en.attempt.Class == contract.ClassBulk && en.attempt.BodyBytes != 0 {
+		return wait
+	}
+	if en.attempt.BodyBytes != 0 {
+		bodies := 0
+		ga.queue.visitAhead(en, func(it *entry) {
+			if it.attempt.BodyBytes != 0 {
+				bodies++
+			}
+		})
 		wait = max(wait, ga.transfers.estimateWait(bodies), en.attempt.BodyWait+ga.transfers.queuedTime(bodies))
 	}
 	return wait
 }
 
+// queueWait estimates how long the attempts take that are queued ahead of a new one, with
+// the slots that more urgent attempts have left lately.
+func (ga *Gate) queueWait(en *entry) time.Duration {
+	work := ga.estimateFor(en.attempt).mean
+	ga.queue.visitAhead(en, func(it *entry) { work += ga.estimateFor(it.attempt).mean })
+	slots := float64(ga.concurrencyLimit())
+	if en.attempt.Class != contract.ClassBulk && !en.attempt.Nested {
+		slots -= ga.levels.demandAbove(en.urgency)
+	}
+	return time.Duration(float64(work) / max(1, slots))
+}
+
 // defaultServiceTime is assumed before the first call has ended.
 const defaultServiceTime = 100 * time.Millisecond
 
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -27,6 +27,8 @@
 			ga.refuse(en, ReasonInvariant, now)
 			continue
 		}
+		ga.recordWait(en, now)
+		ga.recordShare(en, 0)
 		ga.dispatch(en, now)
 	}
 }
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -49,6 +49,7 @@
 	startedCount int
 	levels       levels
 	fair         fairShares
+	share        servedShare
 	orphans      orphanTracker
 	transfers    transferLimiter
 	downstream   downstreamShortages
@@ -74,10 +75,10 @@
 	}
 	le := newLedger(cfg.Ledger)
 	return &Gate{
-		cfg:          cfg,
-		ledger:       le,
-		running:      map[AttemptID]*entry{},
-		kindTimes:    map[Kind]*estimate{},
+		cfg:       cfg,
+		ledger:    le,
+		running:   map[AttemptID]*entry{},
+		kindTimes: map[Kind]*estimate{},
 		orphans: orphanTracker{
 			lag:            cfg.AnnounceLag,
 			maxCallTimeout: cfg.MaxCallTimeout,
--- a/core/host/ledger.go
+++ b/core/host/ledger.go
@@ -33,13 +33,19 @@
 	due      time.Time
 	deferred bool
 	arrived  time.Time
-	// level is that of the attempt's urgency; nil before its arrival is handled.
-	level *level
+	// level is that of the attempt; nil before its arrival is handled. urgency is by which it
+	// is dispatched; it is higher than that of its level while this is starved.
+	level   *level
+	urgency urgency
 	// fairTag orders the attempts of different customers at one level, and fairCost is the
 	// expected service time; charged is set while the customer is charged with it.
 	fairTag  time.Duration
 	fairCost time.Duration
 	charged  bool
+	// estimatedWait is the wait in the queue as estimated on arrival, and waits is where
+	// its error is recorded; nil if it isn't.
+	estimatedWait time.Duration
+	waits         *waitError
 	// interrupted is set once the running attempt has been told to stop.
 	interrupted bool
 	waiters     []waiter
--- a/core/host/levels.go
+++ b/core/host/levels.go
@@ -45,6 +45,11 @@
 	// an attempt has named a customer.
 	virtualTime time.Duration
 	shared      bool
+	// waits is the error of the estimated waits, and laggingWaits that of customers that
+	// have attempts ahead of their next one.
+	waits        waitError
+	laggingWaits waitError
+	share        servedShare
 }
 
 // levels holds the levels of a gate, the most urgent first.
@@ -87,6 +92,18 @@
 	return le
 }
 
+// demandAbove returns the demand of the levels that are more urgent.
+func (lv *levels) demandAbove(ur urgency) float64 {
+	demand := 0.0
+	for _, le := range lv.list {
+		if le.urgency >= ur {
+			break
+		}
+		demand += le.demand
+	}
+	return demand
+}
+
 // demandWindow is the window of the moving average of the lookup demand, in samples.
 const demandWindow = 64
 
@@ -113,7 +130,8 @@
 	slowBulkRatio = 4
 	// minSlackSlots is the slack of urgent lookups, in mean times until one of the slots is
 	// free, above which no slot is reserved for them: the time until a slot is free is
-	// about exponential, so that at 4 one in 50 is late.
+	// about exponential, so that at 4 one in 50 is late. The more of them there are at
+	// once, the more slots they need in addition when their number varies.
 	minSlackSlots = 4
 )
 
@@ -124,7 +142,7 @@
 func (ga *Gate) mayTakeSlot(en *entry) bool {
 	bulk := en.attempt.Class == contract.ClassBulk
 	switch {
-	case en.level == nil || en.attempt.Nested && !bulk:
+	case en.level == nil || en.attempt.Nested && !bulk || en.urgency < en.level.urgency && !bulk:
 		return true
 	case bulk && ga.transfers.full():
 		return false
@@ -154,7 +172,8 @@
 	if le.slack == 0 || less.time.mean <= le.time.mean {
 		return false
 	}
-	return le.slack < minSlackSlots*less.time.mean/time.Duration(max(1, ga.concurrencyLimit()))
+	slots := max(1, float64(ga.concurrencyLimit())-ga.levels.demandAbove(le.urgency))
+	return le.slack.Seconds() < minSlackSlots*less.time.mean.Seconds()/slots*max(1, math.Sqrt(le.demand))
 }
 
 // runningFrom returns the number of running attempts that the slots reserved from an
--- a/core/host/queue.go
+++ b/core/host/queue.go
@@ -44,7 +44,7 @@
 	if en.attempt.Nested != it.attempt.Nested {
 		return en.attempt.Nested
 	}
-	return en.attempt.urgency() < it.attempt.urgency()
+	return en.urgency < it.urgency
 }
 
 func (qu *queue) list(cl contract.Class) *[]*entry {
@@ -116,7 +116,7 @@
 	if len(qu.lookups) == 0 {
 		return true
 	}
-	bulk, lookup := qu.bulk[0].attempt.urgency(), qu.lookups[0].attempt.urgency()
+	bulk, lookup := qu.bulk[0].urgency, qu.lookups[0].urgency
 	if qu.lookups[0].attempt.Nested {
 		return false
 	}
@@ -130,13 +130,13 @@
 // which is not in the queue.
 func (qu *queue) visitAhead(en *entry, visit func(it *entry)) {
 	for _, it := range qu.lookups {
-		if en.attempt.Class == contract.ClassBulk && (it.attempt.Nested || it.attempt.urgency() <= en.attempt.urgency()) ||
+		if en.attempt.Class == contract.ClassBulk && (it.attempt.Nested || it.urgency <= en.urgency) ||
 			en.attempt.Class != contract.ClassBulk && !en.before(it) {
 			visit(it)
 		}
 	}
 	for _, it := range qu.bulk {
-		if en.attempt.Class != contract.ClassBulk && !en.attempt.Nested && it.attempt.urgency() < en.attempt.urgency() ||
+		if en.attempt.Class != contract.ClassBulk && !en.attempt.Nested && it.urgency < en.urgency ||
 			en.attempt.Class == contract.ClassBulk && !en.before(it) {
 			visit(it)
 		}
