feat: refuse early at the ingress, count and explain refusals for want of room

An ingress refuses calls without an attempt while more than a third of the recent ones of their service and rank found no room: 1.5 times as many are let through as were served, so that no slot stays idle; callers that come back and nested calls are always let through. Refusals of gates state how many attempts were ahead and how many slots were kept for more urgent ones, which explain call shows. Counters by rank and reason.

Acts without customers.

--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -286,6 +286,7 @@
 		OnInvariantViolation: ct.reportGateViolation,
 		Client:               cl,
 		Quarantine:           ct.crashes,
+		OnRefused:            refusalCounter(set),
 		OnRateLimited:        set.GetOrCreateCounter(`lynxfold_gate_rate_limited_total`).Inc,
 		OnUpstreamCrashed:    set.GetOrCreateCounter(`lynxfold_gate_upstream_crashes_total`).Inc,
 		OnUnreadableLimit:    set.GetOrCreateCounter(`lynxfold_gate_unreadable_limits_total`).Inc,
--- a/core/call/throttle.go
+++ b/core/call/throttle.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// State returns the share of a group's calls to be refused, and the number of its recent
+// calls, of which older ones count less.
+func (th *Throttle) State(key ThrottleKey, now time.Time) (share, calls float64) {
+	it := th.groups[key]
+	if it == nil {
+		return 0, 0
+	}
+	it.decay(now)
+	return it.share(), it.calls
+}
+
 // add returns a new group, or nil if there are too many.
 func (th *Throttle) add(key ThrottleKey, now time.Time) *throttled {
 	if th.groups == nil {
--- a/core/call/types.go
+++ b/core/call/types.go
@@ -86,6 +86,9 @@
 	// NoRetryDownstreamFull means that a service that the call would call is short of
 	// capacity, which other gates can't change.
 	NoRetryDownstreamFull RetryReason = "downstream_full"
+	// NoRetryServiceFull means that the call was refused without an attempt, since recent
+	// ones like it found no room.
+	NoRetryServiceFull RetryReason = "service_full"
 	// NoRetryQuarantined means that the request has crashed upstreams which ran it.
 	NoRetryQuarantined RetryReason = "quarantined"
 	// NoRetryInvariant means that the call ended with InvariantViolated.
--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -181,12 +181,17 @@
 }
 
 func (ga *Gate) refuse(en *entry, re Reason, now time.Time) {
-	ga.emit(Refuse{
+	ac := Refuse{
 		ID:          en.attempt.ID,
 		Reason:      re,
 		RetryAfter:  ga.retryAt(re, en, now),
 		RateLimited: ga.isRateLimited(en, re, now),
-	})
+	}
+	if isCapacityReason(re) {
+		ga.queue.visitAhead(en, func(*entry) { ac.Ahead++ })
+		ac.KeptSlots = ga.keptSlots(en)
+	}
+	ga.emit(ac)
 	if isCapacityReason(re) {
 		ga.recordWait(en, now)
 		if re != ReasonBusy {
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -160,6 +160,10 @@
 	// RateLimited says that the upstream's rate limit left no room for the attempt, not
 	// its slots.
 	RateLimited bool
+	// Ahead is the number of attempts that were queued ahead, and KeptSlots that of the
+	// slots kept free for more urgent ones, if the upstream had no room.
+	Ahead     int
+	KeptSlots int
 }
 
 // RefuseArrival rejects only the arrival that was just reported: the gate has a
--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -321,6 +321,8 @@
 	at.ServedLately = td.HasArg("served-lately")
 	td.MaybeScanArgs(t, "fingerprint", (*uint64)(&at.Fingerprint))
 	td.MaybeScanArgs(t, "rank", &at.Rank)
+	td.MaybeScanArgs(t, "customer", (*string)(&at.Customer))
+	td.MaybeScanArgs(t, "customer-rank", &at.CustomerRank)
 	td.MaybeScanArgs(t, "request", (*string)(&at.Request))
 	td.MaybeScanArgs(t, "kind", (*string)(&at.Kind))
 	td.MaybeScanArgs(t, "body", &at.BodyBytes)
--- a/core/host/levels.go
+++ b/core/host/levels.go
@@ -135,35 +135,41 @@
 	minSlackSlots = 4
 )
 
-// mayTakeSlot reports whether an attempt may take a slot. Slots are reserved for
-// lookups that are more urgent, and from bulk for those that are as urgent: their recent
-// average concurrency plus its square root as headroom. Less urgent attempts always get
+// mayTakeSlot reports whether an attempt may take a slot. Less urgent attempts always get
 // at least one slot. No bulk attempt is dispatched while its body could not be received.
 func (ga *Gate) mayTakeSlot(en *entry) bool {
+	if en.attempt.Class == contract.ClassBulk && ga.transfers.full() {
+		return false
+	}
+	kept := ga.keptSlots(en)
+	return kept == 0 || ga.runningFrom(en) < max(1, ga.concurrencyLimit()-kept)
+}
+
+// keptSlots returns the number of slots that are kept free from an attempt. They are kept
+// for lookups that are more urgent, and from bulk for those that are as urgent: their
+// recent average concurrency plus its square root as headroom.
+func (ga *Gate) keptSlots(en *entry) int {
 	bulk := en.attempt.Class == contract.ClassBulk
 	switch {
-	case en.level == nil || en.attempt.Nested && !bulk || en.urgency < en.level.urgency && !bulk:
-		return true
-	case bulk && ga.transfers.full():
-		return false
+	case en.level == nil, !bulk && (en.attempt.Nested || en.urgency < en.level.urgency):
+		return 0
 	case bulk && ga.bulkTime.mean > 0 && ga.bulkTime.mean <= slowBulkRatio*ga.lookupTime.mean:
-		return true
+		return 0
 	}
-	demand, reserved := 0.0, bulk
+	demand, kept := 0.0, bulk
 	for _, le := range ga.levels.list {
 		if le.urgency > en.level.urgency || le == en.level && !bulk {
 			break
 		}
 		if bulk || ga.isDelayed(le, en.level) {
 			demand += le.demand
-			reserved = true
+			kept = true
 		}
 	}
-	if !reserved {
-		return true
+	if !kept {
+		return 0
 	}
-	reserve := int(math.Ceil(demand + math.Sqrt(demand)))
-	return ga.runningFrom(en) < max(1, ga.concurrencyLimit()-max(1, reserve))
+	return max(1, int(math.Ceil(demand+math.Sqrt(demand))))
 }
 
 // isDelayed reports whether the lookups of a level would often miss their objectives if
--- a/io/caller/counters.go
+++ b/io/caller/counters.go
@@ -26,8 +26,12 @@
 	retries          *metricFamily[call.RetryReason, *metrics.Counter]
 	attemptDurations *metricFamily[attemptLabels, *metrics.Histogram]
 	answers          *metricFamily[answerLabels, *metrics.Counter]
+	throttled        *metricFamily[int, *metrics.Counter]
 }
 
+// maxCountedRank bounds the values of the label rank; it stands for all higher ranks too.
+const maxCountedRank = 15
+
 // attemptLabels are the metric labels of an attempt.
 type attemptLabels struct {
 	service contract.ServiceName
@@ -60,6 +64,9 @@
 			return set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_answers_total{service=%q,outcome=%q,reason=%q}`, la.service, la.outcome, la.reason))
 		}),
 	}
+	co.throttled = newMetricFamily(func(rank int) *metrics.Counter {
+		return set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_calls_refused_early_total{rank="%d"}`, rank))
+	})
 	for _, ou := range []call.Outcome{call.OutcomeRan, call.OutcomeNotRun, call.OutcomeUnknown} {
 		co.callsByOutcome[ou] = set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_calls_total{outcome=%q}`, ou))
 	}
@@ -80,6 +87,11 @@
 	}
 }
 
+// countThrottled counts a call that was refused without an attempt for want of room.
+func (co *Counters) countThrottled(rank int) {
+	co.throttled.metric(min(rank, maxCountedRank)).Inc()
+}
+
 // countSkippedAttempt counts a further attempt that was not made.
 func (co *Counters) countSkippedAttempt(reason call.RetryReason) {
 	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_no_retry_total{reason=%q}`, reason)).Inc()
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -115,7 +115,7 @@
 	ex.context, ex.cancel = context.WithDeadline(context.Background(), ex.deadline)
 	ex.call = call.New(ex.config())
 	ex.session.attach(ex.pending, ex)
-	if ex.answerQuarantined() {
+	if ex.answerQuarantined() || ex.answerThrottled() {
 		return
 	}
 	ex.server.reportNested(ex)
--- a/io/caller/record.go
+++ b/io/caller/record.go
@@ -70,8 +70,12 @@
 	en.Host = at.action.Upstream.Host
 	en.Outcome = string(re.Outcome)
 	en.Reason = string(re.Reason)
-	if re.RateLimited {
+	switch rf := at.reply.Refusal; {
+	case re.RateLimited:
 		en.Detail = "the upstream's rate limit left no room"
+	case rf.GetAhead() > 0 || rf.GetKeptSlots() > 0:
+		en.Detail = fmt.Sprintf("%d attempts were queued ahead, %d slots were kept free for more urgent ones",
+			rf.GetAhead(), rf.GetKeptSlots())
 	}
 	ex.server.cfg.Recorder.AddCall(en)
 }
@@ -92,6 +96,11 @@
 		ex.server.cfg.Recorder.AddCall(en)
 		return
 	}
+	if an.Result.Reason == call.ReasonServiceFull {
+		en.Detail = ex.describeThrottled(en.At)
+		ex.server.cfg.Recorder.AddCall(en)
+		return
+	}
 	if an.NoRetryReason != "" && an.NoRetryReason != call.NoRetryFinal {
 		en.Detail = "no further attempt: " + string(an.NoRetryReason)
 	}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -98,6 +98,7 @@
 	typicalTimeouts call.TypicalTimeouts
 	latencies       call.KindLatencies
 	shortages       *call.ShortageMeter
+	throttle        call.Throttle
 	served          host.RecentRequests
 }
 
@@ -296,7 +297,9 @@
 func (sv *Server) recordShortage(ex *exchange, re call.Result) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.shortages.Record(ex.target.Route.Service, ex.target.Terms.Rank, ex.nested, re, time.Now())
+	now := time.Now()
+	sv.shortages.Record(ex.target.Route.Service, ex.target.Terms.Rank, ex.nested, re, now)
+	sv.recordThrottle(ex, re, now)
 }
 
 // reportNested reports a nested call to the gate of this host, which runs its parent.
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -23,6 +23,8 @@
 	// OnRateLimited is called for each attempt that the upstream's rate limit left no room
 	// for; it may be nil.
 	OnRateLimited func()
+	// OnRefused is called for each attempt that the gate refuses; it may be nil.
+	OnRefused func(rank int, re host.Reason)
 	// OnUnreadableLimit is called for each response with a rate limit that can't be read;
 	// it may be nil.
 	OnUnreadableLimit func()
--- a/io/upstream/gate_attempt.go
+++ b/io/upstream/gate_attempt.go
@@ -141,7 +141,12 @@
 	if ac.Reason == host.ReasonQuarantined {
 		re.Refusal.Crashes = ga.cfg.Quarantine.Evidence(at.Fingerprint)
 	}
+	if ga.cfg.OnRefused != nil {
+		ga.cfg.OnRefused(at.Rank, ac.Reason)
+	}
 	re.Refusal.RateLimited = ac.RateLimited
+	re.Refusal.Ahead = uint32(ac.Ahead)
+	re.Refusal.KeptSlots = uint32(ac.KeptSlots)
 	if ac.RateLimited && ga.cfg.OnRateLimited != nil {
 		ga.cfg.OnRateLimited()
 	}
--- a/io/upstream/gate_log.go
+++ b/io/upstream/gate_log.go
@@ -22,6 +22,8 @@
 		Int("slots", int(st.Slots)).
 		Int("running", st.Running).
 		Int("queued", st.Queued).
+		Int("ahead", re.Ahead).
+		Int("kept_slots", re.KeptSlots).
 		Bool("rate_limited", re.RateLimited).
 		Uint32("rank", rq.GetRank()).
 		Bool("nested", rq.GetNested()).
