--- a/core/call/throttle.go
+++ b/core/call/throttle.go
@@ -16,6 +16,10 @@
 	throttleSurplus = 1.5
 	// throttlePrior is the number of calls that few refusals are weighed against.
 	throttlePrior = 4.0
+	// maxThrottleShare bounds the share of the calls that are refused. If calls of other hosts
+	// take the room, fewer are served the fewer are let through, so that without a bound
+	// almost all would be refused.
+	maxThrottleShare = 0.75
 	// maxThrottled bounds the groups of calls whose results are remembered.
 	maxThrottled = 1024
 )
@@ -52,7 +56,7 @@
 
 // share returns the share of the calls to be refused.
 func (th *throttled) share() float64 {
-	return max(0, (th.calls-throttleSurplus*th.served-throttlePrior)/(th.calls+1))
+	return min(maxThrottleShare, max(0, (th.calls-throttleSurplus*th.served-throttlePrior)/(th.calls+1)))
 }
 
 func (th *throttled) decay(now time.Time) {
