fix: a throttled group recovers within seconds once there is room

With the counts of calls and served calls, the share of refused calls fell by a sixteenth a second once all were served again, and slots stayed idle. The pressure of a group now rises with refused calls and falls with served ones.

--- a/core/call/throttle.go
+++ b/core/call/throttle.go
@@ -9,17 +9,22 @@
 )
 
 const (
-	// throttleWindow is the time constant with which older results are forgotten.
-	throttleWindow = 2 * time.Second
-	// throttleSurplus is how many calls are let through for each one that is served, so that
-	// room is noticed and no slot stays idle.
-	throttleSurplus = 1.5
-	// throttlePrior is the number of calls that few refusals are weighed against.
-	throttlePrior = 4.0
+	// throttleRise and throttleFall are by how much a refused and a served call change the
+	// pressure of their group. It settles where half as many calls are refused as served:
+	// enough are let through that room is noticed and no slot stays idle.
+	throttleRise = 0.1
+	throttleFall = 0.05
+	// minPressure is the pressure up to which no call is refused, so that few refusals have
+	// no effect.
+	minPressure = 0.2
 	// maxThrottleShare bounds the share of the calls that are refused. If calls of other hosts
 	// take the room, fewer are served the fewer are let through, so that without a bound
 	// almost all would be refused.
 	maxThrottleShare = 0.75
+	// pressureDecay is the time constant with which the pressure falls.
+	pressureDecay = 2 * time.Second
+	// unusedPressure is the pressure below which a group is forgotten.
+	unusedPressure = 0.01
 	// maxThrottled bounds the groups of calls whose results are remembered.
 	maxThrottled = 1024
 )
@@ -34,17 +39,16 @@
 }
 
 // Throttle refuses calls before their first attempt when recent ones of their group were
-// refused for want of room. Without it each such call costs attempts at several gates. Of
-// the calls of a group, throttleSurplus times as many are let through as were served.
+// refused for want of room. Without it each such call costs attempts at several gates.
 type Throttle struct {
 	groups map[ThrottleKey]*throttled
 }
 
 // throttled is what is known of one group.
 type throttled struct {
-	// calls and served decay exponentially; calls includes those refused without an attempt.
-	calls, served float64
-	updatedAt     time.Time
+	// pressure rises with refused calls, and falls with served ones and time; from 0 to 1.
+	pressure  float64
+	updatedAt time.Time
 	// due is the number of calls to be refused: each call adds the share to be refused.
 	due float64
 	// retryDelay is the moving average of the time after which gates told to retry.
@@ -55,16 +59,12 @@
 const retryDelayWindow = 8
 
 // share returns the share of the calls to be refused.
-func (th *throttled) share() float64 {
-	return min(maxThrottleShare, max(0, (th.calls-throttleSurplus*th.served-throttlePrior)/(th.calls+1)))
-}
+func (it *throttled) share() float64 { return min(maxThrottleShare, max(0, it.pressure-minPressure)) }
 
-func (th *throttled) decay(now time.Time) {
-	if now.After(th.updatedAt) {
-		factor := math.Exp(-now.Sub(th.updatedAt).Seconds() / throttleWindow.Seconds())
-		th.calls *= factor
-		th.served *= factor
-		th.updatedAt = now
+func (it *throttled) decay(now time.Time) {
+	if now.After(it.updatedAt) {
+		it.pressure *= math.Exp(-now.Sub(it.updatedAt).Seconds() / pressureDecay.Seconds())
+		it.updatedAt = now
 	}
 }
 
@@ -87,7 +87,6 @@
 		return time.Time{}, false
 	}
 	it.due--
-	it.calls++
 	return now.Add(it.retryDelay), true
 }
 
@@ -104,11 +103,11 @@
 		}
 	}
 	it.decay(now)
-	it.calls++
 	if !short {
-		it.served++
+		it.pressure = max(0, it.pressure-throttleFall)
 		return
 	}
+	it.pressure = min(1, it.pressure+throttleRise)
 	if delay := re.RetryAfter.Sub(now); delay > 0 {
 		if it.retryDelay == 0 {
 			it.retryDelay = delay
@@ -117,15 +116,14 @@
 	}
 }
 
-// State returns the share of a group's calls to be refused, and the number of its recent
-// calls, of which older ones count less.
-func (th *Throttle) State(key ThrottleKey, now time.Time) (share, calls float64) {
+// Share returns the share of a group's calls to be refused.
+func (th *Throttle) Share(key ThrottleKey, now time.Time) float64 {
 	it := th.groups[key]
 	if it == nil {
-		return 0, 0
+		return 0
 	}
 	it.decay(now)
-	return it.share(), it.calls
+	return it.share()
 }
 
 // add returns a new group, or nil if there are too many.
@@ -135,7 +133,7 @@
 	}
 	if len(th.groups) >= maxThrottled {
 		for ke, it := range th.groups {
-			if it.decay(now); it.calls < 1 {
+			if it.decay(now); it.pressure < unusedPressure {
 				delete(th.groups, ke)
 			}
 		}
--- a/core/call/throttle_test.go
+++ b/core/call/throttle_test.go
@@ -52,18 +52,24 @@
 func TestThrottleIsBounded(t *testing.T) {
 	var th call.Throttle
 	now := time.Unix(1_000_000, 0)
-	full := call.Result{Outcome: call.OutcomeNotRun, Reason: host.ReasonQueueFull}
+	refused := call.Result{Outcome: call.OutcomeNotRun, Reason: host.ReasonQueueFull}
 	key := func(i int) call.ThrottleKey {
 		return call.ThrottleKey{Customer: contract.CustomerName(time.Duration(i).String())}
 	}
+	const full = 10
+	recordFull := func(i int, at time.Time) {
+		for range full {
+			th.Record(key(i), refused, at)
+		}
+	}
 	for i := range 10_000 {
-		th.Record(key(i), full, now)
+		recordFull(i, now)
 	}
-	_, calls := th.State(key(9_999), now)
-	assert.Equal(t, calls, 0.0)
-	th.Record(key(9_999), full, now.Add(time.Minute))
-	_, calls = th.State(key(9_999), now.Add(time.Minute))
-	assert.Equal(t, calls, 1.0, "older groups make room")
+	assert.Assert(t, th.Share(key(0), now) > 0)
+	assert.Equal(t, th.Share(key(9_999), now), 0.0)
+	now = now.Add(time.Minute)
+	recordFull(9_999, now)
+	assert.Assert(t, th.Share(key(9_999), now) > 0, "older groups make room")
 }
 
 // TestKindLatencies guards against the latency of long calls being expected of short ones.
--- a/io/caller/throttle.go
+++ b/io/caller/throttle.go
@@ -55,7 +55,6 @@
 	sv := ex.server
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	share, calls := sv.throttle.State(ex.throttleKey(), now)
-	return fmt.Sprintf("of the %.0f latest calls of rank %d to the service too many found no room; %.0f %% are refused without an attempt",
-		calls, ex.target.Terms.Rank, 100*share)
+	return fmt.Sprintf("too many of the latest calls of rank %d to the service found no room; %.0f %% are refused without an attempt",
+		ex.target.Terms.Rank, 100*sv.throttle.Share(ex.throttleKey(), now))
 }
