feat: customers' priorities, fair shares and early refusals

Merges the part: ranks of customers before those of routes, fair queueing between the customers of a rank, slots reserved by urgency, and an ingress that refuses calls of ranks for which a service is short.

--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -26,14 +26,20 @@
 	}
 	ga.adoptNotice(at.Notice, now)
 	en := ga.ledger.add(at, or)
+	ga.setUrgency(en)
 	ga.setDue(en, now)
 	if re := ga.refusalReason(en, now); re != ReasonNone {
 		ga.refuse(en, re, now)
 		return
 	}
+	if !at.Nested && !en.deferred && at.Class != contract.ClassBulk {
+		en.estimatedWait = ga.queueWait(en)
+		en.waits = en.waitError()
+	}
+	ga.fair.charge(en, ga.levels.list)
 	ga.queue.push(en)
 	if at.Class != contract.ClassBulk {
-		ga.recordLookupDemand(at.Rank)
+		ga.recordLookupDemand()
 	}
 }
 
@@ -47,7 +53,10 @@
 func (ga *Gate) setDue(en *entry, now time.Time) {
 	at := en.attempt
 	en.arrived = now
-	en.due = at.Objective
+	en.fairTag = ga.fair.tag(en)
+	en.fairCost = ga.estimateFor(at).mean
+	ga.recordSlack(en, now)
+	en.due = at.Objective.Add(-en.fairCost)
 	if at.Objective.IsZero() {
 		en.due = now.Add(noObjectiveDelay)
 		return
@@ -100,7 +109,7 @@
 	if en.deferred && at.BodyWait > maxLateBodyWait {
 		return ReasonQueueFull
 	}
-	if ga.hasFreeSlot(at, now) {
+	if ga.hasFreeSlot(en, now) {
 		return ReasonNone
 	}
 	if ga.draining() {
@@ -109,9 +118,7 @@
 	if at.NoQueue {
 		return ReasonBusy
 	}
-	// The queues of both classes use at most half of the ledger, and running attempts
-	// the other half.
-	if ga.queue.count(at.Class) >= min(ga.cfg.QueuePerSlot*ga.concurrencyLimit(), ga.ledger.cfg.MaxEntries/4-1) {
+	if ga.queueFull(en) {
 		return ReasonQueueFull
 	}
 	if ga.limitWait(en, now) > en.maxLimitWait() {
@@ -127,6 +134,15 @@
 	return ReasonNone
 }
 
+// queueFull reports whether the queue has no room for an attempt. Less urgent attempts
+// take no room from it, since they are dispatched after it. The queues of both classes
+// use at most half of the ledger, and running attempts the other half.
+func (ga *Gate) queueFull(en *entry) bool {
+	cl := en.attempt.Class
+	return ga.queue.countAhead(en) >= ga.cfg.QueuePerSlot*ga.concurrencyLimit() ||
+		ga.queue.count(cl) >= ga.ledger.cfg.MaxEntries/4-1
+}
+
 // quarantineReason returns why an attempt is refused for crashes that its request may have
 // caused, or ReasonNone.
 func (ga *Gate) quarantineReason(at Attempt, now time.Time) Reason {
@@ -165,12 +181,27 @@
 }
 
 func (ga *Gate) refuse(en *entry, re Reason, now time.Time) {
-	ga.emit(Refuse{
+	ac := Refuse{
 		ID:          en.attempt.ID,
 		Reason:      re,
 		RetryAfter:  ga.retryAt(re, en, now),
 		RateLimited: ga.isRateLimited(en, re, now),
-	})
+	}
+	if isCapacityReason(re) {
+		ga.queue.visitAhead(en, func(*entry) { ac.Ahead++ })
+		ac.KeptSlots = ga.keptSlots(en)
+	}
+	ga.emit(ac)
+	if isCapacityReason(re) {
+		ga.recordWait(en, now)
+		if re != ReasonBusy {
+			ga.recordShare(en, 1)
+		}
+	}
+	if en.charged {
+		en.charged = false
+		ga.fair.refund(en)
+	}
 	ga.endAttempt(en, stateRefused, re, 0, now)
 }
 
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -47,10 +47,9 @@
 	running      map[AttemptID]*entry
 	runningBulk  int
 	startedCount int
-	// lookupDemand is a moving average of the number of running and queued lookups, by
-	// rank; lookupCounts is the buffer for a sample of it.
-	lookupDemand map[int]float64
-	lookupCounts map[int]int
+	levels       levels
+	fair         fairShares
+	share        servedShare
 	orphans      orphanTracker
 	transfers    transferLimiter
 	downstream   downstreamShortages
@@ -77,12 +76,10 @@
 	}
 	le := newLedger(cfg.Ledger)
 	return &Gate{
-		cfg:          cfg,
-		ledger:       le,
-		running:      map[AttemptID]*entry{},
-		lookupDemand: map[int]float64{},
-		lookupCounts: map[int]int{},
-		kindTimes:    map[Kind]*estimate{},
+		cfg:       cfg,
+		ledger:    le,
+		running:   map[AttemptID]*entry{},
+		kindTimes: map[Kind]*estimate{},
 		orphans: orphanTracker{
 			lag:            cfg.AnnounceLag,
 			maxCallTimeout: cfg.MaxCallTimeout,
--- a/core/host/ledger.go
+++ b/core/host/ledger.go
@@ -27,12 +27,25 @@
 	// received when it began.
 	receivingBody       bool
 	concurrentTransfers int
-	// due is the objective, or a much later time if there is none; queued attempts are
-	// ordered by it. deferred marks a retry by the caller that can no longer meet its
+	// due is the objective less the expected service time, or a much later time if there is no
+	// objective; queued attempts are ordered by it. deferred marks a retry by the caller that can no longer meet its
 	// objective; it is queued behind the attempts that can.
 	due      time.Time
 	deferred bool
 	arrived  time.Time
+	// level is that of the attempt; nil before its arrival is handled. urgency is by which it
+	// is dispatched; it is higher than that of its level while this is starved.
+	level   *level
+	urgency urgency
+	// fairTag orders the attempts of different customers at one level, and fairCost is the
+	// expected service time; charged is set while the customer is charged with it.
+	fairTag  time.Duration
+	fairCost time.Duration
+	charged  bool
+	// estimatedWait is the wait in the queue as estimated on arrival, and waits is where
+	// its error is recorded; nil if it isn't.
+	estimatedWait time.Duration
+	waits         *waitError
 	// interrupted is set once the running attempt has been told to stop.
 	interrupted bool
 	waiters     []waiter
--- a/core/host/queue.go
+++ b/core/host/queue.go
@@ -25,6 +25,28 @@
 // count returns the number of queued attempts of a class.
 func (qu *queue) count(cl contract.Class) int { return len(*qu.list(cl)) }
 
+// countAhead returns the number of queued attempts of the same class that are not less
+// urgent than en.
+func (qu *queue) countAhead(en *entry) int {
+	list := *qu.list(en.attempt.Class)
+	at, _ := slices.BinarySearchFunc(list, en, func(it, en *entry) int {
+		if en.moreUrgentThan(it) {
+			return 1
+		}
+		return -1
+	})
+	return at
+}
+
+// moreUrgentThan reports whether an attempt is dispatched before another one of its class
+// whatever their objectives are.
+func (en *entry) moreUrgentThan(it *entry) bool {
+	if en.attempt.Nested != it.attempt.Nested {
+		return en.attempt.Nested
+	}
+	return en.urgency < it.urgency
+}
+
 func (qu *queue) list(cl contract.Class) *[]*entry {
 	if cl == contract.ClassBulk {
 		return &qu.bulk
@@ -46,34 +68,47 @@
 
 // before reports whether an attempt is dispatched before another of its class. Nested
 // attempts come first, since the call that they are part of already holds a slot; then
-// attempts are ordered by rank, by whether they can still meet their objective, and by
-// due time.
+// attempts are ordered by urgency, by whether they can still meet their objective, by the
+// fair shares of their customers, and by due time.
 func (en *entry) before(it *entry) bool {
 	switch {
-	case en.attempt.Nested != it.attempt.Nested:
-		return en.attempt.Nested
-	case en.attempt.Rank != it.attempt.Rank:
-		return en.attempt.Rank < it.attempt.Rank
+	case en.moreUrgentThan(it):
+		return true
+	case it.moreUrgentThan(en):
+		return false
 	case en.deferred != it.deferred:
 		return it.deferred
+	case en.fairTag != it.fairTag:
+		return en.fairTag < it.fairTag
 	}
 	return en.due.Before(it.due)
 }
 
-// pop removes and returns the next attempt; a bulk attempt only when bulkAllowed
-// permits it.
-func (qu *queue) pop(bulkAllowed func(rank int) bool) *entry {
-	if len(qu.bulk) > 0 && qu.bulkNext() && bulkAllowed(qu.bulk[0].attempt.Rank) {
+// pop removes and returns the next attempt that may take a slot, or nil.
+func (qu *queue) pop(mayTakeSlot func(en *entry) bool) *entry {
+	bulkAllowed := len(qu.bulk) > 0 && mayTakeSlot(qu.bulk[0])
+	if bulkAllowed && qu.bulkNext() {
 		qu.lookupsSinceBulk = 0
 		return popFront(&qu.bulk)
 	}
-	if len(qu.lookups) == 0 {
-		return nil
+	for i, en := range qu.lookups {
+		if i > 0 && en.level == qu.lookups[i-1].level || !mayTakeSlot(en) {
+			continue
+		}
+		if len(qu.bulk) > 0 {
+			qu.lookupsSinceBulk++
+		}
+		if i == 0 {
+			return popFront(&qu.lookups)
+		}
+		qu.lookups = slices.Delete(qu.lookups, i, i+1)
+		return en
 	}
-	if len(qu.bulk) > 0 {
-		qu.lookupsSinceBulk++
+	if bulkAllowed {
+		qu.lookupsSinceBulk = 0
+		return popFront(&qu.bulk)
 	}
-	return popFront(&qu.lookups)
+	return nil
 }
 
 // bulkNext reports whether the first bulk attempt precedes the first lookup.
@@ -81,7 +116,7 @@
 	if len(qu.lookups) == 0 {
 		return true
 	}
-	bulk, lookup := qu.bulk[0].attempt.Rank, qu.lookups[0].attempt.Rank
+	bulk, lookup := qu.bulk[0].urgency, qu.lookups[0].urgency
 	if qu.lookups[0].attempt.Nested {
 		return false
 	}
@@ -95,13 +130,13 @@
 // which is not in the queue.
 func (qu *queue) visitAhead(en *entry, visit func(it *entry)) {
 	for _, it := range qu.lookups {
-		if en.attempt.Class == contract.ClassBulk && (it.attempt.Nested || it.attempt.Rank <= en.attempt.Rank) ||
+		if en.attempt.Class == contract.ClassBulk && (it.attempt.Nested || it.urgency <= en.urgency) ||
 			en.attempt.Class != contract.ClassBulk && !en.before(it) {
 			visit(it)
 		}
 	}
 	for _, it := range qu.bulk {
-		if en.attempt.Class != contract.ClassBulk && !en.attempt.Nested && it.attempt.Rank < en.attempt.Rank ||
+		if en.attempt.Class != contract.ClassBulk && !en.attempt.Nested && it.urgency < en.urgency ||
 			en.attempt.Class == contract.ClassBulk && !en.before(it) {
 			visit(it)
 		}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -124,7 +124,7 @@
 	ex.context, ex.cancel = context.WithDeadline(context.Background(), ex.deadline)
 	ex.call = call.New(ex.config())
 	ex.session.attach(ex.pending, ex)
-	if ex.answerQuarantined() {
+	if ex.answerQuarantined() || ex.answerThrottled() {
 		return
 	}
 	ex.server.reportNested(ex)
@@ -155,7 +155,7 @@
 		DeadlineMargin:    min(maxDeadlineMargin, ex.deadline.Sub(ex.startedAt)/deadlineMarginDivisor),
 		Replayable:        ex.streamedBody == nil,
 		UpperLayerRetries: call.UpperLayerRetries(ex.attemptHeader),
-		ExpectedLatency:   sv.expectedLatency(ex.target.Route.Service),
+		ExpectedLatency:   sv.expectedLatency(ex.target),
 		Picker:            ex,
 		LocalPicker:       ex.localPicker(),
 		MaxQueueWait:      sv.maxLocalQueueWait(ex),
