feat: records, verdict, schedule and share of roll-outs

Roll-outs need decisions that each host can repeat. core/rollout keeps the records of orders, chooses the release of each call, counts evidence and decides phases; records spread over the control links as crash news does, with a checksum in notices. Upstreams announce their release.

--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -286,5 +286,6 @@
 		Slots:       an.Slots,
 		Connections: an.Connections,
 		State:       an.State,
+		Release:     an.Release,
 	})
 }
--- a/core/call/retry.go
+++ b/core/call/retry.go
@@ -34,7 +34,8 @@
 func GateUnavailable(re Result) bool {
 	switch re.Reason {
 	case host.ReasonDraining, host.ReasonNoUpstream, host.ReasonSettling,
-		host.ReasonWrongIncarnation, host.ReasonWrongService, ReasonLinkDial:
+		host.ReasonWrongIncarnation, host.ReasonWrongService, ReasonLinkDial,
+		host.ReasonWrongRelease, host.ReasonReleaseReplaced:
 		return re.Outcome == OutcomeNotRun
 	}
 	return false
--- a/core/datacentre/antientropy.go
+++ b/core/datacentre/antientropy.go
@@ -79,6 +79,7 @@
 			Notice: &wire.Notice{
 				Version:     uint64(me.versions.verified.Version),
 				Crashes:     me.crashes.Checksum(),
+				Rollouts:    me.rollouts.Checksum(),
 				Refused:     uint64(me.versions.highestRefused()),
 				Members:     me.recordsDigest,
 				MemberCount: uint32(me.liveHosts),
--- a/core/datacentre/events.go
+++ b/core/datacentre/events.go
@@ -6,6 +6,7 @@
 	"lynxfold/core/contract"
 	"lynxfold/core/host"
 	"lynxfold/core/quarantine"
+	"lynxfold/core/rollout"
 	"lynxfold/core/wire"
 )
 
@@ -50,6 +51,7 @@
 	Slots       host.Slots
 	Connections int
 	State       host.State
+	Release     host.Release
 }
 
 // VersionAccepted delivers a version that the platform accepted through this node.
@@ -91,6 +93,11 @@
 	News quarantine.News
 }
 
+// RolloutsFound delivers records of roll-outs that this host has read or decided.
+type RolloutsFound struct {
+	Records []rollout.Record
+}
+
 // Leave makes the node leave the mesh.
 type Leave struct{}
 
@@ -105,6 +112,7 @@
 func (IntroductionsRead) isEvent()   {}
 func (IntroductionWritten) isEvent() {}
 func (CrashesFound) isEvent()        {}
+func (RolloutsFound) isEvent()       {}
 func (Leave) isEvent()               {}
 
 // Send sends a message to a peer over its control link.
@@ -161,6 +169,11 @@
 	News quarantine.News
 }
 
+// LearnRollouts passes on new records of roll-outs, from other hosts or this one.
+type LearnRollouts struct {
+	Records []rollout.Record
+}
+
 // RaiseIncarnation raises the host's incarnation at its gate, which refuses attempts at an
 // earlier one from then on.
 type RaiseIncarnation struct {
@@ -226,5 +239,6 @@
 func (ReadPlatform) isAction()      {}
 func (WriteIntroduction) isAction() {}
 func (LearnCrashes) isAction()      {}
+func (LearnRollouts) isAction()     {}
 func (RaiseIncarnation) isAction()  {}
 func (Note) isAction()              {}
--- a/core/datacentre/links.go
+++ b/core/datacentre/links.go
@@ -20,6 +20,8 @@
 	acceptsPacked bool
 	// acceptsCrashNews is set if the peer reads news of crashes.
 	acceptsCrashNews bool
+	// acceptsRolloutNews is set if the peer reads records of roll-outs.
+	acceptsRolloutNews bool
 	// closing is set once either end has announced that it closes the link.
 	closing bool
 	// version is the highest version that the peer is known to have.
@@ -191,6 +193,8 @@
 		activated:        ev.Hello.GetSettled(),
 		acceptsPacked:    ev.Hello.GetAcceptsPacked(),
 		acceptsCrashNews: ev.Hello.GetAcceptsCrashNews(),
+
+		acceptsRolloutNews: ev.Hello.GetAcceptsRolloutNews(),
 	}
 	me.links[id] = pe
 	delete(me.redialDeadlines, id)
@@ -205,6 +209,7 @@
 	me.updatePeerFloor(pe)
 	me.antiEntropyAfterHello(pe, ev.Hello, now)
 	me.sendCrashNews(pe, me.crashes.All(), now)
+	me.sendRolloutNews(pe, me.rollouts.All(), now)
 	me.linksOutdated = true
 }
 
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -11,6 +11,7 @@
 	"lynxfold/core/contract"
 	"lynxfold/core/host"
 	"lynxfold/core/quarantine"
+	"lynxfold/core/rollout"
 	"lynxfold/core/wire"
 )
 
@@ -83,6 +84,7 @@
 	reachability map[Name]*reachability
 	antiEntropy  antiEntropyExchange
 	crashes      *quarantine.Table
+	rollouts     *rollout.Table
 	// nextNoticeAt is when the next periodic notice is due.
 	nextNoticeAt time.Time
 	// pullQueue holds the pulls of peers that wait for an answer, resyncBudget the
@@ -124,6 +126,7 @@
 		versions:        newVersionState(),
 		startup:         newStartupState(cfg.StartedAt),
 		crashes:         quarantine.New(quarantine.Config{Host: cfg.Host}),
+		rollouts:        rollout.NewTable(),
 		view:            newViewBuilder(),
 		joinBudget: tokenBucket{
 			perSecond: joinsPerSecond,
@@ -157,6 +160,8 @@
 		MemberCount:      uint32(me.liveHosts),
 		AcceptsPacked:    true,
 		AcceptsCrashNews: true,
+
+		AcceptsRolloutNews: true,
 	}
 }
 
@@ -188,6 +193,8 @@
 		me.handleIntroductionWritten(ev, now)
 	case CrashesFound:
 		me.mergeCrashes(ev.News, "", now)
+	case RolloutsFound:
+		me.mergeRollouts(ev.Records, "", now)
 	case Leave:
 		me.handleLeave(now)
 	}
@@ -267,6 +274,8 @@
 		me.handleReach(ki.Reach, ev.Peer, now)
 	case *wire.Control_CrashNews:
 		me.handleCrashNews(ki.CrashNews, ev.Peer, now)
+	case *wire.Control_RolloutNews:
+		me.handleRolloutNews(ki.RolloutNews, ev.Peer, now)
 	default:
 		me.note(NoteBadMessage, ev.Peer, now)
 	}
--- a/core/datacentre/membership.go
+++ b/core/datacentre/membership.go
@@ -21,6 +21,7 @@
 		Slots:       uint32(ev.Slots),
 		Connections: uint32(ev.Connections),
 		State:       wire.UpstreamState(ev.State),
+		Release:     string(ev.Release),
 	}
 	if ev.State != host.StateReady {
 		me.ownUpdateAt = now
--- a/core/datacentre/types.go
+++ b/core/datacentre/types.go
@@ -20,6 +20,9 @@
 	Service     contract.ServiceName
 	Slots       host.Slots
 	Connections int
+	// Release is the release of the software that the upstream runs; empty when it states
+	// none.
+	Release host.Release
 	// Suspect is set while the failure detector suspects the host; callers prefer
 	// other upstreams.
 	Suspect bool
--- a/core/datacentre/versions.go
+++ b/core/datacentre/versions.go
@@ -323,6 +323,7 @@
 	}
 	me.antiEntropyAfterNotice(pe, no, now)
 	me.sendMissingCrashes(pe, no.GetCrashes(), now)
+	me.sendMissingRollouts(pe, no.GetRollouts(), now)
 }
 
 // schedulePull schedules a pull unless an earlier one is scheduled.
--- a/core/datacentre/view.go
+++ b/core/datacentre/view.go
@@ -73,6 +73,7 @@
 		Service:     contract.ServiceName(up.GetService()),
 		Slots:       host.Slots(up.GetSlots()),
 		Connections: int(up.GetConnections()),
+		Release:     host.Release(up.GetRelease()),
 		Suspect:     re.host.GetStatus() == wire.Status_STATUS_SUSPECT,
 	}
 }
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -13,6 +13,10 @@
 // higher number.
 type Incarnation uint64
 
+// Release names the release of the software that an upstream runs; empty when it states
+// none.
+type Release string
+
 // Slots is a number of calls that an upstream runs concurrently.
 type Slots int
 
@@ -41,6 +45,10 @@
 	// incarnation of the gate.
 	ReasonWrongIncarnation Reason = "wrong_incarnation"
 	ReasonWrongService     Reason = "wrong_service"
+	// ReasonWrongRelease refuses an attempt that names another release than the upstream's.
+	ReasonWrongRelease Reason = "wrong_release"
+	// ReasonReleaseReplaced refuses an attempt at a release that a roll-out has replaced.
+	ReasonReleaseReplaced Reason = "release_replaced"
 	// ReasonQuarantined refuses an attempt at a request that has crashed upstreams which
 	// ran it.
 	ReasonQuarantined Reason = "quarantined"
@@ -167,6 +175,8 @@
 	StartedAt time.Time
 	// Sequence increases with each announcement of an instance; 0 when unknown.
 	Sequence uint64
+	// Release is empty when the upstream states none.
+	Release Release
 }
 
 // Attempt is one attempt at a call, as received by its gate.
--- /dev/null
+++ b/core/rollout/evidence.go
@@ -0,0 +1,178 @@
+package rollout
+
+import (
+	"time"
+
+	"lynxfold/core/contract"
+	"lynxfold/core/host"
+)
+
+const (
+	// slowFactor is the ratio to the usual latency of its route from which an attempt is
+	// slow. New upstreams take up to twice the usual time at first; bad ones 8 times.
+	slowFactor = 4
+	// minSlow keeps short delays of the network from counting as slow.
+	minSlow = 100 * time.Millisecond
+	// usualWeight is the inverse of the weight of an attempt in the usual latency.
+	usualWeight = 16
+	// maxStreams bounds the routes and releases that are told apart; the attempts on
+	// further routes are counted together.
+	maxStreams = 64
+)
+
+// Attempt is an attempt in flight.
+type Attempt struct {
+	service   contract.ServiceName
+	stream    Stream
+	startedAt time.Time
+	// slowAt is when the attempt counts as slow; zero if that can't be told.
+	slowAt time.Time
+	// evidence counts the attempt until it is observed.
+	evidence *Evidence
+}
+
+// Started records the start of an attempt at an upstream. trial says that a filter for a
+// trial was chosen for it.
+func (fo *Follower) Started(name contract.ServiceName, st Stream, trial bool, now time.Time) *Attempt {
+	se := fo.service(name)
+	se.settle(st.Release, trial)
+	at := &Attempt{
+		service:   name,
+		stream:    st,
+		startedAt: now,
+		evidence:  se.evidenceOf(st),
+	}
+	at.evidence.Sent++
+	if usual := se.usual[st.Route]; usual > 0 {
+		at.slowAt = now.Add(max(slowFactor*usual, minSlow))
+	}
+	se.running[at] = struct{}{}
+	return at
+}
+
+// settle adds the share of an attempt to the credit, and takes away the attempt if it
+// goes to the release and Choose has not done so.
+func (se *followed) settle(re host.Release, trial bool) {
+	if !se.ordered || se.record.Phase != PhaseCanary {
+		return
+	}
+	// A host without permission sends nothing to the release, and must not save up for
+	// a burst.
+	se.credit = min(se.credit+int(se.record.Share), int(everything))
+	ofRelease := re == se.record.Release
+	switch {
+	case trial && !ofRelease:
+		se.credit += int(everything)
+	case !trial && ofRelease:
+		se.credit -= int(everything)
+	}
+}
+
+func (se *followed) evidenceOf(st Stream) *Evidence {
+	ev := se.evidence[st]
+	if ev == nil && len(se.evidence) >= maxStreams {
+		st.Route = ""
+		ev = se.evidence[st]
+	}
+	if ev == nil {
+		ev = &Evidence{}
+		se.evidence[st] = ev
+	}
+	return ev
+}
+
+// Ending is what the end of an attempt shows about its upstream.
+type Ending int
+
+// Endings of attempts.
+const (
+	// EndedGood: the upstream answered without a failure.
+	EndedGood Ending = iota
+	EndedFailed
+	// EndedSilent: the attempt did not run, or was cancelled; it shows nothing unless it
+	// was slow by then.
+	EndedSilent
+)
+
+// Ended records the end of an attempt.
+func (fo *Follower) Ended(at *Attempt, en Ending, now time.Time) {
+	se := fo.service(at.service)
+	delete(se.running, at)
+	took := now.Sub(at.startedAt)
+	at.markSlow(now)
+	if at.evidence != nil {
+		switch en {
+		case EndedGood:
+			at.evidence.Observed++
+		case EndedFailed:
+			at.evidence.Observed++
+			at.evidence.Failed++
+		case EndedSilent:
+			return
+		}
+		at.evidence.Latency += took
+		at.evidence = nil
+	}
+	if en == EndedGood && (!se.ordered || at.stream.Release != se.record.Release) {
+		se.updateUsual(at.stream.Route, took)
+	}
+}
+
+// updateUsual updates the moving average of the latency of a route.
+func (se *followed) updateUsual(ro contract.RouteName, took time.Duration) {
+	usual, known := se.usual[ro]
+	switch {
+	case !known && len(se.usual) >= maxStreams:
+	case !known:
+		se.usual[ro] = took
+	default:
+		se.usual[ro] = usual + (took-usual)/usualWeight
+	}
+}
+
+// markSlow observes an attempt that takes too long as slow, once.
+func (at *Attempt) markSlow(now time.Time) {
+	if at.evidence == nil || at.slowAt.IsZero() || now.Before(at.slowAt) {
+		return
+	}
+	at.evidence.Observed++
+	at.evidence.Slow++
+	at.evidence.Latency += now.Sub(at.startedAt)
+	at.evidence = nil
+}
+
+// Active returns the services with an order whose outcome is not confirmed, as far as is
+// known here.
+func (fo *Follower) Active() []Record {
+	var all []Record
+	for _, se := range fo.services {
+		if se.ordered && !se.record.Confirmed {
+			all = append(all, se.record)
+		}
+	}
+	return all
+}
+
+// Report returns what this host has observed since it learnt of an order. othersRunning
+// is the number of attempts at other releases that its own gate runs.
+func (fo *Follower) Report(name contract.ServiceName, othersRunning int, now time.Time) Report {
+	se := fo.service(name)
+	rp := Report{
+		Host:     fo.host,
+		Service:  name,
+		Order:    se.record.Order,
+		Revision: se.record.Revision,
+		Evidence: make(map[Stream]Evidence, len(se.evidence)),
+	}
+	for at := range se.running {
+		at.markSlow(now)
+		if at.stream.Release != se.record.Release {
+			rp.OthersInFlight++
+		}
+	}
+	rp.OthersInFlight = max(rp.OthersInFlight, othersRunning)
+	for st, ev := range se.evidence {
+		rp.Evidence[st] = *ev
+	}
+	return rp
+}
--- /dev/null
+++ b/core/rollout/schedule.go
@@ -0,0 +1,211 @@
+package rollout
+
+import (
+	"math"
+	"time"
+
+	"lynxfold/core/host"
+)
+
+const (
+	// writeRetry is the time between two attempts to write the status row.
+	writeRetry = 250 * time.Millisecond
+	// writeMargin is reserved before the deadline for the write of the outcome.
+	writeMargin = time.Second
+	// maxFinish is the time that calls at the other releases get to finish after the
+	// shift, and finishPart its largest part of the time that the order allows.
+	maxFinish  = 3 * time.Second
+	finishPart = 0.25
+	// rampStep is the time for which the release receives a quarter of the calls, and
+	// then half of them, before the shift.
+	rampStep = 500 * time.Millisecond
+	// trialPart is the part of the upstreams whose load is sent to the release on trial.
+	trialPart = 0.04
+	// maxTrialPart bounds the share on trial as a part of the share that a bad release may
+	// receive. The rest is for requests between the shift and the detection of a fault
+	// that only full load shows.
+	maxTrialPart = 0.8
+	// minTrialRate is the number of requests a second that a service with few requests
+	// sends to the release on trial if its share allows.
+	minTrialRate = 8
+	// minResponses is the number of responses without which a release is not taken into
+	// use, unless the service has hardly any calls.
+	minResponses = 8
+	// idleRate is the number of requests a second below which a service has hardly any.
+	idleRate = 1
+	// suspiciousRatio stops the share from rising until further responses clear it.
+	suspiciousRatio = verdictThreshold / 2
+	// reportMaxAge is the age from which a report says nothing about what is in flight.
+	reportMaxAge = time.Second
+)
+
+// shiftAt returns when the release is to receive all calls.
+func (co *Coordinator) shiftAt() time.Time {
+	allowed := co.record.Deadline.Sub(co.record.OrderedAt)
+	finish := min(maxFinish, time.Duration(finishPart*float64(allowed)))
+	return co.record.Deadline.Add(-finish - writeMargin)
+}
+
+// tick compares the releases and takes the next step that is due.
+func (co *Coordinator) tick(me Mesh, now time.Time) {
+	if co.record.Confirmed {
+		return
+	}
+	if !co.record.Phase.Final() {
+		co.finding = co.verdict.compare(now)
+		switch {
+		case co.finding.Bad:
+			co.enter(PhaseRolledBack, ReasonFailing, now)
+		case co.record.Phase == PhaseCanary:
+			co.tickCanary(me, now)
+		case co.record.Phase == PhaseShifted:
+			co.tickShifted(me, now)
+		}
+	}
+	co.writeDue(me, now)
+}
+
+// tickCanary sets the share that is due, or shifts all calls.
+func (co *Coordinator) tickCanary(me Mesh, now time.Time) {
+	shiftAt := co.shiftAt()
+	rampAt := shiftAt.Add(-2 * rampStep)
+	latest := co.record.Deadline.Add(-writeMargin)
+	switch {
+	case !now.Before(latest):
+		co.enter(PhaseRolledBack, co.lateReason(me), now)
+	case me.OfRelease == 0:
+		co.setShare(0, ReasonNoUpstreams)
+	case now.Before(rampAt):
+		co.setShare(co.trialShare(me, now), ReasonTrial)
+	case co.finding.Ratio >= suspiciousRatio:
+		return
+	case now.Before(rampAt.Add(rampStep)):
+		co.setShare(everything/4, ReasonHealthy)
+	case now.Before(shiftAt) || !co.hasEvidence(me, now):
+		co.setShare(everything/2, ReasonHealthy)
+	default:
+		co.enter(PhaseShifted, ReasonHealthy, now)
+	}
+}
+
+// lateReason returns why the release is not in use shortly before the deadline.
+func (co *Coordinator) lateReason(me Mesh) Reason {
+	switch {
+	case me.OfRelease == 0:
+		return ReasonNoUpstreams
+	case co.finding.Ratio >= suspiciousRatio:
+		return ReasonFailing
+	case co.finding.Responses < minResponses:
+		return ReasonNoEvidence
+	}
+	return ReasonDeadline
+}
+
+func (co *Coordinator) setShare(share Permille, re Reason) {
+	if co.record.Share == share && co.record.Coordinator == co.cfg.Host {
+		return
+	}
+	co.publish(func(rc *Record) {
+		rc.Share = share
+		rc.Reason = re
+	})
+}
+
+// trialShare returns the share of the release on trial: the load of a few upstreams, and
+// more for a service with so few requests that the verdict would take too long. It changes
+// in steps, so that the record does not change with each report.
+func (co *Coordinator) trialShare(me Mesh, now time.Time) Permille {
+	share := co.cfg.CanaryShare / 2
+	if me.Others > 0 {
+		upstreams := max(1, math.Round(trialPart*float64(me.Others)))
+		share = upstreams / float64(me.Others)
+	}
+	if rate := co.rate(now); rate > 0 {
+		share = max(share, minTrialRate/rate)
+	}
+	share = min(share, maxTrialPart*co.cfg.CanaryShare)
+	if co.record.Share != 0 && math.Abs(share-float64(co.record.Share)/float64(everything)) < share/4 {
+		return co.record.Share
+	}
+	return Permille(share * float64(everything))
+}
+
+// rate returns the attempts a second at the service; 0 while unknown.
+func (co *Coordinator) rate(now time.Time) float64 {
+	since := now.Sub(co.startedAt).Seconds()
+	if since < 1 {
+		return 0
+	}
+	return float64(co.sent) / since
+}
+
+// hasEvidence reports whether the release has given enough responses to be taken into use.
+func (co *Coordinator) hasEvidence(me Mesh, now time.Time) bool {
+	return co.verdict.total.good+co.verdict.total.bad >= minResponses ||
+		me.Others == 0 || co.rate(now) < idleRate
+}
+
+// tickShifted takes the release back if it has lost all its upstreams.
+func (co *Coordinator) tickShifted(me Mesh, now time.Time) {
+	if me.OfRelease == 0 && me.Others > 0 {
+		co.enter(PhaseRolledBack, ReasonNoUpstreams, now)
+	}
+}
+
+// writeDue writes the status row when it is due: at first to claim it for the order, and
+// then the outcome.
+func (co *Coordinator) writeDue(me Mesh, now time.Time) {
+	if co.writing || now.Before(co.writeAt) || co.record.Confirmed {
+		return
+	}
+	re := co.record
+	switch {
+	case re.Phase == PhaseRolledBack:
+	case re.Phase == PhaseShifted && co.drained(me, now):
+		re.Phase = PhaseCompleted
+		re.Reason = ReasonDrained
+	case !co.claimed:
+		re.Phase = PhaseCanary
+	default:
+		return
+	}
+	co.writing = true
+	co.emit(WriteStatus{Record: re})
+}
+
+// drained reports whether nothing runs at the other releases any more and no live host
+// would choose them. The release is watched under full load until shortly before the
+// deadline. Hosts that have never reported, because they run an earlier release of this
+// program, are not waited for beyond that time unless their upstreams run another
+// release: the gates of those refuse calls.
+func (co *Coordinator) drained(me Mesh, now time.Time) bool {
+	if now.Before(co.record.Deadline.Add(-writeMargin)) || co.finding.Ratio >= suspiciousRatio {
+		return false
+	}
+	for _, id := range me.Hosts {
+		rr := co.hosts[id]
+		if rr == nil && !me.OtherHosts[id] && !now.Before(co.record.Deadline.Add(-writeMargin/2)) {
+			continue
+		}
+		if !co.drainedAt(rr, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (co *Coordinator) drainedAt(rr *reporter, now time.Time) bool {
+	return rr != nil && now.Sub(rr.at) <= reportMaxAge &&
+		rr.last.Revision >= co.shiftedRevision && rr.last.OthersInFlight == 0
+}
+
+// Undrained returns the live hosts that completion waits for.
+func (co *Coordinator) Undrained(me Mesh, now time.Time) []host.ID {
+	var waiting []host.ID
+	for _, id := range me.Hosts {
+		if !co.drainedAt(co.hosts[id], now) {
+			waiting = append(waiting, id)
+		}
+	}
+	return waiting
+}
--- a/io/upstream/announce.go
+++ b/io/upstream/announce.go
@@ -26,6 +26,8 @@
 	Instance      host.InstanceID `json:"instance"`
 	StartedUnixMS int64           `json:"started_unix_ms"`
 	Sequence      uint64          `json:"sequence"`
+	// Release is optional.
+	Release host.Release `json:"release"`
 }
 
 // AnnouncementError reports an invalid announcement.
@@ -41,6 +43,7 @@
 // Limits for announcements.
 const (
 	maxAnnouncedSlots       = 100_000
+	maxReleaseBytes         = 128
 	maxAnnouncementBytes    = 4 << 10
 	announcementReadTimeout = 5 * time.Second
 )
@@ -124,6 +127,9 @@
 	if body.Instance != "" && (body.Sequence == 0 || body.StartedUnixMS <= 0) {
 		return host.Announcement{}, &AnnouncementError{Field: "instance", Detail: "needs sequence and started_unix_ms"}
 	}
+	if len(body.Release) > maxReleaseBytes {
+		return host.Announcement{}, &AnnouncementError{Field: "release", Detail: "too long"}
+	}
 	st, ok := statesByName[body.State]
 	if !ok {
 		return host.Announcement{}, &AnnouncementError{Field: "state", Detail: "use ready, draining or gone"}
@@ -137,6 +143,7 @@
 		InFlight:    body.InFlight,
 		Instance:    body.Instance,
 		Sequence:    body.Sequence,
+		Release:     body.Release,
 	}
 	if body.Instance != "" {
 		an.StartedAt = time.UnixMilli(body.StartedUnixMS)
