feat: roll-outs from the order's row to the choice of a release

The fleet adapter reads orders with the feed of the operators' table and writes the status row conditionally, together with a row of lynxfold's own that identifies the order and its time. Hosts report evidence over call connections to the first host in rendezvous order, calls choose a release, and gates refuse another release than the request names and, from the shift on, calls to a replaced release.

--- a/cmd/process/adapters.go
+++ b/cmd/process/adapters.go
@@ -30,12 +30,13 @@
 	Registrar upstream.RouteRegistrar
 	Prober    upstream.Prober
 	Acceptor  operator.Acceptor
+	Rollouts  platform.RolloutProtocol
 	History   operator.History
 }
 
-func newAdapters(se *ini.Settings, set *metrics.Set, log zerolog.Logger) adapters {
+func newAdapters(se *ini.Settings, ro *rollouts, set *metrics.Set, log zerolog.Logger) adapters {
 	if se.Platform.Protocol == ini.ProtocolFleet {
-		return newFleetAdapters(se, set, log)
+		return newFleetAdapters(se, ro, set, log)
 	}
 	cl := platform.NewClient(platform.Config{
 		TableURL:      se.Platform.TableURL,
@@ -45,6 +46,7 @@
 	})
 	vs := platform.NewVersions(cl)
 	return adapters{
+		Rollouts:  platform.NativeRollouts{},
 		Store:     cl,
 		Source:    vs,
 		Callers:   caller.NativeProtocol{},
@@ -56,7 +58,7 @@
 	}
 }
 
-func newFleetAdapters(se *ini.Settings, set *metrics.Set, log zerolog.Logger) adapters {
+func newFleetAdapters(se *ini.Settings, ro *rollouts, set *metrics.Set, log zerolog.Logger) adapters {
 	ad := fleet.New(fleet.Config{
 		URL:             se.Platform.TableURL,
 		Timeout:         se.Platform.Timeout,
@@ -67,9 +69,11 @@
 		CountSkipped: func(kind string) {
 			set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_skipped_total{kind=%q}`, kind)).Inc()
 		},
+		OnOrders:      ordersReceiver(ro),
 		OnRequestDone: observePlatformRequests(set),
 	})
 	return adapters{
+		Rollouts:  ad.RolloutProtocol,
 		Store:     ad.Store,
 		Source:    ad.ConfigurationReader,
 		Callers:   ad.CallerProtocol,
--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -44,6 +44,8 @@
 	// raiseIncarnation raises the incarnation of the gate; it is set before the control
 	// goroutine starts.
 	raiseIncarnation func(in host.Incarnation)
+	// rollouts is nil while they are off.
+	rollouts *rollouts
 	// crashes is what the ingress and the gate know of requests that crash upstreams.
 	crashes      *upstream.Quarantine
 	invariants   *invariants
@@ -77,6 +79,7 @@
 	id identity,
 	di *node.Dialer,
 	pp platformParams,
+	ro *rollouts,
 	iv *invariants,
 	co *controlCounters,
 	lc *node.Counters,
@@ -85,6 +88,7 @@
 ) *Control {
 	ct := &Control{
 		platform:       pp,
+		rollouts:       ro,
 		dataCentre:     se.Host.DataCentre,
 		tickEvery:      tickInterval,
 		invariants:     iv,
@@ -235,6 +239,9 @@
 	case datacentre.CloseLink:
 		ct.links.CloseLink(ac.Peer)
 	case datacentre.Publish:
+		if ct.rollouts != nil {
+			ct.rollouts.viewChanged(ac.View, time.Now())
+		}
 		ct.view.Store(ac.View)
 		ct.viewChangedAt.set(time.Now())
 	case datacentre.ReadPlatform:
@@ -243,6 +250,10 @@
 		ct.jobs.Go(func() { ct.writeIntroduction(ac) })
 	case datacentre.LearnCrashes:
 		ct.crashes.Merge(ac.News)
+	case datacentre.LearnRollouts:
+		if ct.rollouts != nil {
+			ct.rollouts.learn(ac.Records, time.Now())
+		}
 	case datacentre.RaiseIncarnation:
 		ct.raiseIncarnation(ac.Incarnation)
 	case datacentre.Note:
--- a/cmd/process/control_test.go
+++ b/cmd/process/control_test.go
@@ -63,6 +63,7 @@
 			Source:        rs,
 			Introductions: platform.NewIntroductions(hangingStore{}),
 		},
+		nil, // roll-outs are off
 		newInvariants(set, zerolog.Nop()),
 		newControlCounters(set),
 		node.NewCounters(set),
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -111,6 +111,7 @@
 	settings         *ini.Settings
 	sockets          *sockets
 	control          *Control
+	rollouts         *rollouts
 	gate             *upstream.Gate
 	client           *upstream.Client
 	callPool         *node.CallPool
@@ -164,9 +165,9 @@
 		func() zerolog.Logger { return named(te.Important) },
 		func() RoutineLog { return RoutineLog{Logger: named(te.Routine)} },
 		func() *metrics.Set { return te.Metrics },
-		newIdentity, newAdvertisedAddresses, newControlCounters,
+		newIdentity, newRollouts, newAdvertisedAddresses, newControlCounters,
 		newCertificates, node.NewCounters, newDialer, newAdapters, platform.NewVersions, platform.NewKeyedCalls,
-		platform.NewIntroductions, newInvariants, newControl,
+		platform.NewIntroductions, platform.NewRollouts, newInvariants, newControl,
 		newByteBudget, newUpstreamClient, newGate, upstream.NewAnnouncementServer,
 		node.NewCallPool, newCallServer, newCaller, newRecord, newMesh, newKeyPair, newOperator, newHealth, newListener,
 		newProcess,
@@ -191,6 +192,8 @@
 	Settings         *ini.Settings
 	Sockets          *sockets
 	Control          *Control
+	Rollouts         *rollouts
+	RolloutRows      *platform.Rollouts
 	Gate             *upstream.Gate
 	Client           *upstream.Client
 	CallPool         *node.CallPool
@@ -209,6 +212,7 @@
 
 func newProcess(pa processParams) *Process {
 	pa.Control.raiseIncarnation = pa.Gate.RaiseIncarnation
+	pa.connectRollouts()
 	abortCtx, abort := context.WithCancel(context.Background())
 	return &Process{
 		abortCtx:         abortCtx,
@@ -216,6 +220,7 @@
 		settings:         pa.Settings,
 		sockets:          pa.Sockets,
 		control:          pa.Control,
+		rollouts:         pa.Rollouts,
 		gate:             pa.Gate,
 		client:           pa.Client,
 		callPool:         pa.CallPool,
@@ -269,6 +274,7 @@
 	id identity,
 	ct *Control,
 	cl *upstream.Client,
+	ro *rollouts,
 	set *metrics.Set,
 	log zerolog.Logger,
 ) *upstream.Gate {
@@ -286,6 +292,7 @@
 		OnInvariantViolation: ct.reportGateViolation,
 		Client:               cl,
 		Quarantine:           ct.crashes,
+		Releases:             gateReleases(ro),
 		OnRateLimited:        set.GetOrCreateCounter(`lynxfold_gate_rate_limited_total`).Inc,
 		OnUpstreamCrashed:    set.GetOrCreateCounter(`lynxfold_gate_upstream_crashes_total`).Inc,
 		OnUnreadableLimit:    set.GetOrCreateCounter(`lynxfold_gate_unreadable_limits_total`).Inc,
@@ -302,6 +309,7 @@
 	cp *node.CallPool,
 	ks *platform.KeyedCalls,
 	pr caller.Protocol,
+	ro *rollouts,
 	bb *upstream.ByteBudget,
 	set *metrics.Set,
 	re *record.Record,
@@ -334,6 +342,7 @@
 		Counters:             caller.NewCounters(set),
 		Recorder:             re,
 		Quarantine:           ct.crashes,
+		Rollouts:             callerRollouts(ro),
 	})
 }
 
@@ -407,6 +416,9 @@
 	tickCtx, stopTicking := context.WithCancel(context.Background())
 	defer stopTicking()
 	pr.start("probe upstream", func() error { return pr.probeUpstream(tickCtx) })
+	if pr.rollouts != nil {
+		pr.start("roll-outs", func() error { pr.rollouts.run(tickCtx); return nil })
+	}
 	pr.start("tick", func() error { pr.tickGate(tickCtx); return nil })
 	pr.log.Info().Interface("addresses", pr.Addresses()).Msg("node started")
 	<-ctx.Done()
--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -91,6 +91,9 @@
 	if at.Service != ga.upstream.Service {
 		return ReasonWrongService
 	}
+	if re := ga.releaseReason(at); re != ReasonNone {
+		return re
+	}
 	if re := ga.quarantineReason(at, now); re != ReasonNone {
 		return re
 	}
@@ -127,6 +130,18 @@
 	return ReasonNone
 }
 
+// releaseReason returns why an attempt is refused for the release of the upstream, or
+// ReasonNone.
+func (ga *Gate) releaseReason(at Attempt) Reason {
+	switch {
+	case at.ReleaseReplaced:
+		return ReasonReleaseReplaced
+	case at.Release != "" && at.Release != ga.upstream.Release:
+		return ReasonWrongRelease
+	}
+	return ReasonNone
+}
+
 // quarantineReason returns why an attempt is refused for crashes that its request may have
 // caused, or ReasonNone.
 func (ga *Gate) quarantineReason(at Attempt, now time.Time) Reason {
--- a/core/host/types.go
+++ b/core/host/types.go
@@ -187,7 +187,11 @@
 	// Incarnation is the incarnation of the gate that the attempt is meant for.
 	Incarnation Incarnation
 	Service     contract.ServiceName
-	Class       contract.Class
+	// Release is the release that the sender has chosen; empty for any.
+	Release Release
+	// ReleaseReplaced says that a roll-out has replaced the release of the upstream.
+	ReleaseReplaced bool
+	Class           contract.Class
 	// Rank is the queue priority; 0 is dispatched first.
 	Rank int
 	// Customer is the customer that the call is made for; empty when there is none.
--- a/core/rollout/coordinator.go
+++ b/core/rollout/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"time"
 
 	"lynxfold/core/contract"
@@ -13,6 +14,27 @@
 	Host host.ID
 	// CanaryShare is the largest share of all requests that a bad release may receive.
 	CanaryShare float64
+	// CanarySlack is the number of requests that it may receive beyond that share.
+	CanarySlack float64
+}
+
+// CoordinatorHost returns the first of the hosts in rendezvous order of a service; empty if
+// there are none.
+func CoordinatorHost(name contract.ServiceName, hosts []host.ID) host.ID {
+	var (
+		first host.ID
+		best  uint64
+	)
+	for _, id := range hosts {
+		ha := fnv.New64a()
+		_, _ = ha.Write([]byte(name))
+		_, _ = ha.Write([]byte{0})
+		_, _ = ha.Write([]byte(id))
+		if rank := mix(ha.Sum64()); first == "" || rank > best || rank == best && id < first {
+			first, best = id, rank
+		}
+	}
+	return first
 }
 
 // Coordinator decides the roll-out of one service on the host that believes to be the
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -153,12 +153,11 @@
 	return all
 }
 
-// Report returns what this host has observed since it learnt of an order. othersRunning
-// is the number of attempts at other releases that its own gate runs.
-func (fo *Follower) Report(name contract.ServiceName, othersRunning int, now time.Time) Report {
+// Report returns what this host has observed since it learnt of an order.
+func (fo *Follower) Report(name contract.ServiceName, now time.Time) Report {
 	se := fo.service(name)
 	rp := Report{
-		Host:     fo.host,
+		Host:     fo.cfg.Host,
 		Service:  name,
 		Order:    se.record.Order,
 		Revision: se.record.Revision,
@@ -170,7 +169,6 @@
 			rp.OthersInFlight++
 		}
 	}
-	rp.OthersInFlight = max(rp.OthersInFlight, othersRunning)
 	for st, ev := range se.evidence {
 		rp.Evidence[st] = *ev
 	}
--- a/core/rollout/follower.go
+++ b/core/rollout/follower.go
@@ -29,16 +29,24 @@
 	maxReleases = 16
 )
 
+// FollowerConfig configures a Follower.
+type FollowerConfig struct {
+	Host host.ID
+	// RollbackWithin is how long a release that responds badly may still receive calls; 0
+	// means no limit.
+	RollbackWithin time.Duration
+}
+
 // Follower decides on one host which releases of a service its calls may use, and counts
 // what they show. It is not safe for concurrent use.
 type Follower struct {
-	host     host.ID
+	cfg      FollowerConfig
 	services map[contract.ServiceName]*followed
 }
 
 // NewFollower returns a follower that knows of no order.
-func NewFollower(id host.ID) *Follower {
-	return &Follower{host: id, services: map[contract.ServiceName]*followed{}}
+func NewFollower(cfg FollowerConfig) *Follower {
+	return &Follower{cfg: cfg, services: map[contract.ServiceName]*followed{}}
 }
 
 // followed is what a host knows of the releases of one service.
@@ -47,8 +55,10 @@
 	record  Record
 	ordered bool
 	// heardAt is when a message of a coordinator about the order last arrived.
-	heardAt  time.Time
-	releases map[host.Release]*presence
+	heardAt time.Time
+	// shiftedPermission is the permission in PhaseShifted.
+	shiftedPermission time.Duration
+	releases          map[host.Release]*presence
 	// credit is the part of a call, in thousandths, that the release may receive yet.
 	credit   int
 	evidence map[Stream]*Evidence
@@ -69,10 +79,14 @@
 	se := fo.services[name]
 	if se == nil {
 		se = &followed{
-			releases: map[host.Release]*presence{},
-			evidence: map[Stream]*Evidence{},
-			running:  map[*Attempt]struct{}{},
-			usual:    map[contract.RouteName]time.Duration{},
+			shiftedPermission: shiftedPermission,
+			releases:          map[host.Release]*presence{},
+			evidence:          map[Stream]*Evidence{},
+			running:           map[*Attempt]struct{}{},
+			usual:             map[contract.RouteName]time.Duration{},
+		}
+		if within := fo.cfg.RollbackWithin; within > 0 {
+			se.shiftedPermission = min(shiftedPermission, within*3/5)
 		}
 		fo.services[name] = se
 	}
@@ -110,7 +124,7 @@
 	se := fo.service(re.Service)
 	if !se.ordered || se.record.Order != re.Order {
 		se.evidence = map[Stream]*Evidence{}
-		se.credit = initialCredit(fo.host, re)
+		se.credit = initialCredit(fo.cfg.Host, re)
 	}
 	se.ordered = true
 	se.record = re
@@ -236,7 +250,7 @@
 func (se *followed) permitted(now time.Time) bool {
 	limit := canaryPermission
 	if se.record.Phase == PhaseShifted {
-		limit = shiftedPermission
+		limit = se.shiftedPermission
 	}
 	return now.Sub(se.heardAt) <= limit
 }
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -75,6 +75,8 @@
 		co.enter(PhaseRolledBack, co.lateReason(me), now)
 	case me.OfRelease == 0:
 		co.setShare(0, ReasonNoUpstreams)
+	case co.overspent():
+		co.setShare(0, ReasonOverspent)
 	case now.Before(rampAt):
 		co.setShare(co.trialShare(me, now), ReasonTrial)
 	case co.finding.Ratio >= suspiciousRatio:
@@ -88,6 +90,13 @@
 	}
 }
 
+// overspent reports whether the release has received so many requests that a fault found
+// now would exceed its share.
+func (co *Coordinator) overspent() bool {
+	return float64(co.toRelease) > co.cfg.CanaryShare*float64(co.sent)*maxTrialPart+co.cfg.CanarySlack &&
+		co.record.Share <= Permille(co.cfg.CanaryShare*float64(everything))
+}
+
 // lateReason returns why the release is not in use shortly before the deadline.
 func (co *Coordinator) lateReason(me Mesh) Reason {
 	switch {
--- a/core/rollout/types.go
+++ b/core/rollout/types.go
@@ -89,16 +89,17 @@
 
 // Reasons for phases.
 const (
-	ReasonOrdered      Reason = "ordered"
-	ReasonTrial        Reason = "trial"
-	ReasonHealthy      Reason = "healthy"
-	ReasonDrained      Reason = "drained"
-	ReasonFailing      Reason = "failing"
-	ReasonNoUpstreams  Reason = "no_upstreams"
-	ReasonNoEvidence   Reason = "no_evidence"
-	ReasonDeadline     Reason = "deadline_passed"
-	ReasonStatusRow    Reason = "status_row"
-	ReasonUncontrolled Reason = "no_coordinator"
+	ReasonOrdered     Reason = "ordered"
+	ReasonTrial       Reason = "trial"
+	ReasonHealthy     Reason = "healthy"
+	ReasonDrained     Reason = "drained"
+	ReasonFailing     Reason = "failing"
+	ReasonNoUpstreams Reason = "no_upstreams"
+	ReasonNoEvidence  Reason = "no_evidence"
+	ReasonDeadline    Reason = "deadline_passed"
+	ReasonStatusRow   Reason = "status_row"
+	// ReasonOverspent: the release has received more requests than its share.
+	ReasonOverspent Reason = "share_spent"
 )
 
 // Evidence counts the observed attempts at one release on one route. Each attempt is
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -11,6 +11,7 @@
 	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
 	"lynxfold/core/host"
+	"lynxfold/core/rollout"
 	"lynxfold/core/wire"
 	"lynxfold/io/upstream"
 )
@@ -32,6 +33,10 @@
 	// ended, as is duration.
 	finalResult call.Result
 	duration    time.Duration
+	// rollout counts the attempt for the roll-out of its service; nil when there are none.
+	rollout *rollout.Attempt
+	// onTrial reports that the attempt was chosen for a release on trial.
+	onTrial bool
 	// done is closed when the reply has been received. It is nil unless
 	// startAsync started the attempt.
 	done chan struct{}
@@ -47,6 +52,8 @@
 		cancel:   cancel,
 	}
 	ex.attempts = append(ex.attempts, at)
+	at.onTrial = ex.release.filter.Trial
+	ex.release.filter = rollout.Filter{}
 	at.notice, at.servedLately = ex.server.attemptStarted(sa.Upstream, ex.fingerprint)
 	return at
 }
@@ -55,6 +62,7 @@
 // returns the resulting event for the call.
 func (at *attempt) run() call.Event {
 	start := time.Now()
+	at.rolloutStarted(start)
 	at.reply = at.send()
 	now := time.Now()
 	re := at.result(now)
@@ -71,6 +79,7 @@
 		HasNotice:    at.reply.Response != nil,
 	}
 	at.exchange.server.attemptEnded(at.action.Upstream, at.exchange.fingerprint, ob, now)
+	at.rolloutEnded(re, now)
 	at.recordEnd(re)
 	at.exchange.server.cfg.Counters.observeAttempt(at.action.Upstream.Service, re.Outcome, now.Sub(start))
 	if at.reply.LinkLost {
@@ -115,6 +124,9 @@
 	rq.Crashes = ex.server.cfg.Quarantine.Evidence(ex.fingerprint)
 	rq.ServedLately = at.servedLately
 	rq.Nested = ex.nested
+	if at.rollout != nil {
+		rq.Release = string(up.Release)
+	}
 	rq.Brief = at.action.NoQueue
 	rq.Notice = upstream.PeerNoticeToWire(at.notice, time.Now())
 	if !ex.objective.IsZero() && !ex.nested {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -85,6 +85,8 @@
 	streamedBody *streamedBody
 	// fingerprint identifies the request when it comes again.
 	fingerprint host.Fingerprint
+	// release is the choice of a release for the first attempt.
+	release releaseChoice
 	// trial is set when the run of the request decides if its quarantine goes on.
 	trial bool
 
--- a/io/caller/picker.go
+++ b/io/caller/picker.go
@@ -36,10 +36,10 @@
 		return up, true
 	}
 	sv := ex.server
-	name := ex.target.Route.Service
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return sv.chooser.PickLocal(name, ex.view.Upstreams[name], tried, now)
+	name, all := ex.candidates(now)
+	return sv.chooser.PickLocal(name, all, tried, now)
 }
 
 // pickOwnHost returns the upstream of this host for a request with a long body, which has
@@ -49,10 +49,10 @@
 		return datacentre.Upstream{}, false
 	}
 	sv := ex.server
-	name := ex.target.Route.Service
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return sv.chooser.PickHost(name, ex.view.Upstreams[name], sv.cfg.Host, tried, now)
+	name, all := ex.candidates(now)
+	return sv.chooser.PickHost(name, all, sv.cfg.Host, tried, now)
 }
 
 // Spend implements call.Spender for retries.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -52,6 +52,8 @@
 	Counters   *Counters
 	// Recorder records decisions about calls; nil disables it.
 	Recorder Recorder
+	// Rollouts decides which releases calls may use; nil allows all.
+	Rollouts Rollouts
 	// Quarantine decides about requests that crash upstreams; nil admits all.
 	Quarantine *upstream.Quarantine
 }
@@ -94,6 +96,7 @@
 	// mu guards the fields below and cfg.Rand.
 	mu              sync.Mutex
 	chooser         *call.Chooser
+	releases        *call.ReleasePools
 	splits          call.TrafficSplitter
 	typicalTimeouts call.TypicalTimeouts
 	shortages       *call.ShortageMeter
@@ -116,6 +119,7 @@
 			DataCentre: cfg.DataCentre,
 			Rand:       cfg.Rand,
 		}),
+		releases:     call.NewReleasePools(),
 		shortages:    call.NewShortageMeter(),
 		retryBudgets: newServiceBudgets(call.FleetBudget(cfg.RetryBudget)),
 		hedgeBudgets: newServiceBudgets(call.FleetBudget(hedgeBudgetConfig(cfg.RetryBudget))),
@@ -206,8 +210,7 @@
 func (sv *Server) pick(ex *exchange, tried []host.ID, withCapacity bool, now time.Time) (datacentre.Upstream, bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	name := ex.target.Route.Service
-	all := ex.view.Upstreams[name]
+	name, all := ex.candidates(now)
 	if withCapacity {
 		return sv.chooser.PickWithCapacity(name, all, tried, now)
 	}
--- a/io/ini/keys.go
+++ b/io/ini/keys.go
@@ -72,6 +72,7 @@
 	all = append(all, upstreamKeys()...)
 	all = append(all, operatorKeys()...)
 	all = append(all, platformKeys()...)
+	all = append(all, rolloutKeys()...)
 	all = append(all, tlsKeys()...)
 	all = append(all, processKeys()...)
 	return all
@@ -296,6 +297,26 @@
 	}
 }
 
+func rolloutKeys() []key {
+	return []key{
+		{
+			section: "rollout", name: "canary_share", remedy: remedyRate,
+			help: "Largest share of the requests to a service that a bad release may receive, such as 0.1; roll-outs are off if empty.",
+			set:  rateSetter(func(se *Settings) *float64 { return &se.Rollout.CanaryShare }),
+		},
+		{
+			section: "rollout", name: "canary_slack", remedy: remedyRate,
+			help: "Number of requests that a bad release may receive beyond canary_share.",
+			set:  rateSetter(func(se *Settings) *float64 { return &se.Rollout.CanarySlack }),
+		},
+		{
+			section: "rollout", name: "rollback_within", remedy: remedyDuration,
+			help: "Longest time for which a release that responds badly may still receive requests.",
+			set:  durationSetter(func(se *Settings) *time.Duration { return &se.Rollout.RollbackWithin }),
+		},
+	}
+}
+
 func platformKeys() []key {
 	return []key{
 		{
--- a/io/ini/settings.go
+++ b/io/ini/settings.go
@@ -20,6 +20,7 @@
 	Upstream UpstreamSettings
 	Operator OperatorSettings
 	Platform PlatformSettings
+	Rollout  RolloutSettings
 	TLS      TLSSettings
 	Log      LogSettings
 	Health   HealthSettings
@@ -28,6 +29,19 @@
 	AdapterSettings map[string]string
 }
 
+// RolloutSettings bound what roll-outs of bad releases may cost; roll-outs are off while
+// CanaryShare is 0.
+type RolloutSettings struct {
+	// CanaryShare is the largest share of the requests to a service that a bad release may
+	// receive.
+	CanaryShare float64
+	// CanarySlack is the number of requests that it may receive beyond that share.
+	CanarySlack float64
+	// RollbackWithin is how long after its first bad responses a release may still receive
+	// requests.
+	RollbackWithin time.Duration
+}
+
 // MeshSettings are the name and the expected size of the mesh.
 type MeshSettings struct {
 	Name string
--- a/io/node/call_server.go
+++ b/io/node/call_server.go
@@ -29,6 +29,10 @@
 	// nil, and is set before Serve is called.
 	ObserveDelay func(delay time.Duration)
 
+	// OnRolloutReport answers reports about roll-outs. It may be nil, and is set before
+	// Serve is called.
+	OnRolloutReport func(rr *wire.RolloutReport) *wire.RolloutReply
+
 	gate        Gate
 	activeCalls atomic.Int64
 	transits    transits
@@ -126,6 +130,16 @@
 			if sc.endCall(ac) {
 				return
 			}
+		case *wire.Frame_RolloutReport:
+			ac, _, ok := sc.beginCall(nil)
+			if !ok {
+				sc.connLost()
+				return
+			}
+			sc.serveRolloutReport(ac, ki.RolloutReport)
+			if sc.endCall(ac) {
+				return
+			}
 		case *wire.Frame_Body:
 			sc.deliverBody(ki.Body)
 		case *wire.Frame_Cancel:
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -34,7 +34,9 @@
 	Client           *Client
 	// Quarantine decides about requests that crash upstreams; nil admits all.
 	Quarantine *Quarantine
-	Log        zerolog.Logger
+	// Releases decides which releases take part in roll-outs; nil admits all.
+	Releases Releases
+	Log      zerolog.Logger
 }
 
 // Gate makes host.Gate safe for concurrent use and executes its actions.
--- a/io/upstream/gate_attempt.go
+++ b/io/upstream/gate_attempt.go
@@ -35,6 +35,7 @@
 		Service:      contract.ServiceName(rq.GetService()),
 		Class:        contract.Class(rq.GetClass()),
 		Rank:         int(rq.GetRank()),
+		Release:      host.Release(rq.GetRelease()),
 		Customer:     contract.CustomerName(rq.GetCustomer()),
 		CustomerRank: int(rq.GetCustomerRank()),
 		Kind:         host.Kind(rq.GetKind()),
@@ -93,6 +94,7 @@
 func (ga *Gate) admit(at host.Attempt, ad *admission, now time.Time) host.Action {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	at.ReleaseReplaced = ga.releaseReplaced(at.Service, now)
 	var decision host.Action
 	for _, ac := range ga.core.Step(host.Arrived{Attempt: at}, now) {
 		switch ac := ac.(type) {
