--- a/core/rollout/coordinator.go
+++ b/core/rollout/coordinator.go
@@ -59,6 +59,8 @@
 	// release.
 	sent, toRelease uint64
 	startedAt       time.Time
+	// firstUpstreamAt is when the first upstream of the release was seen.
+	firstUpstreamAt time.Time
 	actions         []Action
 }
 
@@ -263,6 +265,10 @@
 	good := float64(ev.Observed-last.Observed) - bad
 	ofRelease := st.Release == co.record.Release
 	co.verdict.add(st.Route, ofRelease, max(0, good), max(0, bad))
+	if !ofRelease {
+		co.verdict.baseLatency += (ev.Latency - last.Latency).Seconds()
+		co.verdict.baseUsual += (ev.Usual - last.Usual).Seconds()
+	}
 	co.sent += ev.Sent - last.Sent
 	if ofRelease {
 		co.toRelease += ev.Sent - last.Sent
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -13,8 +13,9 @@
 	slowFactor = 4
 	// minSlow keeps short delays of the network from counting as slow.
 	minSlow = 100 * time.Millisecond
-	// usualWeight is the inverse of the weight of an attempt in the usual latency.
-	usualWeight = 16
+	// usualWeight is the inverse of the weight of an attempt in the usual latency. It is
+	// large, so that trouble of some seconds does not become usual.
+	usualWeight = 64
 	// maxStreams bounds the routes and releases that are told apart; the attempts on
 	// further routes are counted together.
 	maxStreams = 64
@@ -27,6 +28,8 @@
 	startedAt time.Time
 	// slowAt is when the attempt counts as slow; zero if that can't be told.
 	slowAt time.Time
+	// usual is the usual latency of the route; 0 when unknown.
+	usual time.Duration
 	// evidence counts the attempt until it is observed.
 	evidence *Evidence
 }
@@ -43,8 +46,9 @@
 		evidence:  se.evidenceOf(st),
 	}
 	at.evidence.Sent++
-	if usual := se.usual[st.Route]; usual > 0 {
-		at.slowAt = now.Add(max(slowFactor*usual, minSlow))
+	if us := se.usual[st.Route]; us != nil {
+		at.usual = us.latency
+		at.slowAt = now.Add(max(slowFactor*us.latency, minSlow))
 	}
 	se.running[at] = struct{}{}
 	return at
@@ -110,8 +114,7 @@
 		case EndedSilent:
 			return
 		}
-		at.evidence.Latency += took
-		at.evidence = nil
+		at.observeLatency(took)
 	}
 	if en == EndedGood && (!se.ordered || at.stream.Release != se.record.Release) {
 		se.updateUsual(at.stream.Route, took)
@@ -120,14 +123,22 @@
 
 // updateUsual updates the moving average of the latency of a route.
 func (se *followed) updateUsual(ro contract.RouteName, took time.Duration) {
-	usual, known := se.usual[ro]
-	switch {
-	case !known && len(se.usual) >= maxStreams:
-	case !known:
-		se.usual[ro] = took
-	default:
-		se.usual[ro] = usual + (took-usual)/usualWeight
+	us := se.usual[ro]
+	if us == nil {
+		if len(se.usual) >= maxStreams {
+			return
+		}
+		us = &usualLatency{}
+		se.usual[ro] = us
 	}
+	us.count = min(us.count+1, usualWeight)
+	us.latency += (took - us.latency) / time.Duration(us.count)
+}
+
+// usualLatency is the moving average of the latency of a route, over all attempts at first.
+type usualLatency struct {
+	latency time.Duration
+	count   int
 }
 
 // markSlow observes an attempt that takes too long as slow, once.
@@ -137,7 +148,15 @@
 	}
 	at.evidence.Observed++
 	at.evidence.Slow++
-	at.evidence.Latency += now.Sub(at.startedAt)
+	at.observeLatency(now.Sub(at.startedAt))
+}
+
+// observeLatency adds the duration of an attempt that has been observed.
+func (at *Attempt) observeLatency(took time.Duration) {
+	if at.usual > 0 {
+		at.evidence.Latency += took
+		at.evidence.Usual += at.usual
+	}
 	at.evidence = nil
 }
 
--- a/core/rollout/follower.go
+++ b/core/rollout/follower.go
@@ -63,7 +63,7 @@
 	credit   int
 	evidence map[Stream]*Evidence
 	running  map[*Attempt]struct{}
-	usual    map[contract.RouteName]time.Duration
+	usual    map[contract.RouteName]*usualLatency
 }
 
 // presence is when a release was seen.
@@ -83,7 +83,7 @@
 			releases:          map[host.Release]*presence{},
 			evidence:          map[Stream]*Evidence{},
 			running:           map[*Attempt]struct{}{},
-			usual:             map[contract.RouteName]time.Duration{},
+			usual:             map[contract.RouteName]*usualLatency{},
 		}
 		if within := fo.cfg.RollbackWithin; within > 0 {
 			se.shiftedPermission = min(shiftedPermission, within*3/5)
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -18,7 +18,11 @@
 	finishPart = 0.25
 	// rampStep is the time for which the release receives a quarter of the calls, and
 	// then half of them, before the shift.
-	rampStep = 500 * time.Millisecond
+	// It is longer for a service with few requests, up to maxRampStep.
+	rampStep    = 500 * time.Millisecond
+	maxRampStep = 1500 * time.Millisecond
+	// rampRequests is the number of requests of the first step.
+	rampRequests = 30
 	// trialPart is the part of the upstreams whose load is sent to the release on trial.
 	trialPart = 0.04
 	// maxTrialPart bounds the share on trial as a part of the share that a bad release may
@@ -31,10 +35,14 @@
 	// minResponses is the number of responses without which a release is not taken into
 	// use, unless the service has hardly any calls.
 	minResponses = 8
+	// incomparableFor is how long after its first upstream a release is not compared while
+	// the service is in trouble: until calls that began when the upstreams were new have
+	// ended.
+	incomparableFor = 6 * time.Second
 	// idleRate is the number of requests a second below which a service has hardly any.
 	idleRate = 1
 	// suspiciousRatio stops the share from rising until further responses clear it.
-	suspiciousRatio = verdictThreshold / 2
+	suspiciousRatio = verdictThreshold / 3
 	// reportMaxAge is the age from which a report says nothing about what is in flight.
 	reportMaxAge = time.Second
 )
@@ -52,6 +60,14 @@
 		return
 	}
 	if !co.record.Phase.Final() {
+		if co.firstUpstreamAt.IsZero() && me.OfRelease > 0 {
+			co.firstUpstreamAt = now
+		}
+		// The slowness of new upstreams multiplies with that of a service in trouble, so
+		// that the two releases can't be compared.
+		if now.Sub(co.firstUpstreamAt) < incomparableFor && co.verdict.troubled() {
+			co.verdict.dropFresh()
+		}
 		co.finding = co.verdict.compare(now)
 		switch {
 		case co.finding.Bad:
@@ -68,7 +84,8 @@
 // tickCanary sets the share that is due, or shifts all calls.
 func (co *Coordinator) tickCanary(me Mesh, now time.Time) {
 	shiftAt := co.shiftAt()
-	rampAt := shiftAt.Add(-2 * rampStep)
+	step := co.rampStep(now)
+	rampAt := shiftAt.Add(-2 * step)
 	latest := co.record.Deadline.Add(-writeMargin)
 	switch {
 	case !now.Before(latest):
@@ -81,7 +98,7 @@
 		co.setShare(co.trialShare(me, now), ReasonTrial)
 	case co.finding.Ratio >= suspiciousRatio:
 		return
-	case now.Before(rampAt.Add(rampStep)):
+	case now.Before(rampAt.Add(step)):
 		co.setShare(everything/4, ReasonHealthy)
 	case now.Before(shiftAt) || !co.hasEvidence(me, now):
 		co.setShare(everything/2, ReasonHealthy)
@@ -90,6 +107,17 @@
 	}
 }
 
+// rampStep returns for how long the release receives a quarter of the calls.
+func (co *Coordinator) rampStep(now time.Time) time.Duration {
+	rate := co.rate(now)
+	if rate <= 0 {
+		return rampStep
+	}
+	span := time.Duration(rampRequests / (rate / 4) * float64(time.Second))
+	allowed := co.record.Deadline.Sub(co.record.OrderedAt)
+	return min(max(span, rampStep), maxRampStep, allowed/10)
+}
+
 // overspent reports whether the release has received so many requests that a fault found
 // now would exceed its share.
 func (co *Coordinator) overspent() bool {
--- a/core/rollout/table.go
+++ b/core/rollout/table.go
@@ -141,6 +141,7 @@
 			Failed:         ev.Failed,
 			Slow:           ev.Slow,
 			TotalLatencyUs: ev.Latency.Microseconds(),
+			TotalUsualUs:   ev.Usual.Microseconds(),
 		})
 	}
 	return wr
@@ -164,6 +165,7 @@
 			Failed:   we.GetFailed(),
 			Slow:     we.GetSlow(),
 			Latency:  time.Duration(we.GetTotalLatencyUs()) * time.Microsecond,
+			Usual:    time.Duration(we.GetTotalUsualUs()) * time.Microsecond,
 		}
 	}
 	return rp
--- a/core/rollout/types.go
+++ b/core/rollout/types.go
@@ -109,8 +109,10 @@
 	Observed uint64
 	Failed   uint64
 	Slow     uint64
-	// Latency is the sum of the durations of the attempts that have ended.
+	// Latency is the sum of the durations of the observed attempts whose route has a known
+	// usual latency, and Usual the sum of these usual latencies.
 	Latency time.Duration
+	Usual   time.Duration
 }
 
 // Stream identifies the attempts at one release on one route.
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -24,6 +24,11 @@
 	maxComparable = 0.8
 	// baselineHalfLife weights the responses of the other releases by their age.
 	baselineHalfLife = 2 * time.Second
+	// troubleBadRate and troubleSlowdown are the rate of bad responses of the other
+	// releases and the ratio of their latency to the usual one from which the service as
+	// a whole is in trouble.
+	troubleBadRate  = 0.15
+	troubleSlowdown = 1.4
 	// baselinePrior is the number of good responses that the baseline of a route starts
 	// with, so that a single failure does not hide a bad release.
 	baselinePrior = 4
@@ -36,8 +41,11 @@
 type verdict struct {
 	routes map[contract.RouteName]*routeTest
 	// total is the test over all routes, which finds a fault of all of them earlier.
-	total      routeTest
-	comparedAt time.Time
+	total routeTest
+	// baseLatency and baseUsual are the durations of the attempts at the other releases,
+	// and what is usual for them, in seconds and weighted by age.
+	baseLatency, baseUsual float64
+	comparedAt             time.Time
 }
 
 func newVerdict() verdict { return verdict{routes: map[contract.RouteName]*routeTest{}} }
@@ -89,6 +97,22 @@
 	BaselineRate        float64
 }
 
+// troubled reports whether the service as a whole is in trouble, as its other releases
+// show: they fail often, or take longer than is usual.
+func (ve *verdict) troubled() bool {
+	rt := &ve.total
+	return rt.baseBad > troubleBadRate*(rt.baseGood+rt.baseBad+baselinePrior) ||
+		ve.baseLatency > troubleSlowdown*ve.baseUsual
+}
+
+// dropFresh forgets the responses of the release since the last comparison.
+func (ve *verdict) dropFresh() {
+	ve.total.freshGood, ve.total.freshBad = 0, 0
+	for _, rt := range ve.routes {
+		rt.freshGood, rt.freshBad = 0, 0
+	}
+}
+
 // compare compares the responses since the last comparison, and returns the finding with
 // the largest ratio.
 func (ve *verdict) compare(now time.Time) Finding {
@@ -97,6 +121,8 @@
 		decay = math.Exp2(-now.Sub(ve.comparedAt).Seconds() / baselineHalfLife.Seconds())
 	}
 	ve.comparedAt = now
+	ve.baseLatency *= decay
+	ve.baseUsual *= decay
 	worst := ve.total.compare(decay)
 	for name, rt := range ve.routes {
 		fi := rt.compare(decay)
