--- a/core/rollout/coordinator.go
+++ b/core/rollout/coordinator.go
@@ -61,7 +61,9 @@
 	startedAt       time.Time
 	// firstUpstreamAt is when the first upstream of the release was seen.
 	firstUpstreamAt time.Time
-	actions         []Action
+	// troubledAt is when the service as a whole was last in trouble.
+	troubledAt time.Time
+	actions    []Action
 }
 
 // reporter is a host that has sent reports.
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -39,6 +39,8 @@
 	// the service is in trouble: until calls that began when the upstreams were new have
 	// ended.
 	incomparableFor = 6 * time.Second
+	// troubleLasts is how long after trouble of the service calls end that began in it.
+	troubleLasts = 2 * time.Second
 	// idleRate is the number of requests a second below which a service has hardly any.
 	idleRate = 1
 	// suspiciousRatio stops the share from rising until further responses clear it.
@@ -65,7 +67,10 @@
 		}
 		// The slowness of new upstreams multiplies with that of a service in trouble, so
 		// that the two releases can't be compared.
-		if now.Sub(co.firstUpstreamAt) < incomparableFor && co.verdict.troubled() {
+		if co.verdict.troubled() {
+			co.troubledAt = now
+		}
+		if now.Sub(co.firstUpstreamAt) < incomparableFor && now.Sub(co.troubledAt) < troubleLasts {
 			co.verdict.dropFresh()
 		}
 		co.finding = co.verdict.compare(now)
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -28,7 +28,10 @@
 	// releases and the ratio of their latency to the usual one from which the service as
 	// a whole is in trouble.
 	troubleBadRate  = 0.15
-	troubleSlowdown = 1.4
+	troubleSlowdown = 1.3
+	// latencyHalfLife weights the latencies of the other releases by their age. It is
+	// short, so that trouble is seen before the slow calls of the release that it causes.
+	latencyHalfLife = 500 * time.Millisecond
 	// baselinePrior is the number of good responses that the baseline of a route starts
 	// with, so that a single failure does not hide a bad release.
 	baselinePrior = 4
@@ -116,13 +119,14 @@
 // compare compares the responses since the last comparison, and returns the finding with
 // the largest ratio.
 func (ve *verdict) compare(now time.Time) Finding {
-	decay := 1.0
+	decay, latencyDecay := 1.0, 1.0
 	if !ve.comparedAt.IsZero() {
-		decay = math.Exp2(-now.Sub(ve.comparedAt).Seconds() / baselineHalfLife.Seconds())
+		decay = decayOver(now.Sub(ve.comparedAt), baselineHalfLife)
+		latencyDecay = decayOver(now.Sub(ve.comparedAt), latencyHalfLife)
 	}
 	ve.comparedAt = now
-	ve.baseLatency *= decay
-	ve.baseUsual *= decay
+	ve.baseLatency *= latencyDecay
+	ve.baseUsual *= latencyDecay
 	worst := ve.total.compare(decay)
 	for name, rt := range ve.routes {
 		fi := rt.compare(decay)
@@ -135,6 +139,10 @@
 	return worst
 }
 
+func decayOver(span, halfLife time.Duration) float64 {
+	return math.Exp2(-span.Seconds() / halfLife.Seconds())
+}
+
 // compare updates the ratio with the fresh responses.
 func (rt *routeTest) compare(decay float64) Finding {
 	base := rt.baseBad / (rt.baseGood + rt.baseBad + baselinePrior)
