--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -62,6 +62,7 @@
 		&statusCommand{streams: st},
 		&explainCommand{streams: st},
 		&tokenCommand{streams: st},
+		&rolloutCommand{streams: st},
 		&quickstartCommand{streams: st},
 		&standinCommand{streams: st},
 	}
--- a/cmd/process/jobs.go
+++ b/cmd/process/jobs.go
@@ -41,6 +41,9 @@
 	if ac.Introductions {
 		ct.jobs.Go(func() { ct.readIntroductions() })
 	}
+	if ct.rollouts != nil {
+		ct.jobs.Go(func() { ct.rollouts.readOrders(ct.jobCtx) })
+	}
 	startedAt := time.Now()
 	ev, err := ct.readVersions(ctx, ac)
 	ct.counters.countPlatformRead(err)
--- a/cmd/process/operator.go
+++ b/cmd/process/operator.go
@@ -93,6 +93,7 @@
 type operatorParams struct {
 	dig.In
 
+	Rollouts *rollouts
 	Settings *ini.Settings
 	Control  *Control
 	Acceptor operator.Acceptor
@@ -116,6 +117,7 @@
 		History:    pa.History,
 		Explainer:  pa.Record,
 		Mesh:       pa.Mesh,
+		Rollouts:   operatorRollouts(pa.Rollouts),
 		OnAccepted: func(de *contract.Delta, by access.OperatorName) {
 			pa.Record.AddControl(record.Entry{
 				At:      time.Now(),
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -88,6 +88,7 @@
 		rows = append(rows, []string{string(se.Service), strconv.Itoa(se.Upstreams)})
 	}
 	table(co.out, rows)
+	co.printRollouts(st)
 	for _, re := range st.RefusedVersions {
 		_, _ = fmt.Fprintf(co.out, "\nversion %d was refused by host %s: %s\n", re.Version, st.Host, re.Detail)
 	}
@@ -96,6 +97,25 @@
 	}
 }
 
+func (co *statusCommand) printRollouts(st operator.Status) {
+	if len(st.Rollouts) == 0 {
+		return
+	}
+	rows := [][]string{{"ROLL-OUT", "RELEASE", "PHASE", "WHY", "DECIDED BY", ""}}
+	for _, rs := range st.Rollouts {
+		confirmed := "not in the store yet"
+		if rs.Confirmed {
+			confirmed = ""
+		}
+		rows = append(rows, []string{
+			string(rs.Service), string(rs.Release), rs.Phase,
+			string(rs.Reason), string(rs.Coordinator), confirmed,
+		})
+	}
+	_, _ = fmt.Fprintln(co.out)
+	table(co.out, rows)
+}
+
 func dataCentreRow(ce operator.DataCentreStatus) []string {
 	readers := make([]string, 0, len(ce.Readers))
 	for _, id := range ce.Readers {
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -46,6 +46,8 @@
 	History    History
 	Explainer  Explainer
 	Mesh       Mesh
+	// Rollouts is nil while roll-outs are off.
+	Rollouts Rollouts
 	// OnAccepted is called for each version accepted through this server, with the operator
 	// that submitted it.
 	OnAccepted func(de *contract.Delta, by access.OperatorName)
@@ -112,6 +114,7 @@
 	ro.GET("/metrics", sv.authorizeAPI(access.RoleRead, sv.getMetrics))
 	ro.GET("/api/config", sv.authorizeAPI(access.RoleRead, sv.getConfig))
 	ro.POST("/api/config", sv.authorizeAPI(access.RoleChange, sv.postConfig))
+	ro.POST("/api/rollouts", sv.authorizeAPI(access.RoleChange, sv.postRollout))
 	ro.GET("/api/config/{version}", sv.authorizeAPI(access.RoleRead, sv.getVersion))
 	ro.GET("/api/history", sv.authorizeAPI(access.RoleRead, sv.getHistory))
 	ro.GET("/api/status", sv.authorizeAPI(access.RoleRead, sv.getStatus))
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -57,6 +57,7 @@
 	Services        []ServiceStatus    `json:"services"`
 	DataCentres     []DataCentreStatus `json:"data_centres"`
 	RefusedVersions []RefusedVersion   `json:"refused_versions"`
+	Rollouts        []RolloutState     `json:"rollouts"`
 }
 
 // ServiceStatus is the number of usable upstreams of a service.
@@ -113,6 +114,7 @@
 		Services:        []ServiceStatus{},
 		DataCentres:     sv.cfg.Mesh.DataCentres(),
 		RefusedVersions: sv.cfg.Mesh.RefusedVersions(),
+		Rollouts:        sv.rolloutStates(),
 	}
 	for _, se := range vi.Config.Document.Services {
 		st.Services = append(st.Services, ServiceStatus{
--- a/io/platform/rollouts.go
+++ b/io/platform/rollouts.go
@@ -30,6 +30,9 @@
 
 // RolloutProtocol is what differs between platforms in the rows about roll-outs.
 type RolloutProtocol interface {
+	// OrderPrefix returns the prefix of the rows of orders; empty if orders are not written
+	// through lynxfold.
+	OrderPrefix() Key
 	// StatusKey returns the key of the status row of a service.
 	StatusKey(name contract.ServiceName) Key
 	// EncodeStatus returns the value of a status row.
@@ -52,8 +55,15 @@
 // NativeRollouts implements RolloutProtocol with rows of lynxfold's own.
 type NativeRollouts struct{}
 
-// nativeStatusPrefix is the prefix of the status rows, one for each service.
-const nativeStatusPrefix Key = "rollout_status/"
+// nativeStatusPrefix and nativeOrderPrefix are the prefixes of the status rows and of the
+// orders, one for each service.
+const (
+	nativeStatusPrefix Key = "rollout_status/"
+	nativeOrderPrefix  Key = "rollout_orders/"
+)
+
+// OrderPrefix implements RolloutProtocol.
+func (NativeRollouts) OrderPrefix() Key { return nativeOrderPrefix }
 
 // StatusKey implements RolloutProtocol.
 func (NativeRollouts) StatusKey(name contract.ServiceName) Key { return nativeStatusPrefix + Key(name) }
--- a/io/upstream/standin/server.go
+++ b/io/upstream/standin/server.go
@@ -23,6 +23,10 @@
 	// times their service time.
 	ColdPeriod time.Duration
 	ColdFactor int
+	// Release is the release that the announcements state; empty for none.
+	Release string
+	// FailEvery makes every nth call fail with status 500; 0 means none.
+	FailEvery int
 	// AnnounceTo is the URL of the node on this host; empty disables announcements.
 	AnnounceTo string
 	// AnnounceInterval is the announcement interval.
@@ -234,6 +238,7 @@
 		Instance    string `json:"instance"`
 		Started     int64  `json:"started_unix_ms"`
 		Sequence    uint64 `json:"sequence"`
+		Release     string `json:"release,omitempty"`
 	}{
 		Service:     sv.cfg.Service,
 		Address:     sv.Address(),
@@ -244,6 +249,7 @@
 		Instance:    sv.cfg.Name,
 		Started:     startedAt.UnixMilli(),
 		Sequence:    sequence,
+		Release:     sv.cfg.Release,
 	})
 	if err != nil {
 		return
