--- a/io/upstream/standin/serve.go
+++ b/io/upstream/standin/serve.go
@@ -103,6 +103,9 @@
 	if status, err := args.GetUint(ParamStatus); err == nil {
 		ctx.SetStatusCode(status)
 	}
+	if n := sv.cfg.FailEvery; n > 0 && sv.responses.Add(1)%int64(n) == 0 {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
 	n, err := args.GetUint(ParamBytes)
 	if err != nil || n <= 0 {
 		ctx.SetContentType("application/json")
--- a/io/upstream/standin/server.go
+++ b/io/upstream/standin/server.go
@@ -37,14 +37,16 @@
 
 // Server is the stand-in backend server.
 type Server struct {
-	cfg      Config
-	http     *fasthttp.Server
-	address  string
-	running  atomic.Int64
-	draining atomic.Bool
-	stop     chan struct{}
-	stopOnce sync.Once
-	done     sync.WaitGroup
+	cfg     Config
+	http    *fasthttp.Server
+	address string
+	running atomic.Int64
+	// responses counts the responses for FailEvery.
+	responses atomic.Int64
+	draining  atomic.Bool
+	stop      chan struct{}
+	stopOnce  sync.Once
+	done      sync.WaitGroup
 
 	unresponsive atomic.Bool
 	// fixed reports that requests with ParamCrash are served.
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -300,6 +300,12 @@
 	})
 }
 
+// AddUpstream starts an upstream on a host that has none.
+func (ho *Host) AddUpstream(cfg upstreamstandin.Config) {
+	ho.Spec.Upstream = cfg
+	ho.startUpstream()
+}
+
 func (ho *Host) startUpstream() {
 	cfg := ho.Spec.Upstream
 	if cfg.Service == "" {
