feat: an order for the release in use, after one that was replaced

A release whose order was replaced before it was completed stays excluded, so that an order back to the release in use does not send its calls to the other.

--- a/cmd/process/rollout_loop.go
+++ b/cmd/process/rollout_loop.go
@@ -84,7 +84,9 @@
 	if reportDue {
 		ro.execute(co.Step(rollout.ReportReceived{Report: rp}, now))
 	}
-	ro.execute(co.Step(rollout.Tick{Mesh: me.of(re, ro.control.View())}, now))
+	rm := me.of(re, ro.control.View())
+	rm.Established = ro.follower.Established(re.Service)
+	ro.execute(co.Step(rollout.Tick{Mesh: rm}, now))
 }
 
 // report returns what this host has observed. The revision that it acts by is read before
--- a/core/call/releases.go
+++ b/core/call/releases.go
@@ -65,6 +65,9 @@
 	}
 	switch {
 	case len(po.upstreams) == 0:
+		if next := fi.Fallback(); next != fi {
+			return rp.Select(name, all, next)
+		}
 		return name, all
 	case fi.Trial:
 		return name + trialPool, po.upstreams
--- a/core/rollout/coordinator.go
+++ b/core/rollout/coordinator.go
@@ -120,6 +120,9 @@
 	OtherHosts map[host.ID]bool
 	// OfRelease and Others count the usable upstreams.
 	OfRelease, Others int
+	// Established says that the ordered release is in use anyway, as after an order that
+	// was replaced.
+	Established bool
 }
 
 // Learnt delivers a record from another host that supersedes the known one.
--- a/core/rollout/follower.go
+++ b/core/rollout/follower.go
@@ -20,6 +20,9 @@
 	// settledAfter is how long after the deadline of a completed order its release is
 	// still the only one that is used: the upstreams of the others leave within it.
 	settledAfter = 15 * time.Second
+	// settlingFor is how long after a host has learnt of the first release of a service the
+	// releases that it learns of are not new: a host that joins learns of all within it.
+	settlingFor = 2 * time.Second
 	// absentFor is how long a release that has left the view is remembered, so that it
 	// does not count as new when its only upstream is suspected for a moment.
 	absentFor = 30 * time.Second
@@ -54,6 +57,9 @@
 	// record is valid if ordered is set.
 	record  Record
 	ordered bool
+	// rejected is the release of an earlier order that was not taken into use; empty if
+	// there is none.
+	rejected host.Release
 	// heardAt is when a message of a coordinator about the order last arrived.
 	heardAt time.Time
 	// shiftedPermission is the permission in PhaseShifted.
@@ -106,7 +112,7 @@
 			delete(se.releases, re)
 		}
 	}
-	established := len(se.releases) > 0
+	established := se.knownFor(now) > settlingFor
 	for re := range present {
 		if se.releases[re] != nil || len(se.releases) >= maxReleases {
 			continue
@@ -119,10 +125,20 @@
 	}
 }
 
+// knownFor returns how long this host has known a release of the service.
+func (se *followed) knownFor(now time.Time) time.Duration {
+	span := time.Duration(0)
+	for _, pr := range se.releases {
+		span = max(span, now.Sub(pr.since))
+	}
+	return span
+}
+
 // Learn takes over a record that supersedes the known one.
 func (fo *Follower) Learn(re Record, now time.Time) {
 	se := fo.service(re.Service)
 	if !se.ordered || se.record.Order != re.Order {
+		se.reject(re.Release)
 		se.evidence = map[Stream]*Evidence{}
 		se.credit = initialCredit(fo.cfg.Host, re)
 	}
@@ -133,6 +149,31 @@
 	}
 }
 
+// reject remembers the release of an order that is replaced before it is completed.
+func (se *followed) reject(next host.Release) {
+	if se.ordered && se.record.Phase != PhaseCompleted {
+		se.rejected = se.record.Release
+	}
+	if se.rejected == next {
+		se.rejected = ""
+	}
+}
+
+// Established reports whether an order names the release that is in use anyway: all others
+// that the service has were ordered before and not taken into use.
+func (fo *Follower) Established(name contract.ServiceName) bool {
+	se := fo.services[name]
+	if se == nil || !se.ordered || se.rejected == "" || se.releases[se.record.Release] == nil {
+		return false
+	}
+	for re, pr := range se.releases {
+		if pr.absentSince.IsZero() && re != se.record.Release && re != se.rejected {
+			return false
+		}
+	}
+	return true
+}
+
 // Heard notes a reply of a coordinator that acts by an order.
 func (fo *Follower) Heard(name contract.ServiceName, order OrderID, now time.Time) {
 	if se := fo.services[name]; se != nil && se.ordered && se.record.Order == order {
@@ -189,6 +230,12 @@
 	return true
 }
 
+// Fallback returns the filter to use if no upstream is allowed: it allows the ordered
+// release, and others that are excluded still.
+func (fi Filter) Fallback() Filter {
+	return Filter{excluded: [maxExcluded]host.Release{1: fi.excluded[1]}}
+}
+
 // TrialUpstreams returns to how many of the upstreams of a release a trial goes when the
 // other releases have others upstreams.
 func (fi Filter) TrialUpstreams(others int) int {
@@ -216,6 +263,8 @@
 			Trial:   true,
 			Share:   re.Share,
 			Warming: pr != nil && now.Sub(pr.since) < warmUp,
+
+			excluded: [maxExcluded]host.Release{1: se.rejected},
 		}
 	}
 	return fo.ChooseFurther(name, now)
@@ -229,14 +278,18 @@
 		return Filter{}
 	}
 	if se.takesAll(now) {
-		return Filter{Only: true, Release: se.record.Release}
+		return Filter{
+			Only:     true,
+			Release:  se.record.Release,
+			excluded: [maxExcluded]host.Release{1: se.rejected},
+		}
 	}
 	fi := Filter{}
-	n := 0
 	if se.ordered && se.record.Phase != PhaseCompleted {
 		fi.excluded[0] = se.record.Release
-		n++
 	}
+	fi.excluded[1] = se.rejected
+	n := 2
 	for re, pr := range se.releases {
 		if n < maxExcluded && now.Before(pr.ordinaryAt) && (!se.ordered || re != se.record.Release) {
 			fi.excluded[n] = re
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -75,7 +75,9 @@
 		}
 		co.finding = co.verdict.compare(now)
 		switch {
-		case co.finding.Bad:
+		case me.Established && co.record.Phase == PhaseCanary:
+			co.enter(PhaseShifted, ReasonEstablished, now)
+		case co.finding.Bad && !me.Established:
 			co.enter(PhaseRolledBack, ReasonFailing, now)
 		case co.record.Phase == PhaseCanary:
 			co.tickCanary(me, now)
--- a/core/rollout/types.go
+++ b/core/rollout/types.go
@@ -89,15 +89,18 @@
 
 // Reasons for phases.
 const (
-	ReasonOrdered     Reason = "ordered"
-	ReasonTrial       Reason = "trial"
-	ReasonHealthy     Reason = "healthy"
+	ReasonOrdered Reason = "ordered"
+	ReasonTrial   Reason = "trial"
+	ReasonHealthy Reason = "healthy"
+	// ReasonEstablished: the release is in use anyway.
+	ReasonEstablished Reason = "established"
 	ReasonDrained     Reason = "drained"
 	ReasonFailing     Reason = "failing"
 	ReasonNoUpstreams Reason = "no_upstreams"
 	ReasonNoEvidence  Reason = "no_evidence"
 	ReasonDeadline    Reason = "deadline_passed"
-	ReasonStatusRow   Reason = "status_row"
+	// ReasonStatusRow: another host has written the outcome.
+	ReasonStatusRow Reason = "status_row"
 	// ReasonOverspent: the release has received more requests than its share.
 	ReasonOverspent Reason = "share_spent"
 )
--- a/testkit/rollouts_test.go
+++ b/testkit/rollouts_test.go
@@ -55,12 +55,20 @@
 	status, _ := me.Apply(ingressID, 0, callsDocument)
 	assert.Equal(t, status, fasthttp.StatusOK)
 	waitForUpstreams(t, me, 2)
+	for _, id := range rolloutIngresses {
+		testkit.Eventually(t, waitTimeout, "calls run at "+id, func() bool {
+			return testkit.NewCallersWithPrefix(me, "warm-"+id).Call(id, "GET", "/results", 0).Outcome == "ran"
+		})
+	}
 	return &rolloutMesh{Mesh: me, callers: testkit.NewCallers(me)}
 }
 
-// load makes calls at all hosts but one until stop is called.
+// rolloutIngresses are the hosts that take calls.
+var rolloutIngresses = []string{ingressID, "old-1", "new-1"}
+
+// load makes calls until stop is called.
 func (rm *rolloutMesh) load() (stop func()) {
-	ids := []string{ingressID, "old-1", "new-1"}
+	ids := rolloutIngresses
 	return rm.callers.StartLoad(9, func(worker int) {
 		rm.callers.Call(ids[worker%len(ids)], "POST", fmt.Sprintf("/bookings?work=%dms", 15+worker), 10)
 	})
@@ -136,7 +144,9 @@
 	stop()
 	assert.Equal(t, rm.runs(at, far(), "old-1", "old-2"), 0)
 	assert.Assert(t, rm.runs(at, far(), "new-1", "new-2") > 0)
-	t.Logf("outcomes: %v", rm.callers.CheckOutcomes(t))
+	counts := rm.callers.CheckOutcomes(t)
+	t.Logf("outcomes: %v", counts)
+	assert.Equal(t, len(counts), 1, "a call did not run: %v", counts)
 }
 
 // TestBadReleaseIsRolledBack guards against a bad release that is completed, or that gets
