--- a/cmd/process/rollout_loop.go
+++ b/cmd/process/rollout_loop.go
@@ -77,7 +77,7 @@
 		return
 	}
 	if co == nil {
-		co = rollout.NewCoordinator(ro.cfg, re, now)
+		co = rollout.NewCoordinator(ro.cfg, re)
 		ro.coordinators[re.Service] = co
 	}
 	ro.follower.Heard(re.Service, re.Order, now)
--- a/core/rollout/coordinator.go
+++ b/core/rollout/coordinator.go
@@ -58,7 +58,6 @@
 	// sent counts the attempts at the service since the order, and toRelease those at the
 	// release.
 	sent, toRelease uint64
-	startedAt       time.Time
 	// firstUpstreamAt is when the first upstream of the release was seen.
 	firstUpstreamAt time.Time
 	// troubledAt is when the service as a whole was last in trouble.
@@ -73,13 +72,12 @@
 }
 
 // NewCoordinator returns a coordinator that continues from a record.
-func NewCoordinator(cfg CoordinatorConfig, re Record, now time.Time) *Coordinator {
+func NewCoordinator(cfg CoordinatorConfig, re Record) *Coordinator {
 	co := &Coordinator{
-		cfg:       cfg,
-		record:    re,
-		verdict:   newVerdict(),
-		hosts:     map[host.ID]*reporter{},
-		startedAt: now,
+		cfg:     cfg,
+		record:  re,
+		verdict: newVerdict(),
+		hosts:   map[host.ID]*reporter{},
 	}
 	if re.Phase == PhaseShifted {
 		co.shiftedRevision = re.Revision
@@ -175,7 +173,7 @@
 	case Tick:
 		co.tick(ev.Mesh, now)
 	case Learnt:
-		co.learnt(ev.Record, now)
+		co.learnt(ev.Record)
 	case StatusKnown:
 		co.statusKnown(ev.Status, now)
 	case StatusLost:
@@ -206,9 +204,9 @@
 	co.writeAt = now
 }
 
-func (co *Coordinator) learnt(re Record, now time.Time) {
+func (co *Coordinator) learnt(re Record) {
 	if re.Order != co.record.Order {
-		*co = *NewCoordinator(co.cfg, re, now)
+		*co = *NewCoordinator(co.cfg, re)
 		return
 	}
 	if re.Supersedes(co.record) {
--- a/core/rollout/played_test.go
+++ b/core/rollout/played_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"runtime"
 	"slices"
 	"sync"
@@ -23,12 +24,15 @@
 				continue // 1,000 plays of each kind take minutes
 			}
 			for _, fa := range []fault{faultNone, faultOutage, faultSlowdown, faultErrors, faultSlow, faultLoad, faultRoute, faultLate} {
-				playAll(t, fa, rate, duration)
+				t.Run(fmt.Sprintf("%.0f/%s/%s", rate, duration, fa), func(t *testing.T) {
+					playAll(t, fa, rate, duration)
+				})
 			}
 		}
 	}
 }
 
+// playAll plays one kind and checks the outcomes.
 func playAll(t *testing.T, fa fault, rate float64, duration time.Duration) {
 	all := make([]*play, *plays)
 	var wg sync.WaitGroup
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -176,7 +176,7 @@
 
 // rate returns the attempts a second at the service; 0 while unknown.
 func (co *Coordinator) rate(now time.Time) float64 {
-	since := now.Sub(co.startedAt).Seconds()
+	since := now.Sub(co.record.OrderedAt).Seconds()
 	if since < 1 {
 		return 0
 	}
--- a/testkit/rollouts_test.go
+++ b/testkit/rollouts_test.go
@@ -20,6 +20,9 @@
 // rolloutWithin is the duration of the orders.
 const rolloutWithin = 8 * time.Second
 
+// joinTime is the time after which hosts know the established release of a service.
+const joinTime = 2500 * time.Millisecond
+
 // rolloutMesh is a mesh with two upstreams of release v1 and two hosts without one, on
 // which release v2 is started.
 type rolloutMesh struct {
@@ -131,6 +134,7 @@
 func TestGoodReleaseIsCompleted(t *testing.T) {
 	rm := startRolloutMesh(t)
 	stop := rm.load()
+	time.Sleep(joinTime)
 	rm.startNew(0)
 	waitForUpstreams(t, rm.Mesh, 4)
 	time.Sleep(500 * time.Millisecond)
