--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -88,10 +88,7 @@
 	if re := ga.UnavailableReason(now); re != ReasonNone {
 		return re
 	}
-	if at.Service != ga.upstream.Service {
-		return ReasonWrongService
-	}
-	if re := ga.releaseReason(at); re != ReasonNone {
+	if re := ga.destinationReason(at); re != ReasonNone {
 		return re
 	}
 	if re := ga.quarantineReason(at, now); re != ReasonNone {
@@ -130,10 +127,12 @@
 	return ReasonNone
 }
 
-// releaseReason returns why an attempt is refused for the release of the upstream, or
-// ReasonNone.
-func (ga *Gate) releaseReason(at Attempt) Reason {
+// destinationReason returns why an attempt is refused because it is not meant for the
+// upstream, or ReasonNone.
+func (ga *Gate) destinationReason(at Attempt) Reason {
 	switch {
+	case at.Service != ga.upstream.Service:
+		return ReasonWrongService
 	case at.ReleaseReplaced:
 		return ReasonReleaseReplaced
 	case at.Release != "" && at.Release != ga.upstream.Release:
--- a/core/rollout/simulation_test.go
+++ b/core/rollout/simulation_test.go
@@ -42,7 +42,6 @@
 	hosts     []host.ID
 	followers map[host.ID]*Follower
 	co        *Coordinator
-	flooded   []Record
 	events    eventHeap
 	// running counts the attempts at each new upstream; upAt is when they started.
 	running []int
