fix: confirm verdicts in a release's first seconds

The release now gets nothing from the first suspicion on, and is rolled back when no trouble of the service has shown within 700 ms.

--- a/core/rollout/coordinator.go
+++ b/core/rollout/coordinator.go
@@ -60,6 +60,8 @@
 	sent, toRelease uint64
 	// firstUpstreamAt is when the first upstream of the release was seen.
 	firstUpstreamAt time.Time
+	// badSince is since when the verdict is that the release is bad.
+	badSince time.Time
 	// troubledAt is when the service as a whole was last in trouble.
 	troubledAt time.Time
 	actions    []Action
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -39,6 +39,9 @@
 	// the service is in trouble: until calls that began when the upstreams were new have
 	// ended.
 	incomparableFor = 6 * time.Second
+	// confirmFor is for how long a verdict waits in the first seconds of a release for
+	// signs that the whole service is in trouble, while the release receives nothing.
+	confirmFor = 700 * time.Millisecond
 	// troubleLasts is how long after trouble of the service calls end that began in it.
 	troubleLasts = 2 * time.Second
 	// idleRate is the number of requests a second below which a service has hardly any.
@@ -71,14 +74,17 @@
 			co.troubledAt = now
 		}
 		if now.Sub(co.firstUpstreamAt) < incomparableFor && now.Sub(co.troubledAt) < troubleLasts {
-			co.verdict.dropFresh()
+			co.verdict.startOver()
 		}
 		co.finding = co.verdict.compare(now)
+		if !co.finding.Bad {
+			co.badSince = time.Time{}
+		}
 		switch {
 		case me.Established && co.record.Phase == PhaseCanary:
 			co.enter(PhaseShifted, ReasonEstablished, now)
 		case co.finding.Bad && !me.Established:
-			co.enter(PhaseRolledBack, ReasonFailing, now)
+			co.rollBackWhenSure(now)
 		case co.record.Phase == PhaseCanary:
 			co.tickCanary(me, now)
 		case co.record.Phase == PhaseShifted:
@@ -88,6 +94,20 @@
 	co.writeDue(me, now)
 }
 
+// rollBackWhenSure takes the release back. In its first seconds it only stops its calls at
+// first: trouble of the whole service shows at new upstreams, which are slower, earlier
+// than at the others.
+func (co *Coordinator) rollBackWhenSure(now time.Time) {
+	if co.badSince.IsZero() {
+		co.badSince = now
+	}
+	if co.record.Phase == PhaseCanary && now.Sub(co.firstUpstreamAt) < incomparableFor && now.Sub(co.badSince) < confirmFor {
+		co.setShare(0, ReasonSuspected)
+		return
+	}
+	co.enter(PhaseRolledBack, ReasonFailing, now)
+}
+
 // tickCanary sets the share that is due, or shifts all calls.
 func (co *Coordinator) tickCanary(me Mesh, now time.Time) {
 	shiftAt := co.shiftAt()
--- a/core/rollout/types.go
+++ b/core/rollout/types.go
@@ -96,6 +96,8 @@
 	ReasonEstablished Reason = "established"
 	ReasonDrained     Reason = "drained"
 	ReasonFailing     Reason = "failing"
+	// ReasonSuspected: the release seems to fail, or the whole service.
+	ReasonSuspected   Reason = "suspected"
 	ReasonNoUpstreams Reason = "no_upstreams"
 	ReasonNoEvidence  Reason = "no_evidence"
 	ReasonDeadline    Reason = "deadline_passed"
--- a/core/rollout/verdict.go
+++ b/core/rollout/verdict.go
@@ -108,14 +108,19 @@
 		ve.baseLatency > troubleSlowdown*ve.baseUsual
 }
 
-// dropFresh forgets the responses of the release since the last comparison.
-func (ve *verdict) dropFresh() {
-	ve.total.freshGood, ve.total.freshBad = 0, 0
+// startOver forgets what the responses of the release have shown.
+func (ve *verdict) startOver() {
+	ve.total.startOver()
 	for _, rt := range ve.routes {
-		rt.freshGood, rt.freshBad = 0, 0
+		rt.startOver()
 	}
 }
 
+func (rt *routeTest) startOver() {
+	rt.freshGood, rt.freshBad = 0, 0
+	rt.ratio = 0
+}
+
 // compare compares the responses since the last comparison, and returns the finding with
 // the largest ratio.
 func (ve *verdict) compare(now time.Time) Finding {
