fix: set calls of a release's first seconds apart

Reports count them apart, and the coordinator drops them once it has seen trouble of the service in that time.

--- a/core/rollout/coordinator.go
+++ b/core/rollout/coordinator.go
@@ -62,9 +62,10 @@
 	firstUpstreamAt time.Time
 	// badSince is since when the verdict is that the release is bad.
 	badSince time.Time
-	// troubledAt is when the service as a whole was last in trouble.
-	troubledAt time.Time
-	actions    []Action
+	// warmUpTroubled is set when the service as a whole was in trouble while the upstreams
+	// of the release were new.
+	warmUpTroubled bool
+	actions        []Action
 }
 
 // reporter is a host that has sent reports.
@@ -269,7 +270,9 @@
 	bad := float64(ev.Failed+ev.Slow) - float64(last.Failed+last.Slow)
 	good := float64(ev.Observed-last.Observed) - bad
 	ofRelease := st.Release == co.record.Release
-	co.verdict.add(st.Route, ofRelease, max(0, good), max(0, bad))
+	if !st.Warming || !co.warmUpTroubled {
+		co.verdict.add(st.Route, ofRelease, max(0, good), max(0, bad))
+	}
 	if !ofRelease {
 		co.verdict.baseLatency += (ev.Latency - last.Latency).Seconds()
 		co.verdict.baseUsual += (ev.Usual - last.Usual).Seconds()
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -39,6 +39,7 @@
 func (fo *Follower) Started(name contract.ServiceName, st Stream, trial bool, now time.Time) *Attempt {
 	se := fo.service(name)
 	se.settle(st.Release, trial)
+	st.Warming = se.ordered && st.Release == se.record.Release && se.warming(now)
 	at := &Attempt{
 		service:   name,
 		stream:    st,
@@ -54,6 +55,12 @@
 	return at
 }
 
+// warming reports whether the upstreams of the ordered release have just started.
+func (se *followed) warming(now time.Time) bool {
+	pr := se.releases[se.record.Release]
+	return pr != nil && now.Sub(pr.since) < warmUp
+}
+
 // settle adds the share of an attempt to the credit, and takes away the attempt if it
 // goes to the release and Choose has not done so.
 func (se *followed) settle(re host.Release, trial bool) {
--- a/core/rollout/follower.go
+++ b/core/rollout/follower.go
@@ -256,13 +256,12 @@
 	re := se.record
 	if se.ordered && re.Phase == PhaseCanary && se.permitted(now) && se.credit+int(re.Share) >= int(everything) {
 		se.credit -= int(everything)
-		pr := se.releases[re.Release]
 		return Filter{
 			Only:    true,
 			Release: re.Release,
 			Trial:   true,
 			Share:   re.Share,
-			Warming: pr != nil && now.Sub(pr.since) < warmUp,
+			Warming: se.warming(now),
 
 			excluded: [maxExcluded]host.Release{1: se.rejected},
 		}
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -35,15 +35,12 @@
 	// minResponses is the number of responses without which a release is not taken into
 	// use, unless the service has hardly any calls.
 	minResponses = 8
-	// incomparableFor is how long after its first upstream a release is not compared while
-	// the service is in trouble: until calls that began when the upstreams were new have
-	// ended.
+	// incomparableFor is how long after its first upstream trouble of the service shows in
+	// calls that began when the upstreams were new.
 	incomparableFor = 6 * time.Second
 	// confirmFor is for how long a verdict waits in the first seconds of a release for
 	// signs that the whole service is in trouble, while the release receives nothing.
 	confirmFor = 700 * time.Millisecond
-	// troubleLasts is how long after trouble of the service calls end that began in it.
-	troubleLasts = 2 * time.Second
 	// idleRate is the number of requests a second below which a service has hardly any.
 	idleRate = 1
 	// suspiciousRatio stops the share from rising until further responses clear it.
@@ -69,11 +66,9 @@
 			co.firstUpstreamAt = now
 		}
 		// The slowness of new upstreams multiplies with that of a service in trouble, so
-		// that the two releases can't be compared.
-		if co.verdict.troubled() {
-			co.troubledAt = now
-		}
-		if now.Sub(co.firstUpstreamAt) < incomparableFor && now.Sub(co.troubledAt) < troubleLasts {
+		// that the calls that began then can't be compared.
+		if !co.warmUpTroubled && now.Sub(co.firstUpstreamAt) < incomparableFor && co.verdict.troubled() {
+			co.warmUpTroubled = true
 			co.verdict.startOver()
 		}
 		co.finding = co.verdict.compare(now)
--- a/core/rollout/table.go
+++ b/core/rollout/table.go
@@ -142,6 +142,7 @@
 			Slow:           ev.Slow,
 			TotalLatencyUs: ev.Latency.Microseconds(),
 			TotalUsualUs:   ev.Usual.Microseconds(),
+			Warming:        st.Warming,
 		})
 	}
 	return wr
@@ -158,7 +159,11 @@
 		Evidence:       make(map[Stream]Evidence, len(wr.GetEvidence())),
 	}
 	for _, we := range wr.GetEvidence() {
-		st := Stream{Release: host.Release(we.GetRelease()), Route: contract.RouteName(we.GetRoute())}
+		st := Stream{
+			Release: host.Release(we.GetRelease()),
+			Route:   contract.RouteName(we.GetRoute()),
+			Warming: we.GetWarming(),
+		}
 		rp.Evidence[st] = Evidence{
 			Sent:     we.GetSent(),
 			Observed: we.GetAnswered(),
--- a/core/rollout/types.go
+++ b/core/rollout/types.go
@@ -124,6 +124,9 @@
 type Stream struct {
 	Release host.Release
 	Route   contract.RouteName
+	// Warming says that the attempts began when the upstreams of the release had just
+	// started; the Follower sets it.
+	Warming bool
 }
 
 // Report is what a host has observed since it learnt of an order.
