--- a/core/rollout/coordinator.go
+++ b/core/rollout/coordinator.go
@@ -65,7 +65,9 @@
 	// warmUpTroubled is set when the service as a whole was in trouble while the upstreams
 	// of the release were new.
 	warmUpTroubled bool
-	actions        []Action
+	// troubledAt is when that was last seen.
+	troubledAt time.Time
+	actions    []Action
 }
 
 // reporter is a host that has sent reports.
--- a/core/rollout/schedule.go
+++ b/core/rollout/schedule.go
@@ -38,6 +38,8 @@
 	// incomparableFor is how long after its first upstream trouble of the service shows in
 	// calls that began when the upstreams were new.
 	incomparableFor = 6 * time.Second
+	// troubleLasts is for how long after trouble in that time nothing is compared.
+	troubleLasts = 2 * time.Second
 	// confirmFor is for how long a verdict waits in the first seconds of a release for
 	// signs that the whole service is in trouble, while the release receives nothing.
 	confirmFor = 700 * time.Millisecond
@@ -67,8 +69,13 @@
 		}
 		// The slowness of new upstreams multiplies with that of a service in trouble, so
 		// that the calls that began then can't be compared.
-		if !co.warmUpTroubled && now.Sub(co.firstUpstreamAt) < incomparableFor && co.verdict.troubled() {
+		if now.Sub(co.firstUpstreamAt) < incomparableFor && co.verdict.troubled() {
 			co.warmUpTroubled = true
+			co.troubledAt = now
+		}
+		// Failures arrive before the slow answers of the same time, which the baseline
+		// shows later still.
+		if now.Sub(co.troubledAt) < troubleLasts {
 			co.verdict.startOver()
 		}
 		co.finding = co.verdict.compare(now)
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -57,7 +57,7 @@
 	Services        []ServiceStatus    `json:"services"`
 	DataCentres     []DataCentreStatus `json:"data_centres"`
 	RefusedVersions []RefusedVersion   `json:"refused_versions"`
-	Rollouts        []RolloutState     `json:"rollouts"`
+	Rollouts        []RolloutState     `json:"rollouts,omitempty"`
 }
 
 // ServiceStatus is the number of usable upstreams of a service.
