--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -97,8 +97,8 @@
 	if re := ga.UnavailableReason(now); re != ReasonNone {
 		return re
 	}
-	if at.Service != ga.upstream.Service {
-		return ReasonWrongService
+	if re := ga.destinationReason(at); re != ReasonNone {
+		return re
 	}
 	if re := ga.quarantineReason(at, now); re != ReasonNone {
 		return re
@@ -143,6 +143,20 @@
 		ga.queue.count(cl) >= ga.ledger.cfg.MaxEntries/4-1
 }
 
+// destinationReason returns why an attempt is refused because it is not meant for the
+// upstream, or ReasonNone.
+func (ga *Gate) destinationReason(at Attempt) Reason {
+	switch {
+	case at.Service != ga.upstream.Service:
+		return ReasonWrongService
+	case at.ReleaseReplaced:
+		return ReasonReleaseReplaced
+	case at.Release != "" && at.Release != ga.upstream.Release:
+		return ReasonWrongRelease
+	}
+	return ReasonNone
+}
+
 // quarantineReason returns why an attempt is refused for crashes that its request may have
 // caused, or ReasonNone.
 func (ga *Gate) quarantineReason(at Attempt, now time.Time) Reason {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -53,6 +53,8 @@
 	Counters   *Counters
 	// Recorder records decisions about calls; nil disables it.
 	Recorder Recorder
+	// Rollouts decides which releases calls may use; nil allows all.
+	Rollouts Rollouts
 	// Quarantine decides about requests that crash upstreams; nil admits all.
 	Quarantine *upstream.Quarantine
 	// Quotas enforces the limits of customers; nil enforces none.
@@ -101,6 +103,7 @@
 	// mu guards the fields below and cfg.Rand.
 	mu              sync.Mutex
 	chooser         *call.Chooser
+	releases        *call.ReleasePools
 	splits          call.TrafficSplitter
 	typicalTimeouts call.TypicalTimeouts
 	latencies       call.KindLatencies
@@ -130,6 +133,7 @@
 		quotaRefusals: rate.NewLimiter(quotaRefusalsPerSecond, quotaRefusalBurst),
 		retryBudgets:  newServiceBudgets(call.FleetBudget(cfg.RetryBudget)),
 		hedgeBudgets:  newServiceBudgets(call.FleetBudget(hedgeBudgetConfig(cfg.RetryBudget))),
+		releases:      call.NewReleasePools(),
 	}
 	sv.SetLimits(Limits{
 		MaxHeaderBytes: cfg.MaxHeaderBytes,
@@ -217,8 +221,7 @@
 func (sv *Server) pick(ex *exchange, tried []host.ID, withCapacity bool, now time.Time) (datacentre.Upstream, bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	name := ex.target.Route.Service
-	all := ex.view.Upstreams[name]
+	name, all := ex.candidates(now)
 	if withCapacity {
 		return sv.chooser.PickWithCapacity(name, all, tried, now)
 	}
--- a/io/node/call_server.go
+++ b/io/node/call_server.go
@@ -31,6 +31,10 @@
 	// Quotas answers quota requests. It may be nil, and is set before Serve is called.
 	Quotas QuotaKeeper
 
+	// OnRolloutReport answers reports about roll-outs. It may be nil, and is set before
+	// Serve is called.
+	OnRolloutReport func(rr *wire.RolloutReport) *wire.RolloutReply
+
 	gate        Gate
 	activeCalls atomic.Int64
 	transits    transits
@@ -133,6 +137,16 @@
 				sc.connLost()
 				return
 			}
+		case *wire.Frame_RolloutReport:
+			ac, _, ok := sc.beginCall(nil)
+			if !ok {
+				sc.connLost()
+				return
+			}
+			sc.serveRolloutReport(ac, ki.RolloutReport)
+			if sc.endCall(ac) {
+				return
+			}
 		case *wire.Frame_Body:
 			sc.deliverBody(ki.Body)
 		case *wire.Frame_Cancel:
--- a/io/operator/status.go
+++ b/io/operator/status.go
@@ -63,6 +63,7 @@
 	// Customers are those with limits that were active lately; without a survey, only at
 	// this node.
 	Customers []CustomerStatus `json:"customers,omitempty"`
+	Rollouts  []RolloutState   `json:"rollouts,omitempty"`
 }
 
 // ServiceStatus is the number of usable upstreams of a service.
@@ -120,6 +121,7 @@
 		Services:        []ServiceStatus{},
 		DataCentres:     sv.cfg.Mesh.DataCentres(),
 		RefusedVersions: sv.cfg.Mesh.RefusedVersions(),
+		Rollouts:        sv.rolloutStates(),
 	}
 	for _, se := range vi.Config.Document.Services {
 		st.Services = append(st.Services, ServiceStatus{
