--- a/io/node/call_server.go
+++ b/io/node/call_server.go
@@ -111,48 +111,40 @@
 			sc.connLost()
 			return
 		}
+		next := true
 		switch ki := fr.GetKind().(type) {
 		case *wire.Frame_Request:
-			ac, body, ok := sc.beginCall(ki.Request)
-			if !ok {
-				sc.connLost()
-				return
-			}
-			sc.serveRequest(ac, ki.Request, body)
-			if sc.endCall(ac) {
-				return
-			}
+			next = sc.serveCall(ki.Request, func(ac *activeCall, body io.ReadCloser) { sc.serveRequest(ac, ki.Request, body) })
 		case *wire.Frame_Query:
-			ac, _, ok := sc.beginCall(nil)
-			if !ok {
-				sc.connLost()
-				return
-			}
-			sc.serveQuery(ac, ki.Query)
-			if sc.endCall(ac) {
-				return
-			}
+			next = sc.serveCall(nil, func(ac *activeCall, _ io.ReadCloser) { sc.serveQuery(ac, ki.Query) })
+		case *wire.Frame_RolloutReport:
+			next = sc.serveCall(nil, func(ac *activeCall, _ io.ReadCloser) { sc.serveRolloutReport(ac, ki.RolloutReport) })
 		case *wire.Frame_QuotaRequest:
 			if !sc.serveQuota(ki.QuotaRequest) {
 				sc.connLost()
-				return
-			}
-		case *wire.Frame_RolloutReport:
-			ac, _, ok := sc.beginCall(nil)
-			if !ok {
-				sc.connLost()
-				return
-			}
-			sc.serveRolloutReport(ac, ki.RolloutReport)
-			if sc.endCall(ac) {
-				return
+				next = false
 			}
 		case *wire.Frame_Body:
 			sc.deliverBody(ki.Body)
 		case *wire.Frame_Cancel:
 			sc.cancelCall()
 		}
+		if !next {
+			return
+		}
+	}
+}
+
+// serveCall serves a call, or a query or report when rq is nil. It returns false when the
+// read loop is to end: the connection is out of step, or another goroutine reads it.
+func (sc *serverConn) serveCall(rq *wire.Request, serve func(ac *activeCall, body io.ReadCloser)) bool {
+	ac, body, ok := sc.beginCall(rq)
+	if !ok {
+		sc.connLost()
+		return false
 	}
+	serve(ac, body)
+	return !sc.endCall(ac)
 }
 
 // startReader starts another read loop while a call is served; it returns false when one
