fix: order calls of one level by their objectives again

The order by the latest start reorders calls of one kind with each change of the estimated service time: TestNoQueueAttemptsFindFreeSlots failed at utilisation 1.5 (0.0266 late or refused, 0.0228 before).

--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -56,7 +56,7 @@
 	en.fairTag = ga.fair.tag(en)
 	en.fairCost = ga.estimateFor(at).mean
 	ga.recordSlack(en, now)
-	en.due = at.Objective.Add(-en.fairCost)
+	en.due = at.Objective
 	if at.Objective.IsZero() {
 		en.due = now.Add(noObjectiveDelay)
 		return
--- a/core/host/ledger.go
+++ b/core/host/ledger.go
@@ -27,8 +27,8 @@
 	// received when it began.
 	receivingBody       bool
 	concurrentTransfers int
-	// due is the objective less the expected service time, or a much later time if there is no
-	// objective; queued attempts are ordered by it. deferred marks a retry by the caller that can no longer meet its
+	// due is the objective, or a much later time if there is none; queued attempts are
+	// ordered by it. deferred marks a retry by the caller that can no longer meet its
 	// objective; it is queued behind the attempts that can.
 	due      time.Time
 	deferred bool
--- a/core/host/order_test.go
+++ b/core/host/order_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestOrderWithoutCustomers guards against a change of the dispatch order where attempts name
-// no customer: it is by nesting, rank, lateness and due time alone.
+// no customer: it is by nesting, rank, lateness and objective alone.
 func TestOrderWithoutCustomers(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	now := time.Unix(1_000_000, 0)
