--- a/io/caller/throttle.go
+++ b/io/caller/throttle.go
@@ -10,8 +10,10 @@
 // throttleKey returns the group of calls that find the same room as this one.
 func (ex *exchange) throttleKey() call.ThrottleKey {
 	return call.ThrottleKey{
-		Service: ex.target.Route.Service,
-		Rank:    ex.target.Terms.Rank,
+		Service:      ex.target.Route.Service,
+		Customer:     ex.customer.Name,
+		CustomerRank: ex.customer.Rank(),
+		Rank:         ex.target.Terms.Rank,
 	}
 }
 
