fix: a coordinator of a roll-out goes on while it is alive

The coordinator that the record names now goes on while it is alive, and a successor waits for a second.

--- a/cmd/process/rollout_loop.go
+++ b/cmd/process/rollout_loop.go
@@ -57,10 +57,9 @@
 	return ro.follower.Active()
 }
 
-// drive reports what this host has observed, and coordinates the roll-out if it is the
-// first in rendezvous order of the service.
+// drive reports what this host has observed to the coordinator of a roll-out, or
+// coordinates it.
 func (ro *rollouts) drive(ctx context.Context, re rollout.Record, me rolloutMesh, reportDue bool) {
-	first := rollout.CoordinatorHost(re.Service, me.hosts)
 	var rp rollout.Report
 	if reportDue {
 		rp = ro.report(re)
@@ -68,14 +67,15 @@
 	now := time.Now()
 	ro.mu.Lock()
 	defer ro.mu.Unlock()
-	co := ro.coordinators[re.Service]
-	if first != ro.cfg.Host {
+	coordinator := ro.succession.Coordinator(re, me.hosts, now)
+	if coordinator != ro.cfg.Host {
 		delete(ro.coordinators, re.Service)
-		if reportDue && first != "" {
-			go ro.sendReport(ctx, rp, me.addresses[first])
+		if reportDue && coordinator != "" {
+			go ro.sendReport(ctx, rp, me.addresses[coordinator])
 		}
 		return
 	}
+	co := ro.coordinators[re.Service]
 	if co == nil {
 		co = rollout.NewCoordinator(ro.cfg, re)
 		ro.coordinators[re.Service] = co
--- a/cmd/process/rollouts.go
+++ b/cmd/process/rollouts.go
@@ -34,6 +34,7 @@
 	mu           sync.Mutex
 	table        *rollout.Table
 	follower     *rollout.Follower
+	succession   *rollout.Succession
 	coordinators map[contract.ServiceName]*rollout.Coordinator
 	// lookups holds the orders whose outcome is being read from the store.
 	lookups map[contract.ServiceName]platform.Order
@@ -59,6 +60,10 @@
 			Host:           se.Host.ID,
 			RollbackWithin: se.Rollout.RollbackWithin,
 		}),
+		succession: rollout.NewSuccession(rollout.SuccessionConfig{
+			Host:      se.Host.ID,
+			StartedAt: time.Now(),
+		}),
 		coordinators: map[contract.ServiceName]*rollout.Coordinator{},
 		lookups:      map[contract.ServiceName]platform.Order{},
 		upstreams:    map[contract.ServiceName][]datacentre.Upstream{},
