fix: a rate-limited upstream says nothing about the load of the others

The expected load of upstreams tends to the mean of their data centre, which counted the load that the gate of a rate-limited upstream reports.

--- a/core/call/expectation.go
+++ b/core/call/expectation.go
@@ -55,7 +55,8 @@
 	}
 	sum, weights := 0.0, 0.0
 	for _, it := range po.upstreams {
-		if it.site != si || it.loadAt.IsZero() {
+		// A rate limit says nothing about the load of the others.
+		if it.site != si || it.loadAt.IsZero() || now.Before(it.limitedUntil) {
 			continue
 		}
 		we := math.Exp(-now.Sub(it.loadAt).Seconds() / siteWindow.Seconds())
