--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +19,8 @@
 type clientRequest struct {
 	Address, Method, Host, Path, ID, Key, Body string
 	Deadline                                   time.Duration
+	// LeaveAfter is when the client closes the connection; 0 means at its deadline.
+	LeaveAfter time.Duration
 }
 
 // clientAnswer is what the client got for it.
@@ -33,7 +36,7 @@
 
 // send sends a request on a new connection.
 func send(cr clientRequest) clientAnswer {
-	ctx, cancel := context.WithTimeout(context.Background(), cr.Deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(cr.LeaveAfter, cr.Deadline))
 	defer cancel()
 	an := clientAnswer{SentAt: time.Now()}
 	rq, err := http.NewRequestWithContext(ctx, cr.Method, "http://"+cr.Address+cr.Path, strings.NewReader(cr.Body))
--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -140,12 +140,21 @@
 	return rs.StatusCode == http.StatusOK
 }
 
-// freePort returns a port that is not in use. It lies below those of outgoing connections.
+// takenPorts are the ports that freePort has returned.
+var takenPorts = map[string]bool{}
+
+// freePort returns a port that is not in use, each only once. It lies below those of outgoing
+// connections.
 func freePort(ip string) (int, error) {
 	for range 100 {
 		port := 10_000 + rand.IntN(20_000)
-		li, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		address := fmt.Sprintf("%s:%d", ip, port)
+		if takenPorts[address] {
+			continue
+		}
+		li, err := net.Listen("tcp", address)
 		if err == nil {
+			takenPorts[address] = true
 			return port, li.Close()
 		}
 	}
--- a/review/standins/upstream.go
+++ b/review/standins/upstream.go
@@ -32,8 +32,10 @@
 	Address, Admin, Outbound     string
 	Slots, Queue                 int
 	Work                         time.Duration
-	Heartbeat                    time.Duration
-	HealthPath                   string
+	// WorkOf replaces Work for some paths; it may be nil.
+	WorkOf     func(path string) time.Duration
+	Heartbeat  time.Duration
+	HealthPath string
 	// KeepsOn makes the upstream go on with a request whose connection closes.
 	KeepsOn bool
 	// CrashOn is the path of requests that crash the upstream, which is back after Back.
@@ -217,8 +219,12 @@
 	if up.cfg.KeepsOn {
 		done = nil
 	}
+	took := up.cfg.Work
+	if up.cfg.WorkOf != nil {
+		took = up.cfg.WorkOf(rq.URL.Path)
+	}
 	select {
-	case <-time.After(up.cfg.Work):
+	case <-time.After(took):
 	case <-done:
 		return false
 	}
