feat: report how the silence of a call connection ends

A connection on which nothing arrives for 0.8 s while a call runs is given up; neither the logs nor the metrics told if it was broken or only slow. It is now observed for up to 3 s, half closed, so that its gate learns of the end as before: a histogram and a log line tell if data arrived after all, if it was closed, or if the silence lasted.

--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -170,7 +171,7 @@
 		newCertificates, node.NewCounters, newDialer, newAdapters, platform.NewVersions, platform.NewKeyedCalls,
 		platform.NewIntroductions, platform.NewRollouts, newInvariants, newControl,
 		newByteBudget, newUpstreamClient, newGate, upstream.NewAnnouncementServer,
-		node.NewCallPool, newQuotas, newCallServer, newCaller, newRecord, newMesh, newKeyPair, newOperator, newHealth, newListener,
+		newCallPool, newQuotas, newCallServer, newCaller, newRecord, newMesh, newKeyPair, newOperator, newHealth, newListener,
 		newProcess,
 	} {
 		if err := co.Provide(constructor); err != nil {
@@ -363,6 +364,20 @@
 	})
 }
 
+func newCallPool(di *node.Dialer, set *metrics.Set, log zerolog.Logger) *node.CallPool {
+	cp := node.NewCallPool(di)
+	cp.OnSilence = func(si node.Silence) {
+		set.GetOrCreateHistogram(fmt.Sprintf(`lynxfold_silent_connections_seconds{end=%q}`, si.End)).Update(si.Duration.Seconds())
+		log.Warn().
+			Str("event", "connection_silent").
+			Str("address", si.Address).
+			Str("end", string(si.End)).
+			Int64("took_ms", si.Duration.Milliseconds()).
+			Msg("nothing arrived on a connection while a call ran")
+	}
+	return cp
+}
+
 func newCallServer(ga *upstream.Gate, qs *node.Quotas, set *metrics.Set) *node.CallServer {
 	delays := set.GetOrCreateHistogram(`lynxfold_request_delay_seconds`)
 	cs := node.NewCallServer(ga)
--- a/io/node/call_exchange.go
+++ b/io/node/call_exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -213,7 +214,11 @@
 // connLost ends an exchange whose connection failed or carried an unexpected frame. Unless
 // the context has ended, the outcome of the attempt is unknown, and the ingress may query it.
 func (ex *exchange) connLost(cause error) upstream.Reply {
-	ex.finish(false)
+	if errors.Is(cause, os.ErrDeadlineExceeded) && ex.ctx.Err() == nil && ex.body == nil {
+		ex.observeSilence(time.Now().Add(-heartbeatTimeout))
+	} else {
+		ex.finish(false)
+	}
 	if err := ex.ctx.Err(); err != nil {
 		return refuseContext(err, !ex.requestSent)
 	}
--- a/io/node/call_pool.go
+++ b/io/node/call_pool.go
@@ -28,6 +28,10 @@
 // CallPool is the client side of calls to the gates of other nodes: a connection pool in
 // which each connection carries one call at a time.
 type CallPool struct {
+	// OnSilence is called when the silence of a call connection has ended. It may be nil,
+	// and is set before the pool is used.
+	OnSilence func(si Silence)
+
 	dialer *Dialer
 	closed chan struct{}
 	done   sync.WaitGroup
