--- a/io/node/silence.go
+++ b/io/node/silence.go
@@ -56,6 +56,7 @@
 // observeSilence releases a silent connection once the end of its silence is known. The
 // gate learns at once that the connection is not used any more.
 func (ex *exchange) observeSilence(since time.Time) {
+	ex.stopCancel()
 	if tc, ok := ex.conn.co.raw.(interface{ CloseWrite() error }); ok {
 		_ = tc.CloseWrite()
 	}
