--- a/testkit/calls_test.go
+++ b/testkit/calls_test.go
@@ -29,14 +29,16 @@
     {"name": "scan", "timeout_ms": 30000, "class": "bulk"},
     {"name": "certify", "timeout_ms": 8000, "retries": 2, "keyed": true},
     {"name": "check", "idempotent": true, "timeout_ms": 600},
-    {"name": "read", "idempotent": true, "timeout_ms": 8000, "retries": 2}
+    {"name": "read", "idempotent": true, "timeout_ms": 8000, "retries": 2},
+    {"name": "reread", "idempotent": true, "timeout_ms": 8000, "retries": 0}
   ],
   "routes": [
     {"name": "checks", "path_prefix": "/checks", "service": "booking", "contract": "check"},
     {"name": "bookings", "path_prefix": "/bookings", "service": "booking", "contract": "book"},
     {"name": "scans", "path_prefix": "/scans", "service": "booking", "contract": "scan"},
     {"name": "certificates", "path_prefix": "/certificates", "service": "booking", "contract": "certify"},
-    {"name": "results", "path_prefix": "/results", "service": "booking", "contract": "read"}
+    {"name": "results", "path_prefix": "/results", "service": "booking", "contract": "read"},
+    {"name": "reports", "path_prefix": "/reports", "service": "booking", "contract": "reread"}
   ]
 }`
 
@@ -402,3 +404,30 @@
 		assert.Check(t, len(runs[cr.CallID]) == 0, "%s ran after its deadline", cr.CallID)
 	}
 }
+
+// TestCallsDelayedOnTheLinkAreNotGivenUp delays what the ingress sends to the gates by more
+// than the time after which a connection counts as silent, and by less than the calls' timeout.
+func TestCallsDelayedOnTheLinkAreNotGivenUp(t *testing.T) {
+	const delay = 1500 * time.Millisecond
+	for _, path := range []string{"/reports", "/results", "/bookings"} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			me, ca := startBookingMesh(t)
+			const workers = 4
+			warm := ca.StartLoad(workers, func(int) { ca.Call(ingressID, "GET", path+"?work=20ms", 0) })
+			time.Sleep(time.Second)
+			warm()
+			for _, id := range []string{"curing-room-1", "curing-room-2"} {
+				me.Hosts[id].AddLatency(delay)
+			}
+			late := testkit.NewCallersWithPrefix(me, "late")
+			var wg sync.WaitGroup
+			for range workers {
+				wg.Go(func() { late.Call(ingressID, "GET", path, 0) })
+			}
+			wg.Wait()
+			for _, cr := range late.Results() {
+				assert.Check(t, cr.Outcome == "ran" && cr.Status == fasthttp.StatusOK, "%+v", cr)
+			}
+		})
+	}
+}
