fix: calls on silent connections go on

Callers saw a 502 (link_lost) with time left, while an upstream was at work on their request, or an answer cut in the middle. Cause: a connection on which nothing arrived for 0.8 s during a call was taken for broken. On a full link requests, heartbeats and answers are later than that: every silence that was observed to its end was ended by data. An idempotent call without a retry left was cancelled and answered at once, any other after four queries that timed out on the same link; a body that was on its way was cut.

A silent connection is now kept and read on. The ingress makes the retry that the budget allows beside it, or queries the gate as before, and the first answer wins; without either the call waits. A connection counts as lost once it is closed, or when a newer one to the same host has been greeted and nothing has come for 1.6 s more; only a body of a request that is being sent ends as before. LinkLost means a lost connection now, and LinkSilent is a new event.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -26,9 +26,11 @@
 type openAttempt struct {
 	id       host.AttemptID
 	upstream datacentre.Upstream
-	// linkLost says that the link was lost and the gate is queried.
+	// linkLost says that the link was lost or is silent, and the gate is queried.
 	linkLost bool
-	noQueue  bool
+	// silent says that nothing arrives on the link, which is still open.
+	silent  bool
+	noQueue bool
 	// unansweredQueries counts the queries since the gate's last answer.
 	unansweredQueries int
 	// queryAt is when the next query is due; zero while one is in flight.
@@ -87,6 +89,8 @@
 		ca.attemptEnded(ev.Attempt, ev.Result, now)
 	case LinkLost:
 		ca.linkLost(ev.Attempt, now)
+	case LinkSilent:
+		ca.linkSilent(ev.Attempt, now)
 	case QueryResult:
 		ca.queryResult(ev, now)
 	case QueryFailed:
@@ -190,6 +194,17 @@
 	return nil
 }
 
+// progressExpected reports whether an attempt is open whose link is not silent, or one is
+// scheduled.
+func (ca *Call) progressExpected() bool {
+	for _, oa := range ca.openAttempts {
+		if !oa.silent {
+			return true
+		}
+	}
+	return !ca.retryAt.IsZero()
+}
+
 // removeOpen removes an attempt from the open ones and reports whether it was
 // among them.
 func (ca *Call) removeOpen(id host.AttemptID) (openAttempt, bool) {
@@ -221,7 +236,7 @@
 		ca.respond(id, re, NoRetryFinal)
 		return
 	}
-	if len(ca.openAttempts) > 0 || !ca.retryAt.IsZero() {
+	if ca.progressExpected() {
 		return // the other attempt may still succeed
 	}
 	if oa.noQueue && re.Outcome == OutcomeNotRun && re.Reason == host.ReasonBusy {
--- a/core/call/query.go
+++ b/core/call/query.go
@@ -10,7 +10,11 @@
 // ends with an unknown outcome, since it can be repeated safely.
 func (ca *Call) linkLost(id host.AttemptID, now time.Time) {
 	oa := ca.findOpen(id)
-	if oa == nil || oa.linkLost {
+	if oa == nil {
+		return
+	}
+	oa.silent = false
+	if oa.linkLost {
 		return
 	}
 	if ca.cfg.Terms.Idempotent {
@@ -22,6 +26,29 @@
 	ca.query(oa, now)
 }
 
+// linkSilent handles an attempt whose link is silent: it goes on, since its upstream may be
+// at work on it. A non-idempotent one is also queried, and an idempotent one is repeated if
+// a retry is allowed.
+func (ca *Call) linkSilent(id host.AttemptID, now time.Time) {
+	oa := ca.findOpen(id)
+	if oa == nil || oa.silent || oa.linkLost {
+		return
+	}
+	oa.silent = true
+	ca.emit(AwaitAnswer{Attempt: id})
+	if !ca.cfg.Terms.Idempotent {
+		oa.linkLost = true
+		ca.query(oa, now)
+		return
+	}
+	if ca.progressExpected() {
+		return
+	}
+	if why, again := ca.mayRetry(Result{Outcome: OutcomeUnknown, Reason: ReasonLinkLost}); again {
+		ca.scheduleRetry(why, now)
+	}
+}
+
 func (ca *Call) query(oa *openAttempt, now time.Time) {
 	oa.unansweredQueries++
 	oa.queryAt = time.Time{}
@@ -59,14 +86,14 @@
 	ca.attemptEnded(ev.Attempt, re, now)
 }
 
-// queryFailed queries again after a backoff. After maxUnansweredQueries the outcome
-// of the attempt is unknown.
+// queryFailed queries again after a backoff. After maxUnansweredQueries the outcome of the
+// attempt is unknown, unless its link is only silent: queries are late on a full link too.
 func (ca *Call) queryFailed(id host.AttemptID, now time.Time) {
 	oa := ca.findOpen(id)
 	if oa == nil || !oa.linkLost {
 		return
 	}
-	if oa.unansweredQueries >= maxUnansweredQueries {
+	if oa.unansweredQueries >= maxUnansweredQueries && !oa.silent {
 		ca.attemptEnded(id, Result{Outcome: OutcomeUnknown, Reason: ReasonLinkLost}, now)
 		return
 	}
--- a/core/call/response.go
+++ b/core/call/response.go
@@ -34,8 +34,12 @@
 }
 
 // giveUp ends the call with the last result, without another attempt. The outcome of
-// a refusal becomes unknown if an earlier attempt may have run.
+// a refusal becomes unknown if an earlier attempt may have run. A call with an open attempt
+// waits for its end instead: its upstream may be at work on it.
 func (ca *Call) giveUp(why RetryReason) {
+	if len(ca.openAttempts) > 0 {
+		return
+	}
 	re := ca.lastResult
 	if re.Outcome == OutcomeNotRun && ca.mayHaveRun {
 		re.Outcome = OutcomeUnknown
--- a/core/call/types.go
+++ b/core/call/types.go
@@ -134,11 +134,17 @@
 }
 
 // LinkLost reports that the link of an attempt, or its stream on the link, ended
-// or stopped responding after the attempt was written to it, in whole or in part.
+// or was found broken after the attempt was written to it, in whole or in part.
 type LinkLost struct {
 	Attempt host.AttemptID
 }
 
+// LinkSilent reports that nothing has arrived on the link of an attempt for some time. It
+// is still open: it may be broken, or its messages wait in the queue of a full link.
+type LinkSilent struct {
+	Attempt host.AttemptID
+}
+
 // QueryResult reports the gate's answer to a query about an attempt. Result holds the
 // status of the stored response if the fate is host.FateFinished, and the reason
 // for the refusal otherwise.
@@ -162,6 +168,7 @@
 func (Begin) isEvent()        {}
 func (AttemptEnded) isEvent() {}
 func (LinkLost) isEvent()     {}
+func (LinkSilent) isEvent()   {}
 func (QueryResult) isEvent()  {}
 func (QueryFailed) isEvent()  {}
 func (CallerGone) isEvent()   {}
@@ -191,6 +198,12 @@
 	WaitUntil time.Time
 }
 
+// AwaitAnswer waits for the answer to an attempt on its silent link. AttemptEnded or LinkLost
+// follows.
+type AwaitAnswer struct {
+	Attempt host.AttemptID
+}
+
 // CancelAttempt cancels an attempt whose result is no longer needed. No event follows.
 type CancelAttempt struct {
 	Attempt host.AttemptID
@@ -219,6 +232,7 @@
 
 func (SendAttempt) isAction()       {}
 func (QueryAttempt) isAction()      {}
+func (AwaitAnswer) isAction()       {}
 func (CancelAttempt) isAction()     {}
 func (SkipHedge) isAction()         {}
 func (Respond) isAction()           {}
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -29,6 +29,9 @@
 	// abandoned reports that the reply is no longer needed.
 	abandoned atomic.Bool
 	reply     upstream.Reply
+	startedAt time.Time
+	// awaited reports that a goroutine waits for the pending reply.
+	awaited bool
 	// finalResult is the result of the attempt. It is set when the attempt has
 	// ended, as is duration.
 	finalResult call.Result
@@ -59,19 +62,21 @@
 }
 
 // run executes the attempt, reports its result and latency to the chooser, and
-// returns the resulting event for the call.
+// returns the resulting event for the call. One whose connection is silent counts as lost in
+// the chooser, which prefers other upstreams then.
 func (at *attempt) run() call.Event {
-	start := time.Now()
-	at.rolloutStarted(start)
+	at.startedAt = time.Now()
+	at.rolloutStarted(at.startedAt)
 	at.reply = at.send()
+	if at.reply.Pending != nil && at.exchange.target.Terms.Keyed {
+		at.reply = at.reply.Pending.Abandon()
+	}
 	now := time.Now()
-	re := at.result(now)
-	at.finalResult = re
-	at.duration = now.Sub(start)
+	re := at.resultOf(at.reply, now)
 	load, hasDetail := upstream.LoadFromWire(at.reply.Load(), at.action.Upstream.Slots)
 	ob := call.Observation{
 		Result:       re,
-		Latency:      now.Sub(start),
+		Latency:      now.Sub(at.startedAt),
 		HasLoad:      at.reply.Response != nil || at.reply.Refusal.GetLoadPermille() > 0,
 		LoadPermille: max(at.reply.Response.GetLoadPermille(), at.reply.Refusal.GetLoadPermille()),
 		Load:         load,
@@ -83,9 +88,24 @@
 	}
 	at.exchange.server.attemptEnded(at.exchange, at.action.Upstream, ob, now)
 	at.rolloutEnded(re, now)
+	at.recordResult(re, now)
+	at.exchange.server.cfg.Counters.observeAttempt(at.action.Upstream.Service, re.Outcome, now.Sub(at.startedAt))
+	return at.endEvent(at.reply, re)
+}
+
+// recordResult stores the result of the attempt for the logs.
+func (at *attempt) recordResult(re call.Result, now time.Time) {
+	at.finalResult = re
+	at.duration = now.Sub(at.startedAt)
 	at.recordEnd(re)
-	at.exchange.server.cfg.Counters.observeAttempt(at.action.Upstream.Service, re.Outcome, now.Sub(start))
-	if at.reply.LinkLost {
+}
+
+// endEvent returns the event for the call that a reply leads to.
+func (at *attempt) endEvent(rp upstream.Reply, re call.Result) call.Event {
+	switch {
+	case rp.Pending != nil:
+		return call.LinkSilent{Attempt: at.action.Attempt}
+	case rp.LinkLost:
 		at.exchange.server.cfg.Counters.countLinkLost()
 		return call.LinkLost{Attempt: at.action.Attempt}
 	}
@@ -95,6 +115,25 @@
 	}
 }
 
+// awaitPending waits for the reply on the attempt's silent connection.
+func (at *attempt) awaitPending(pending upstream.PendingReply) asyncResult {
+	rp := pending.Await()
+	now := time.Now()
+	at.exchange.server.cfg.Quarantine.Learn(rp.Refusal.GetCrashes())
+	if rs := rp.Response; rs != nil {
+		at.exchange.server.upstreamNoticed(at.action.Upstream, rs.GetNotice(), at.startedAt)
+	}
+	re := at.resultOf(rp, now)
+	return asyncResult{
+		event: at.endEvent(rp, re),
+		reply: rp,
+		apply: func() {
+			at.reply = rp
+			at.recordResult(re, now)
+		},
+	}
+}
+
 func (at *attempt) send() upstream.Reply {
 	re := at.exchange.refuseQuarantined()
 	if re.Refusal == nil {
@@ -166,11 +205,10 @@
 	return append(common[:len(common):len(common)], attemptHeader)
 }
 
-// result derives the attempt's result from the reply.
-func (at *attempt) result(now time.Time) call.Result {
-	rp := at.reply
+// resultOf derives the attempt's result from a reply.
+func (at *attempt) resultOf(rp upstream.Reply, now time.Time) call.Result {
 	switch {
-	case rp.LinkLost:
+	case rp.LinkLost || rp.Pending != nil:
 		return call.Result{
 			Outcome: call.OutcomeUnknown,
 			Reason:  call.ReasonLinkLost,
@@ -197,8 +235,19 @@
 	return re
 }
 
-// queryFate queries the attempt's gate for the fate of the attempt.
-func (at *attempt) queryFate(ac call.QueryAttempt) call.Event {
+// query queries the attempt's gate beside the exchange.
+func (at *attempt) query(ac call.QueryAttempt) asyncResult {
+	ev, kept := at.queryFate(ac)
+	re := asyncResult{event: ev}
+	if _, answered := ev.(call.QueryResult); answered {
+		re.apply = func() { at.reply = kept }
+	}
+	return re
+}
+
+// queryFate queries the attempt's gate for the fate of the attempt. It returns the event
+// for the call, and the reply that the gate has kept.
+func (at *attempt) queryFate(ac call.QueryAttempt) (call.Event, upstream.Reply) {
 	ex := at.exchange
 	sentAt := time.Now()
 	ve, err := at.sendQuery(ac.Upstream, &wire.Query{
@@ -210,9 +259,9 @@
 	})
 	ex.server.cfg.Counters.countQuery(ve, err)
 	if err != nil {
-		return call.QueryFailed{Attempt: ac.Attempt}
+		return call.QueryFailed{Attempt: ac.Attempt}, upstream.Reply{}
 	}
-	at.reply = upstream.Reply{
+	kept := upstream.Reply{
 		Response: ve.GetResponse(),
 		Refusal:  ve.GetRefusal(),
 	}
@@ -226,7 +275,7 @@
 			Status: int(ve.GetResponse().GetStatus()),
 			Reason: host.Reason(ve.GetRefusal().GetReason()),
 		},
-	}
+	}, kept
 }
 
 // UnknownHostError is returned for a host that is not in the view.
@@ -250,6 +299,9 @@
 // discard releases a reply that is not forwarded.
 func (at *attempt) discard() {
 	at.cancel()
+	if at.reply.Pending != nil && !at.awaited {
+		at.reply = at.reply.Pending.Await()
+	}
 	if at.reply.Body != nil {
 		_ = at.reply.Body.Close()
 	}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -117,10 +117,20 @@
 	attempts []*attempt
 	// events delivers the results of attempts and queries that run on other
 	// goroutines; asyncCount is the number of them.
-	events     chan call.Event
+	events     chan asyncResult
 	asyncCount int
 }
 
+// asyncResult is the result of an attempt or a query that ran on a goroutine of its own.
+type asyncResult struct {
+	event call.Event
+	// reply is closed if nobody receives the result.
+	reply upstream.Reply
+	// apply stores the result in the attempt; the goroutine of the exchange calls it. It may
+	// be nil.
+	apply func()
+}
+
 // run executes the call and answers the request.
 func (ex *exchange) run() {
 	ex.context, ex.cancel = context.WithDeadline(context.Background(), ex.deadline)
@@ -210,10 +220,16 @@
 			if len(actions) == 1 && ex.asyncCount == 0 && ex.noTimerDue() {
 				return nil, ex.callerGoneOr(at.run())
 			}
-			ex.startAsync(at, at.run)
+			ex.startAsync(at, func() asyncResult { return asyncResult{event: at.run()} })
 		case call.QueryAttempt:
 			if at := ex.findAttempt(ac.Attempt); at != nil {
-				ex.startAsync(at, func() call.Event { return at.queryFate(ac) })
+				ex.startAsync(at, func() asyncResult { return at.query(ac) })
+			}
+		case call.AwaitAnswer:
+			if at := ex.findAttempt(ac.Attempt); at != nil {
+				pending := at.reply.Pending
+				at.awaited = true
+				ex.runAsync(func() asyncResult { return at.awaitPending(pending) })
 			}
 		case call.CancelAttempt:
 			if at := ex.findAttempt(ac.Attempt); at != nil {
@@ -244,19 +260,29 @@
 }
 
 // startAsync runs an attempt or a query on a goroutine of its own.
-func (ex *exchange) startAsync(at *attempt, run func() call.Event) {
+func (ex *exchange) startAsync(at *attempt, run func() asyncResult) {
+	done := make(chan struct{})
+	at.done = done
+	ex.runAsync(func() asyncResult {
+		defer close(done)
+		return run()
+	})
+}
+
+// runAsync delivers the result of a function that runs on a goroutine of its own.
+func (ex *exchange) runAsync(run func() asyncResult) {
 	if ex.events == nil {
-		ex.events = make(chan call.Event)
+		ex.events = make(chan asyncResult)
 	}
 	ex.asyncCount++
-	done := make(chan struct{})
-	at.done = done
 	go func() {
-		ev := run()
-		close(done)
+		re := run()
 		select {
-		case ex.events <- ev:
+		case ex.events <- re:
 		case <-ex.context.Done():
+			if re.reply.Body != nil {
+				_ = re.reply.Body.Close()
+			}
 		}
 	}()
 }
@@ -266,9 +292,12 @@
 	ti := time.NewTimer(time.Until(ex.call.WakeAt()))
 	defer ti.Stop()
 	select {
-	case ev := <-ex.events:
+	case re := <-ex.events:
 		ex.asyncCount--
-		return ev
+		if re.apply != nil {
+			re.apply()
+		}
+		return re.event
 	case <-ti.C:
 		return call.Tick{}
 	case <-ex.gone:
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -261,7 +261,13 @@
 			})
 		}
 		ac.Upstream.Address = ex.hostAddress(ac.Upstream.Host)
-		ke.runAsync(func() keyed.Event { return at.queryFate(ac) })
+		ke.runAsync(func() keyed.Event {
+			re := at.query(ac)
+			if re.apply != nil {
+				re.apply()
+			}
+			return re.event
+		})
 	case call.Respond:
 		ka := keyedAnswer{answer: ac}
 		if at := ex.findAttempt(ac.Attempt); at != nil {
--- a/io/caller/log.go
+++ b/io/caller/log.go
@@ -76,6 +76,9 @@
 			return
 		}
 	}
+	if at.reply.Pending != nil {
+		ev.Bool("silent", true)
+	}
 	ev.Str("outcome", string(at.finalResult.Outcome)).
 		Int("status", at.finalResult.Status).
 		Str("reason", string(at.finalResult.Reason)).
--- a/io/node/call_conn.go
+++ b/io/node/call_conn.go
@@ -32,6 +32,10 @@
 	readBuf   []byte
 	// readTimeout limits the wait for each part of a frame; 0 means no limit.
 	readTimeout time.Duration
+	// partialFrame is the frame that has arrived in part, up to arrivedBytes; nil if there
+	// is none. A read that fails with a timeout can be continued.
+	partialFrame []byte
+	arrivedBytes int
 
 	mu       sync.Mutex // guards writeBuf and writes to co
 	writeBuf []byte
@@ -58,21 +62,16 @@
 
 // readFrame returns the next frame.
 func (cc *callConn) readFrame() (*wire.Frame, error) {
-	head, err := cc.co.Reader.Peek(lengthPrefixBytes)
-	if err != nil {
-		return nil, err
-	}
-	size := int(binary.BigEndian.Uint32(head))
-	if size > maxFrameBytes {
-		return nil, &OversizeError{Length: size, Limit: maxFrameBytes}
-	}
-	if _, err := cc.co.Reader.Discard(lengthPrefixBytes); err != nil {
-		return nil, err
+	if cc.partialFrame == nil {
+		if err := cc.readLength(); err != nil {
+			return nil, err
+		}
 	}
-	data := cc.frameBuffer(size)
-	if err := cc.readParts(data); err != nil {
+	if err := cc.readParts(); err != nil {
 		return nil, err
 	}
+	data := cc.partialFrame
+	cc.partialFrame = nil
 	fr := &wire.Frame{}
 	if err := proto.Unmarshal(data, fr); err != nil {
 		return nil, &MalformedError{Err: err}
@@ -80,24 +79,51 @@
 	return fr, nil
 }
 
-// readParts fills buf. A frame that keeps arriving shows that the connection works, however
-// long it takes: the timeout begins anew with each part.
-func (cc *callConn) readParts(buf []byte) error {
-	for len(buf) > 0 {
+// readLength reads the length of the next frame.
+func (cc *callConn) readLength() error {
+	head, err := cc.co.Reader.Peek(lengthPrefixBytes)
+	if err != nil {
+		return err
+	}
+	size := int(binary.BigEndian.Uint32(head))
+	if size > maxFrameBytes {
+		return &OversizeError{Length: size, Limit: maxFrameBytes}
+	}
+	if _, err := cc.co.Reader.Discard(lengthPrefixBytes); err != nil {
+		return err
+	}
+	cc.partialFrame = cc.frameBuffer(size)
+	cc.arrivedBytes = 0
+	return nil
+}
+
+// readParts reads the rest of a frame. A frame that keeps arriving shows that the connection
+// works, however long it takes: the timeout begins anew with each part.
+func (cc *callConn) readParts() error {
+	for cc.arrivedBytes < len(cc.partialFrame) {
 		if cc.readTimeout > 0 && cc.co.Reader.Buffered() == 0 {
 			if err := cc.co.SetReadDeadline(time.Now().Add(cc.readTimeout)); err != nil {
 				return err
 			}
 		}
-		n, err := cc.co.Reader.Read(buf)
+		n, err := cc.co.Reader.Read(cc.partialFrame[cc.arrivedBytes:])
+		cc.arrivedBytes += n
 		if err != nil {
 			return err
 		}
-		buf = buf[n:]
 	}
 	return nil
 }
 
+// awaitByte waits until something can be read.
+func (cc *callConn) awaitByte(timeout time.Duration) error {
+	if err := cc.co.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	_, err := cc.co.Reader.Peek(1)
+	return err
+}
+
 // frameBuffer returns a buffer for one frame; the next frame may reuse it.
 func (cc *callConn) frameBuffer(size int) []byte {
 	if size > maxKeptBufferBytes {
--- a/io/node/call_exchange.go
+++ b/io/node/call_exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,7 +42,8 @@
 }
 
 // Send sends one attempt to the gate at an address and returns when a refusal or the
-// head of the response has arrived, or the connection is lost. The body is nil when the
+// head of the response has arrived, or the connection is lost or has been silent for
+// heartbeatTimeout. The body is nil when the
 // request contains it; otherwise it is read only when the gate asks for it, and then
 // closed before the attempt ends.
 func (cp *CallPool) Send(ctx context.Context, address string, rq *wire.Request, body io.ReadCloser) upstream.Reply {
@@ -88,6 +88,19 @@
 		return ex.connLost(err)
 	}
 	fr, err := ex.nextFrame()
+	if isTimeout(err) && ex.ctx.Err() == nil && ex.mayWait() {
+		// The idle connections may have failed along with this one.
+		ex.pool.closeIdle(ex.address)
+		return upstream.Reply{
+			Pending: &pendingReply{exchange: ex},
+			Detail:  err.Error(),
+		}
+	}
+	return ex.reply(fr, err)
+}
+
+// reply returns the reply that the first frame of the answer is.
+func (ex *exchange) reply(fr *wire.Frame, err error) upstream.Reply {
 	if err != nil {
 		return ex.connLost(err)
 	}
@@ -214,11 +227,7 @@
 // connLost ends an exchange whose connection failed or carried an unexpected frame. Unless
 // the context has ended, the outcome of the attempt is unknown, and the ingress may query it.
 func (ex *exchange) connLost(cause error) upstream.Reply {
-	if errors.Is(cause, os.ErrDeadlineExceeded) && ex.ctx.Err() == nil && ex.body == nil {
-		ex.observeSilence(time.Now().Add(-heartbeatTimeout))
-	} else {
-		ex.finish(false)
-	}
+	ex.finish(false)
 	if err := ex.ctx.Err(); err != nil {
 		return refuseContext(err, !ex.requestSent)
 	}
@@ -254,6 +263,9 @@
 			return 0, io.EOF
 		}
 		fr, err := rb.exchange.nextFrame()
+		if isTimeout(err) && rb.exchange.ctx.Err() == nil {
+			fr, err = rb.exchange.nextFrameAfterSilence()
+		}
 		if err != nil || fr.GetBody() == nil || fr.GetBody().GetAborted() {
 			return 0, &TruncatedError{}
 		}
--- a/io/node/call_pool.go
+++ b/io/node/call_pool.go
@@ -46,6 +46,10 @@
 type peerConns struct {
 	idle  []*callConn
 	inUse int
+	// greetedAt is when a new connection to the node was last greeted.
+	greetedAt time.Time
+	// probing is set while a connection is opened to see whether that works.
+	probing bool
 }
 
 // ConnLimitError reports a node to which maxConnsPerNode connections are in use.
@@ -94,6 +98,9 @@
 		cp.release(address, cc, false)
 		return nil, err
 	}
+	cp.mu.Lock()
+	cp.peer(address).greetedAt = time.Now()
+	cp.mu.Unlock()
 	return cc, nil
 }
 
--- a/io/node/silence.go
+++ b/io/node/silence.go
@@ -1,9 +1,14 @@
 package node
 
 import (
-	"errors"
+	"context"
 	"os"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lynxfold/core/wire"
+	"lynxfold/io/upstream"
 )
 
 // SilenceEnd is how the silence of a call connection ended.
@@ -13,9 +18,12 @@
 const (
 	// SilenceEndedByData: bytes arrived after all, so that the connection was only slow.
 	SilenceEndedByData SilenceEnd = "data"
-	// SilenceEndedByClose: the connection was closed or reset.
+	// SilenceEndedByClose: the connection was closed or reset by the other side.
 	SilenceEndedByClose SilenceEnd = "closed"
-	// SilenceLasted: nothing arrived while the connection was observed.
+	// SilenceEndedByLoss: a newer connection to the node works, so that the silent one
+	// counts as broken.
+	SilenceEndedByLoss SilenceEnd = "broken"
+	// SilenceLasted: nothing had arrived when the call ended.
 	SilenceLasted SilenceEnd = "lasted"
 )
 
@@ -28,8 +36,102 @@
 	End      SilenceEnd
 }
 
-// silenceObservationTime is how long a silent connection is observed.
-const silenceObservationTime = 3 * time.Second
+const (
+	// brokenAfter is how long after the greeting on a newer connection to the same node a
+	// silent one counts as broken. Both share a link: what was sent on the silent one
+	// before the greeting should have arrived with it.
+	brokenAfter = 2 * heartbeatTimeout
+	// probeInterval is the time between two attempts to open a newer connection.
+	probeInterval = 250 * time.Millisecond
+)
+
+// SilentTooLongError reports a connection on which nothing arrives although a newer one to
+// the same node works.
+type SilentTooLongError struct {
+	Duration time.Duration
+}
+
+func (er *SilentTooLongError) Error() string {
+	return "nothing arrived for " + er.Duration.String()
+}
+
+// isTimeout reports whether nothing arrived in time on a connection that is still open.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// pendingReply is the reply of an attempt whose connection is silent.
+type pendingReply struct {
+	exchange *exchange
+}
+
+// Await implements upstream.PendingReply.
+func (pr *pendingReply) Await() upstream.Reply {
+	fr, err := pr.exchange.nextFrameAfterSilence()
+	return pr.exchange.reply(fr, err)
+}
+
+// Abandon implements upstream.PendingReply.
+func (pr *pendingReply) Abandon() upstream.Reply {
+	return pr.exchange.connLost(&SilentTooLongError{Duration: heartbeatTimeout})
+}
+
+// mayWait reports whether the reply may be awaited on a silent connection, while the attempt
+// is queried or repeated: not during the transfer of the request body, of which an attempt
+// elsewhere would need the rest.
+func (ex *exchange) mayWait() bool {
+	if ex.bodySent == nil {
+		return ex.body == nil
+	}
+	select {
+	case <-ex.bodySent:
+		return ex.bodyErr == nil
+	default:
+		return false
+	}
+}
+
+// nextFrameAfterSilence returns the next frame of the answer on a connection that has been
+// silent for heartbeatTimeout. A full link delays frames by more than that, so that it waits
+// until the connection is closed or counts as broken, or the call ends.
+func (ex *exchange) nextFrameAfterSilence() (*wire.Frame, error) {
+	for {
+		if err := ex.awaitData(); err != nil {
+			return nil, err
+		}
+		fr, err := ex.nextFrame()
+		if !isTimeout(err) || ex.ctx.Err() != nil {
+			return fr, err
+		}
+	}
+}
+
+// awaitData waits for the end of a silence, and reports it.
+func (ex *exchange) awaitData() error {
+	since := time.Now().Add(-heartbeatTimeout)
+	stop := ex.pool.probe(ex.ctx, ex.address)
+	defer stop()
+	var greetedAt time.Time
+	for {
+		err := ex.conn.awaitByte(heartbeatTimeout)
+		switch {
+		case err == nil:
+			ex.pool.reportSilence(ex.address, since, SilenceEndedByData)
+			return nil
+		case ex.ctx.Err() != nil:
+			ex.pool.reportSilence(ex.address, since, SilenceLasted)
+			return err
+		case !isTimeout(err):
+			ex.pool.reportSilence(ex.address, since, SilenceEndedByClose)
+			return err
+		}
+		if at := ex.pool.greetedAt(ex.address); greetedAt.IsZero() && at.After(since) {
+			greetedAt = at
+		}
+		if !greetedAt.IsZero() && time.Since(greetedAt) >= brokenAfter {
+			ex.pool.reportSilence(ex.address, since, SilenceEndedByLoss)
+			return &SilentTooLongError{Duration: time.Since(since)}
+		}
+	}
+}
 
 // reportSilence reports the end of a silence that began at a time.
 func (cp *CallPool) reportSilence(address string, since time.Time, end SilenceEnd) {
@@ -43,27 +145,45 @@
 	})
 }
 
-func silenceEnd(err error) SilenceEnd {
-	switch {
-	case err == nil:
-		return SilenceEndedByData
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return SilenceLasted
-	}
-	return SilenceEndedByClose
+// greetedAt returns when a new connection to a node was last greeted.
+func (cp *CallPool) greetedAt(address string) time.Time {
+	cp.mu.Lock()
+	defer cp.mu.Unlock()
+	return cp.peer(address).greetedAt
 }
 
-// observeSilence releases a silent connection once the end of its silence is known. The
-// gate learns at once that the connection is not used any more.
-func (ex *exchange) observeSilence(since time.Time) {
-	ex.stopCancel()
-	if tc, ok := ex.conn.co.raw.(interface{ CloseWrite() error }); ok {
-		_ = tc.CloseWrite()
-	}
+// probe opens a new connection to a node to see whether that works, unless another call does
+// so. It repeats failed attempts until ctx ends or stop is called.
+func (cp *CallPool) probe(ctx context.Context, address string) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
 	go func() {
-		_ = ex.conn.co.SetReadDeadline(since.Add(silenceObservationTime))
-		_, err := ex.conn.co.Reader.Peek(1)
-		ex.pool.reportSilence(ex.address, since, silenceEnd(err))
-		ex.finish(false)
+		for ctx.Err() == nil && !cp.probeOnce(ctx, address) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(probeInterval):
+			}
+		}
 	}()
+	return cancel
+}
+
+// probeOnce opens a new connection to a node and reports whether that succeeded.
+func (cp *CallPool) probeOnce(ctx context.Context, address string) bool {
+	cp.mu.Lock()
+	pe := cp.peer(address)
+	if pe.probing {
+		cp.mu.Unlock()
+		return false
+	}
+	pe.probing = true
+	cp.mu.Unlock()
+	cc, err := cp.acquireNew(ctx, address)
+	cp.mu.Lock()
+	pe.probing = false
+	cp.mu.Unlock()
+	if err != nil {
+		return false
+	}
+	cp.release(address, cc, true)
+	return true
 }
--- a/io/upstream/reply.go
+++ b/io/upstream/reply.go
@@ -20,11 +20,24 @@
 	// out after at least part of the attempt was written; Response, Body and Refusal
 	// are nil then.
 	LinkLost bool
+	// Pending is not nil if nothing has arrived on the attempt's connection for some time,
+	// which is still open; Response, Body and Refusal are nil then.
+	Pending PendingReply
 	// Detail describes, for logs, a failure between the caller and the gate; empty
 	// when there was none.
 	Detail string
 }
 
+// PendingReply is a reply that may still come on a silent connection.
+type PendingReply interface {
+	// Await returns the reply, or one with LinkLost set. It returns early when the attempt's
+	// context ends.
+	Await() Reply
+	// Abandon closes the connection, as if it had been lost, and returns a reply with
+	// LinkLost set. Either Await or Abandon must be called, once.
+	Abandon() Reply
+}
+
 // RefusalReply returns a reply with a refusal; notRun reports that the request
 // was not run and will not run.
 func RefusalReply(re host.Reason, notRun bool) Reply {
