feat: tell how a version came and how old the last read is

The log of version_in_force named no peer, so that a read, a delta of a neighbour and a pull could not be told apart; nothing showed that no host of a data centre reads the platform. The peer is logged now (none: read here), and the gauge lynxfold_platform_read_age_seconds shows the age of the last read.

--- a/cmd/process/counters.go
+++ b/cmd/process/counters.go
@@ -15,11 +15,14 @@
 	set *metrics.Set
 	// inForceAt is when the current version came into force.
 	inForceAt atomicTime
+	// readAt is when this node last read the platform's table successfully.
+	readAt atomicTime
 }
 
 func newControlCounters(set *metrics.Set) *controlCounters {
 	co := &controlCounters{set: set}
 	set.NewGauge(`lynxfold_config_age_seconds`, co.inForceAt.ageSeconds)
+	set.NewGauge(`lynxfold_platform_read_age_seconds`, co.readAt.ageSeconds)
 	return co
 }
 
@@ -51,6 +54,8 @@
 	outcome := "ok"
 	if err != nil {
 		outcome = "failed"
+	} else {
+		co.readAt.set(time.Now())
 	}
 	co.set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_platform_reads_total{outcome=%q}`, outcome)).Inc()
 }
--- a/core/datacentre/startup.go
+++ b/core/datacentre/startup.go
@@ -113,7 +113,7 @@
 	default:
 		vs.active = vs.verified
 		me.view.dirty = true
-		me.noteVersion(NoteVersionActive, vs.verified.Version, "", nil, now)
+		me.noteVersion(NoteVersionActive, vs.verified.Version, vs.verifiedFrom, nil, now)
 	}
 }
 
--- a/core/datacentre/versions.go
+++ b/core/datacentre/versions.go
@@ -16,7 +16,10 @@
 type versionState struct {
 	// verified is the highest version that was compiled and verified; active follows
 	// it once there is a basis for activation.
-	verified     *contract.Snapshot
+	verified *contract.Snapshot
+	// verifiedFrom is the host that sent the verified version; empty if it was read from
+	// the platform or accepted here.
+	verifiedFrom host.ID
 	active       *contract.Snapshot
 	recentDeltas []encodedDelta
 	recentBytes  int
@@ -201,6 +204,7 @@
 	if !me.setVerified(sn, now) {
 		return false
 	}
+	me.versions.verifiedFrom = from
 	me.recordPeerVersion(from, sn.Version)
 	me.cacheDelta(ed)
 	me.forwardDelta(ed, from, now)
@@ -478,6 +482,7 @@
 	if !me.setVerified(sn, now) {
 		return
 	}
+	me.versions.verifiedFrom = from
 	me.versions.recentDeltas = nil
 	me.versions.recentBytes = 0
 	me.noteVersion(NoteSnapshotAdopted, sn.Version, from, nil, now)
