fix: a change is read while the store turns the readers away

Hosts that the store served ran requests as only the older version allows, for as long as the store turned the readers away. Cause: four hosts of a data centre read at most, whatever became of their reads, and each round of them took 3.5 s where the store said nothing, since the first read of a new reader waited for a change and two failures had to pass.

For each reader that says that its reads fail there is one more that has not, so that each round doubles the number, up to 32 in a data centre; the first read of a reader does not wait, and a read without a response tells the mesh at once.

--- a/core/datacentre/limits.go
+++ b/core/datacentre/limits.go
@@ -50,8 +50,8 @@
 	// readersPerCentre is the number of hosts of a data centre that read the platform.
 	readersPerCentre = 2
 	// maxReadersPerCentre is the same while reads of some of them fail: others read beside
-	// them.
-	maxReadersPerCentre = 2 * readersPerCentre
+	// them. It bounds what an outage for all hosts costs.
+	maxReadersPerCentre = 32
 	// maxIntroducedHosts is the number of hosts in a data centre's introduction row.
 	maxIntroducedHosts = 30
 )
--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -23,6 +23,9 @@
 	// maxReaderBackoff limits the time to which failures extend that between two reads of
 	// a reader, since the mesh learns from readers that the platform is back.
 	maxReaderBackoff = time.Second
+	// readSilence is how long a read takes at least that fails since the platform does not
+	// respond, instead of refusing it.
+	readSilence = 500 * time.Millisecond
 	// maxUnreportedFailures is how many reads in a row may fail before a reader tells the
 	// mesh.
 	maxUnreportedFailures = 1
@@ -46,6 +49,10 @@
 	// pendingUntil is when a read in progress counts as lost; zero while there is none.
 	pendingUntil time.Time
 	failures     int
+	// responsive is set while the latest read succeeded, and timedOut if it failed after
+	// readSilence or more.
+	responsive bool
+	timedOut   bool
 	// count is the number of reads started.
 	count int
 	// cost is the number of requests of the latest read.
@@ -76,15 +83,19 @@
 
 // readers returns the hosts of a data centre that read the platform, chosen by
 // rendezvous hashing over the live hosts. For each of them whose reads fail there is one
-// more, up to maxReadersPerCentre: it may reach the platform where others can't.
+// more, up to maxReadersPerCentre: it may reach the platform where others can't. The number
+// of those whose reads do not fail, as far as is known, grows with the number of the others,
+// so that few rounds find a host that the platform serves.
 func (me *Member) readers(name Name) []host.ID {
 	candidates := me.rendezvousHosts(name, "reader", maxReadersPerCentre)
-	working := 0
+	lost, working := 0, 0
 	for i, id := range candidates {
-		if !me.hosts[id].host.GetPlatformLost() {
-			working++
+		if me.hosts[id].host.GetPlatformLost() {
+			lost++
+			continue
 		}
-		if working == readersPerCentre {
+		working++
+		if working >= max(readersPerCentre, lost) {
 			return candidates[:i+1]
 		}
 	}
@@ -92,9 +103,10 @@
 }
 
 // updatePlatformLost tells the mesh when reads of this node, as a reader, begin or cease
-// to fail.
+// to fail. A read without a response tells at once, since the next one takes long too.
 func (me *Member) updatePlatformLost(now time.Time) {
-	lost := me.reads.failures > maxUnreportedFailures && len(me.links) > 0 && me.isReader()
+	failing := me.reads.failures > maxUnreportedFailures || me.reads.failures > 0 && me.reads.timedOut
+	lost := failing && len(me.links) > 0 && me.isReader()
 	if lost == me.self.GetPlatformLost() || me.leaving {
 		return
 	}
@@ -136,6 +148,7 @@
 	me.reads.needed = needed
 	if !needed {
 		me.reads.failures = 0
+		me.reads.responsive = false
 	}
 	me.updatePlatformLost(now)
 	if !needed || now.Before(me.reads.nextAt) || now.Before(me.reads.pendingUntil) {
@@ -155,9 +168,9 @@
 		Unconditional: me.reads.unconditional || !me.activated(),
 		Snapshot:      me.versions.highestRefused() > 0,
 	}
-	// After a failure the read does not wait: no response then means that the platform is
-	// still away, and is known after the timeout of a request.
-	if me.reads.failures == 0 {
+	// The first read, and each after a failure, does not wait: no response then means that
+	// the platform is away, and is known after the timeout of a request.
+	if me.reads.responsive {
 		ac.MaxWait = readWait
 		ac.ResponseTimeout = waitingReadTimeout
 	}
@@ -173,8 +186,10 @@
 
 func (me *Member) handlePlatformRead(ev PlatformRead, now time.Time) {
 	me.reads.pendingUntil = time.Time{}
+	me.reads.responsive = ev.Err == nil
 	if ev.Err != nil {
 		me.reads.failures++
+		me.reads.timedOut = now.Sub(me.reads.startedAt) >= readSilence
 		me.noteVersion(NotePlatformReadFailed, 0, "", ev.Err, now)
 		me.scheduleRetry(now)
 		return
