fix: an earlier refusal is not taken for that of a later request

Reported by another operator: an upstream wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran. It could happen here in two ways: a refusal that repeats no id was taken for that of the request whose response was due; and a request that was sent again on the connection on which it had been refused took the repeated refusal, which has its id.

On a connection that is in use again, a refusal without an id leaves the outcome unknown now; a request is never sent on a connection on which it was refused, and one that has carried 64 refusals is closed.

The stub protocol of TestRefusalIsNotHeldBack says that its responses are identified: that test is about the time of a refusal.

--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -96,7 +96,7 @@
 // Do sends a request and returns when the response header has arrived. A body
 // that was read from is closed before OnEnd is called.
 func (cl *Client) Do(ctx context.Context, to Destination, rq *wire.Request, body io.ReadCloser, hooks Hooks) Reply {
-	co, err := cl.acquire(ctx, to.Address, rq.GetIdempotent())
+	co, err := cl.acquire(ctx, to.Address, rq)
 	if err != nil {
 		re := notSentReason(ctx, err)
 		hooks.OnEnd(Result{Outcome: host.OutcomeNotRun, Reason: re, Refused: isRefused(err)})
--- a/io/upstream/client_response.go
+++ b/io/upstream/client_response.go
@@ -32,7 +32,7 @@
 		rc := ex.client.protocol.Classify(ex.request, resp.StatusCode(), &resp.Header)
 		if rc != ResponseStale {
 			ex.conn.recordKeepAlive(&resp.Header)
-			return resp, rc, nil
+			return resp, ex.attribute(rc, resp), nil
 		}
 		ex.sawStale = true
 		if err := ex.discardBody(resp); err != nil {
@@ -42,6 +42,16 @@
 	return nil, 0, &StaleResponseError{Count: maxStaleResponses + 1}
 }
 
+// attribute returns the class of a response. A refusal that repeats no ID could also be that of
+// an earlier request on the connection, sent once more.
+func (ex *exchange) attribute(rc ResponseClass, resp *fasthttp.Response) ResponseClass {
+	refusal := rc == ResponseNotRun || rc == ResponseOtherInstance
+	if refusal && ex.conn.reused && !ex.client.protocol.Identifies(&resp.Header) {
+		return ResponseAmbiguous
+	}
+	return rc
+}
+
 // StaleResponseError reports a connection that returned only responses to earlier requests.
 type StaleResponseError struct {
 	Count int
@@ -113,7 +123,11 @@
 		rp.Refusal.RetryAfterUs = delay.Microseconds()
 		rp.Refusal.RateLimited = true
 	}
-	ex.finish(ex.discardBuffered(resp) && !resp.ConnectionClose(), Result{Outcome: host.OutcomeNotRun, Reason: re})
+	if id := ex.request.GetRequestId(); id != "" {
+		ex.conn.refused = append(ex.conn.refused, host.RequestID(id))
+	}
+	reusable := len(ex.conn.refused) < maxRefusedRequests && ex.discardBuffered(resp) && !resp.ConnectionClose()
+	ex.finish(reusable, Result{Outcome: host.OutcomeNotRun, Reason: re})
 	return rp
 }
 
--- a/io/upstream/conns.go
+++ b/io/upstream/conns.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/core/host"
+	"lynxfold/core/wire"
 	"lynxfold/io/tcp"
 )
 
@@ -54,8 +56,16 @@
 	writer    *bufio.Writer
 	// wroteBytes reports that bytes of the current request may have been sent.
 	wroteBytes atomic.Bool
+	// reused reports that the connection has carried a request before the current one.
+	reused bool
+	// refused holds the requests that were refused on this connection. The upstream could
+	// repeat such a refusal, which would pass for that of the request when it is sent again.
+	refused []host.RequestID
 }
 
+// maxRefusedRequests bounds the requests that are refused on one connection.
+const maxRefusedRequests = 64
+
 // Write implements io.Writer and records in wroteBytes that bytes were sent.
 func (co *conn) Write(buf []byte) (int, error) {
 	n, err := co.Conn.Write(buf)
@@ -103,9 +113,9 @@
 
 // acquire returns an idle connection or dials a new one. Idle connections that
 // the upstream has closed are removed. A non-idempotent request only gets an
-// idle connection that was used recently.
-func (cl *Client) acquire(ctx context.Context, address string, idempotent bool) (*conn, error) {
-	co, err := cl.acquireIdle(address, idempotent)
+// idle connection that was used recently, and none gets one on which it was refused.
+func (cl *Client) acquire(ctx context.Context, address string, rq *wire.Request) (*conn, error) {
+	co, err := cl.acquireIdle(address, rq)
 	if co != nil || err != nil {
 		return co, err
 	}
@@ -136,19 +146,21 @@
 
 // acquireIdle returns a reusable idle connection. When there is none, it returns
 // nil and already counts the connection that the caller is about to dial.
-func (cl *Client) acquireIdle(address string, idempotent bool) (*conn, error) {
+func (cl *Client) acquireIdle(address string, rq *wire.Request) (*conn, error) {
 	now := time.Now()
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	maxAge := cl.maxIdleAge(idempotent)
+	maxAge := cl.maxIdleAge(rq.GetIdempotent())
 	for len(cl.idle) > 0 {
 		co := cl.idle[len(cl.idle)-1]
 		if co.address == address && now.Sub(co.lastUsedAt) >= maxAge && now.Sub(co.lastUsedAt) < maxIdleTime {
 			break // too old for this request, like the others, which are older; idempotent requests may reuse them
 		}
 		cl.idle = cl.idle[:len(cl.idle)-1]
-		if co.address == address && now.Sub(co.lastUsedAt) < maxAge && !co.isExpired(now) && tcp.Peek(co.Conn) == tcp.StateIdle {
+		if co.address == address && now.Sub(co.lastUsedAt) < maxAge && !co.isExpired(now) &&
+			!slices.Contains(co.refused, host.RequestID(rq.GetRequestId())) && tcp.Peek(co.Conn) == tcp.StateIdle {
 			co.wroteBytes.Store(false)
+			co.reused = true
 			return co, nil
 		}
 		cl.closeConn(co)
--- a/io/upstream/notice_test.go
+++ b/io/upstream/notice_test.go
@@ -218,6 +218,9 @@
 	return ResponseNotRun
 }
 
+// Identifies implements Protocol: each response counts as that of its request.
+func (refusingProtocol) Identifies(*fasthttp.ResponseHeader) bool { return true }
+
 // FuzzParseNotice checks that whatever an upstream states, a limit is a number that the
 // gate can keep to.
 func FuzzParseNotice(f *testing.F) {
--- a/io/upstream/protocol.go
+++ b/io/upstream/protocol.go
@@ -32,6 +32,8 @@
 	SetHeaders(he *fasthttp.RequestHeader, rq *wire.Request, instance host.InstanceID, left time.Duration)
 	// Classify classifies a response by its status and header.
 	Classify(rq *wire.Request, status int, he *fasthttp.ResponseHeader) ResponseClass
+	// Identifies reports whether a response repeats the ID of a request.
+	Identifies(he *fasthttp.ResponseHeader) bool
 	// Notice returns what the header of a response states about the upstream itself.
 	Notice(he *fasthttp.ResponseHeader) host.Notice
 }
@@ -85,6 +87,11 @@
 	return ResponseRan
 }
 
+// Identifies implements Protocol.
+func (NativeProtocol) Identifies(he *fasthttp.ResponseHeader) bool {
+	return len(he.Peek(HeaderAttemptID)) > 0
+}
+
 // Notice implements Protocol.
 func (NativeProtocol) Notice(he *fasthttp.ResponseHeader) host.Notice {
 	no := ParseNotice(he.PeekAll(HeaderRateLimit), he.Peek(HeaderLeaving))
