test: answers that end at any byte are not complete

Reported by another operator: an upstream stopped in the middle of its response's head, and clients got a 200 framed as whole.

--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -473,6 +473,38 @@
 	}
 }
 
+// TestAnswerCutAtAnyByteIsNotComplete ends a gate's answer after each of its bytes.
+func TestAnswerCutAtAnyByteIsNotComplete(t *testing.T) {
+	var answer []byte
+	for _, fr := range []*wire.Frame{
+		{},
+		{Kind: &wire.Frame_Response{Response: &wire.Response{Status: 200, Length: 5}}},
+		bodyFrame([]byte("hel"), false, false),
+		bodyFrame([]byte("lo"), true, false),
+	} {
+		var err error
+		answer, err = appendMessage(answer, fr)
+		assert.NilError(t, err)
+	}
+	for cut := range len(answer) + 1 {
+		address := listenCalls(t, func(co *Conn) {
+			writeParts(co, 0, &wire.Frame{})
+			if _, err := (&callConn{co: co}).readFrame(); err == nil {
+				_, _ = co.Write(answer[:cut])
+			}
+		})
+		re := newCallPool(t).Send(testContext(t), address, requestOf("a.1.1.1i", 0), nil)
+		whole := false
+		if re.Body != nil {
+			_, err := io.ReadAll(re.Body)
+			whole = err == nil
+			assert.NilError(t, re.Body.Close())
+		}
+		assert.Equal(t, whole, cut == len(answer), "cut after %d of %d bytes", cut, len(answer))
+		assert.Check(t, re.Response != nil || re.LinkLost, "%+v", re)
+	}
+}
+
 // writeParts writes a frame in two parts with a pause between them.
 func writeParts(co *Conn, pause time.Duration, fr *wire.Frame) {
 	data, err := appendMessage(nil, fr)
