fix: an odd row in the platform's table hides no others

Here one introduction row that could not be read hid the contacts of all data centres, one order hid all orders, and one listed row with a field of another type made the whole response unreadable. Such rows, and addresses that can't be dialled, are skipped, logged with the row and the reason, and counted.

--- a/cmd/process/adapters.go
+++ b/cmd/process/adapters.go
@@ -169,3 +169,24 @@
 // memoryLimitPermille is the part of the process's memory that the runtime may use;
 // the rest is for memory that the runtime does not count.
 const memoryLimitPermille = 800
+
+func newIntroductions(st platform.Store, set *metrics.Set, log zerolog.Logger) *platform.Introductions {
+	is := platform.NewIntroductions(st)
+	is.OnUnreadable = unreadableReporter(set, log, "introduction")
+	return is
+}
+
+func newRolloutRows(st platform.Store, rp platform.RolloutProtocol, set *metrics.Set, log zerolog.Logger) *platform.Rollouts {
+	rs := platform.NewRollouts(st, rp)
+	rs.OnUnreadable = unreadableReporter(set, log, "order")
+	return rs
+}
+
+// unreadableReporter returns a function that counts and logs rows that can't be read.
+func unreadableReporter(set *metrics.Set, log zerolog.Logger, kind string) func(key platform.Key, err error) {
+	skipped := set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_skipped_total{kind=%q}`, kind))
+	return func(key platform.Key, err error) {
+		skipped.Inc()
+		log.Error().Err(err).Str("event", "row_skipped").Str("row", string(key)).Msg("cannot read a row of the platform's table")
+	}
+}
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -801,3 +801,13 @@
 	clear(buf)
 	return len(buf), nil
 }
+
+// TestOddAddressIsNotReached sends calls to addresses that can't be dialled.
+func TestOddAddressIsNotReached(t *testing.T) {
+	cp := newCallPool(t)
+	for _, address := range []string{"", "127.0.0.1", "127.0.0.1:99999", "127.0.0.1:-1", "[::1", ":::", strings.Repeat("[", 10_000)} {
+		re := cp.Send(testContext(t), address, requestOf("a.1.1.1", 0), nil)
+		assert.Equal(t, re.Refusal.GetReason(), string(call.ReasonLinkDial), "%.20s", address)
+		assert.Check(t, re.Refusal.GetNotRun())
+	}
+}
--- a/io/platform/introductions.go
+++ b/io/platform/introductions.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +39,10 @@
 
 // Introductions stores the introduction rows of the data centres.
 type Introductions struct {
+	// OnUnreadable is called with rows that can't be read, and with addresses in a row that
+	// can't be used. It may be nil, and is set before the first read.
+	OnUnreadable func(key Key, err error)
+
 	client Store
 }
 
@@ -43,7 +50,7 @@
 func NewIntroductions(cl Store) *Introductions { return &Introductions{client: cl} }
 
 // Read returns the addresses in the rows of all data centres, as seen by a node in the
-// data centre from.
+// data centre from. Rows and addresses that can't be read are left out.
 func (is *Introductions) Read(ctx context.Context, from datacentre.Name) ([]string, error) {
 	rows, err := is.client.List(ctx, introductionPrefix, "", maxDataCentres)
 	if err != nil {
@@ -53,13 +60,44 @@
 	for _, ro := range rows {
 		row, err := parseIntroduction(ro)
 		if err != nil {
-			return nil, err
+			is.reportUnreadable(ro.Key, err)
+			continue
+		}
+		for _, ad := range row.addressesFor(from) {
+			if err := checkAddress(ad); err != nil {
+				is.reportUnreadable(ro.Key, err)
+				continue
+			}
+			addresses = append(addresses, ad)
 		}
-		addresses = append(addresses, row.addressesFor(from)...)
 	}
 	return addresses, nil
 }
 
+func (is *Introductions) reportUnreadable(key Key, err error) {
+	if is.OnUnreadable != nil {
+		is.OnUnreadable(key, err)
+	}
+}
+
+// AddressError reports an address that can't be dialled.
+type AddressError struct {
+	Address string
+}
+
+func (er *AddressError) Error() string {
+	return fmt.Sprintf("%q is not a host and a port from 1 to 65535", er.Address)
+}
+
+func checkAddress(address string) error {
+	name, portText, err := net.SplitHostPort(address)
+	port, portErr := strconv.ParseUint(portText, 10, 16)
+	if err != nil || portErr != nil || name == "" || port == 0 {
+		return &AddressError{Address: address}
+	}
+	return nil
+}
+
 func (row IntroductionRow) addressesFor(from datacentre.Name) []string {
 	if from == row.DataCentre {
 		return row.Addresses
--- a/io/platform/rollout_orders.go
+++ b/io/platform/rollout_orders.go
@@ -64,7 +64,8 @@
 	return or, err
 }
 
-// Orders reads all orders; none if orders are not written through lynxfold.
+// Orders reads all orders; none if orders are not written through lynxfold. Rows that can't be
+// read are left out.
 func (rs *Rollouts) Orders(ctx context.Context) ([]Order, error) {
 	prefix := rs.protocol.OrderPrefix()
 	if prefix == "" {
@@ -78,7 +79,10 @@
 	for _, ro := range rows {
 		var row orderRow
 		if err := json.Unmarshal(ro.Value, &row); err != nil {
-			return nil, &UnavailableError{Op: "read row " + string(ro.Key), Err: err}
+			if rs.OnUnreadable != nil {
+				rs.OnUnreadable(ro.Key, err)
+			}
+			continue
 		}
 		orders = append(orders, Order{
 			Service:  contract.ServiceName(strings.TrimPrefix(string(ro.Key), string(prefix))),
--- a/io/platform/rollouts.go
+++ b/io/platform/rollouts.go
@@ -43,13 +43,20 @@
 
 // Rollouts reads and writes the outcomes of orders.
 type Rollouts struct {
+	// OnUnreadable is called with the rows of orders that can't be read. It may be nil, and
+	// is set before the first read.
+	OnUnreadable func(key Key, err error)
+
 	store    Store
 	protocol RolloutProtocol
 }
 
 // NewRollouts returns the store of outcomes on top of a Store.
 func NewRollouts(st Store, rp RolloutProtocol) *Rollouts {
-	return &Rollouts{store: st, protocol: rp}
+	return &Rollouts{
+		store:    st,
+		protocol: rp,
+	}
 }
 
 // NativeRollouts implements RolloutProtocol with rows of lynxfold's own.
