fix: a lower limit binds requests that waited for the one before

A customer's lower limit was never in force for some customers after a mere change of the configuration. Cause: a request behind another on its connection took the customer, with its limit, from the configuration of the time at which its header was read, and the version from the newest one. The account and the quota host keep a limit by its version, so that the old limit under the new version kept the right one out.

The limit and its version are taken from one configuration now: the newest that has the customer. Keyed calls too.

--- a/io/caller/customer.go
+++ b/io/caller/customer.go
@@ -34,6 +34,8 @@
 // admission is what has been decided about a request when its header had been read.
 type admission struct {
 	target *contract.Target
+	// config is the configuration by which it was decided.
+	config *contract.Snapshot
 	// customer is the one that the request is made for; its name is empty if there is
 	// none.
 	customer contract.Customer
@@ -53,6 +55,7 @@
 func (sv *Server) admitCustomer(he *fasthttp.RequestHeader, vi *datacentre.View, ta *contract.Target) (admission, host.Reason) {
 	ad := admission{
 		target:  ta,
+		config:  vi.Config,
 		hasKeys: vi.Config.HasCustomers(),
 	}
 	if !ad.hasKeys {
--- a/io/caller/quota.go
+++ b/io/caller/quota.go
@@ -52,8 +52,8 @@
 // takeToken takes a token for a request. Requests without a limit, and calls that a running
 // request makes, need none. When there is no token, it returns when the caller should come
 // back.
-func (sv *Server) takeToken(ad *admission, sn *contract.Snapshot) (quotaToken, time.Time, bool) {
-	li := quota.LimitOf(sn, ad.customer)
+func (sv *Server) takeToken(ad *admission) (quotaToken, time.Time, bool) {
+	li := sv.limitOf(ad)
 	if sv.cfg.Quotas == nil || ad.onBehalf || li.Unlimited() {
 		return quotaToken{}, time.Time{}, true
 	}
@@ -68,15 +68,25 @@
 	}, time.Time{}, true
 }
 
+// limitOf returns the limit of a request's customer in the newest configuration that has it.
+// The request may have waited since its header was read: the limit and its version must be of
+// one configuration.
+func (sv *Server) limitOf(ad *admission) quota.Limit {
+	sn := sv.cfg.View().Config
+	if cu, ok := sn.Customer(ad.customer.Name); ok {
+		return quota.LimitOf(sn, cu)
+	}
+	return quota.LimitOf(ad.config, ad.customer)
+}
+
 // admitQuota takes a token for a request whose header has been read, or refuses it. Keyed
 // calls take theirs when it is known that they are no repeats.
 func (sv *Server) admitQuota(ctx *fasthttp.RequestCtx, ad *admission) bool {
 	if ad.target.Terms.Keyed {
 		return true
 	}
-	sn := sv.cfg.View().Config
 	begun := time.Now()
-	token, retryAfter, ok := sv.takeToken(ad, sn)
+	token, retryAfter, ok := sv.takeToken(ad)
 	ad.token, ad.quotaWait = token, time.Since(begun)
 	if ok {
 		return true
@@ -86,7 +96,7 @@
 	sv.refuse(ctx, fasthttp.StatusTooManyRequests, re)
 	id := sv.formatCallID(sv.lastCallNumber.Add(1))
 	ctx.Response.Header.Set(HeaderCallID, string(id))
-	sv.recordQuotaRefusal(ctx, ad, sn, id, re)
+	sv.recordQuotaRefusal(ctx, ad, sv.cfg.View().Config, id, re)
 	return false
 }
 
@@ -148,10 +158,11 @@
 	ke.quotaAsked = true
 	ad := admission{
 		target:   ex.target,
+		config:   ex.view.Config,
 		customer: ex.customer,
 		onBehalf: ex.onBehalf,
 	}
-	token, retryAfter, ok := ex.server.takeToken(&ad, ex.view.Config)
+	token, retryAfter, ok := ex.server.takeToken(&ad)
 	ex.token = token
 	if ok || ke.isRepeat() {
 		return true
--- a/io/caller/quota_test.go
+++ b/io/caller/quota_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
 	"lynxfold/core/contract"
@@ -134,3 +135,44 @@
 	assert.Equal(t, rs.Header.Get(HeaderReason), "quota")
 	assert.Equal(t, len(fx.ledger()), 1)
 }
+
+// limitRecorder admits all requests and records the limits.
+type limitRecorder struct {
+	countedQuotas
+	limits []quota.Limit
+}
+
+func (lr *limitRecorder) Admit(_ contract.CustomerName, li quota.Limit) (time.Time, bool) {
+	lr.limits = append(lr.limits, li)
+	return time.Time{}, true
+}
+
+// TestLowerLimitBindsRequestThatWaited admits a request whose header was read before the limit
+// of its customer was lowered, as one is that waits for the request before it: the limit that it
+// names with the new version is the new one.
+func TestLowerLimitBindsRequestThatWaited(t *testing.T) {
+	old := *compile(t).Document
+	old.Customers = []contract.Customer{{
+		Name:          "acme",
+		Keys:          []contract.KeyDigest{contract.DigestKey([]byte("secret"))},
+		RatePerSecond: 500,
+		Burst:         500,
+	}}
+	before, err := contract.Compile(1, &old)
+	assert.NilError(t, err)
+	lr := &limitRecorder{}
+	fx := startWithCustomer(t, Config{Quotas: lr})
+	customer, _ := before.Customer("acme")
+	ad := admission{
+		target:   &contract.Target{},
+		config:   before,
+		customer: customer,
+	}
+	assert.Check(t, fx.server.admitQuota(&fasthttp.RequestCtx{}, &ad))
+	ad.customer.Name = "removed since"
+	assert.Check(t, fx.server.admitQuota(&fasthttp.RequestCtx{}, &ad))
+	assert.DeepEqual(t, lr.limits, []quota.Limit{
+		{PerSecond: 10, Burst: 10, Version: 2},
+		{PerSecond: 500, Burst: 500, Version: 1},
+	})
+}
