fix: a host that starts in a cut counts the hosts behind it

Two quota hosts handed out one and a half times a customer's limit when a data centre was restarted while it was cut off. Cause: a side hands out live / (live + lost) of the rate, and a process that starts in the cut has never heard of the others, so that none counts as lost.

It needs the store: a host that reads no introduction row is as before.

--- a/core/datacentre/hosts.go
+++ b/core/datacentre/hosts.go
@@ -40,7 +40,8 @@
 	Live []LiveHost
 	// Separated is the number of hosts that can't be reached and are not known to be dead.
 	Separated int
-	// LostUntil holds, for each host that died, the time until which it counts as lost.
+	// LostUntil holds, for each host that died, and for each that the introduction rows name
+	// and that this process has not heard of, the time until which it counts as lost.
 	LostUntil []time.Time
 }
 
@@ -137,6 +138,9 @@
 			hl.LostUntil = append(hl.LostUntil, re.tombstoneAt.Add(lostMemory))
 		}
 	}
+	for range me.unknownAmong(me.introduced) {
+		hl.LostUntil = append(hl.LostUntil, me.cfg.StartedAt.Add(lostMemory))
+	}
 	slices.SortFunc(hl.Live, func(a, b LiveHost) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(hl.LostUntil, time.Time.Compare)
 	me.view.hosts = hl
--- a/core/datacentre/links.go
+++ b/core/datacentre/links.go
@@ -160,15 +160,22 @@
 	for id := range me.tombstones {
 		pool = append(pool, me.addressOf(me.hosts[id].host))
 	}
-	if len(me.contacts) > 0 {
-		unknown := maps.Clone(me.contacts)
-		for _, re := range me.hosts {
-			delete(unknown, re.host.GetAddress())
-			delete(unknown, re.host.GetRemoteAddress())
-		}
-		pool = slices.AppendSeq(pool, maps.Keys(unknown))
+	return slices.AppendSeq(pool, maps.Keys(me.unknownAmong(me.contacts)))
+}
+
+// unknownAmong returns those of the addresses whose host is unknown.
+func (me *Member) unknownAmong(addresses map[string]bool) map[string]bool {
+	if len(addresses) == 0 {
+		return nil
+	}
+	unknown := maps.Clone(addresses)
+	for _, re := range me.hosts {
+		delete(unknown, re.host.GetAddress())
+		delete(unknown, re.host.GetRemoteAddress())
 	}
-	return pool
+	delete(unknown, me.cfg.Address)
+	delete(unknown, me.cfg.RemoteAddress)
+	return unknown
 }
 
 // handleLinkOpened adds a peer, sends it its floor and forwards its record. A link that
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -61,6 +61,8 @@
 	links    map[host.ID]*peer
 	dials    map[string]*dialState
 	contacts map[string]bool
+	// introduced holds the addresses in the introduction rows as read since the start.
+	introduced map[string]bool
 	// desiredLinks holds the hosts that selectLinks chose; linksOutdated is set when it
 	// must choose again.
 	desiredLinks  map[host.ID]bool
--- a/core/datacentre/platform_reads.go
+++ b/core/datacentre/platform_reads.go
@@ -220,9 +220,27 @@
 	for _, ad := range ev.Contacts {
 		me.addContact(ad)
 	}
+	me.addIntroduced(ev.Contacts, now)
 	me.writeIntroduction(now)
 }
 
+// addIntroduced records the addresses in the introduction rows. A process that has just started
+// has not heard of the hosts behind a partition, which may run on.
+func (me *Member) addIntroduced(addresses []string, now time.Time) {
+	if now.After(me.cfg.StartedAt.Add(lostMemory)) {
+		me.introduced = nil
+		return
+	}
+	if me.introduced == nil {
+		me.introduced = map[string]bool{}
+	}
+	for _, ad := range addresses {
+		me.introduced[ad] = true
+	}
+	me.view.hosts = nil
+	me.view.dirty = true
+}
+
 // adoptReadSnapshot adopts a document read from the platform and forwards the
 // difference as a delta.
 func (me *Member) adoptReadSnapshot(sn *contract.Snapshot, now time.Time) {
