fix: requests that crash upstreams are known after all hosts were restarted

A request that had crashed three upstreams and was held off crashed three more, and one in another retry, after all nodes were killed at once. Cause: what is known of such requests was in the memory of the nodes alone.

A host whose upstream was among those that crashed writes the crashes of quarantined requests to the platform, one row for each data centre, whenever they change; each host reads the rows once after its start.

--- a/cmd/process/adapters.go
+++ b/cmd/process/adapters.go
@@ -182,6 +182,12 @@
 	return rs
 }
 
+func newCrashRows(st platform.Store, set *metrics.Set, log zerolog.Logger) *platform.CrashRows {
+	cr := platform.NewCrashRows(st)
+	cr.OnUnreadable = unreadableReporter(set, log, "crashes")
+	return cr
+}
+
 // unreadableReporter returns a function that counts and logs rows that can't be read.
 func unreadableReporter(set *metrics.Set, log zerolog.Logger, kind string) func(key platform.Key, err error) {
 	skipped := set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_skipped_total{kind=%q}`, kind))
--- a/cmd/process/control.go
+++ b/cmd/process/control.go
@@ -47,7 +47,9 @@
 	// rollouts is nil while they are off.
 	rollouts *rollouts
 	// crashes is what the ingress and the gate know of requests that crash upstreams.
-	crashes      *upstream.Quarantine
+	crashes *upstream.Quarantine
+	// crashesRead is set once the platform's table has been read for it.
+	crashesRead  atomic.Bool
 	invariants   *invariants
 	log          zerolog.Logger
 	counters     *controlCounters
@@ -248,6 +250,8 @@
 		ct.jobs.Go(func() { ct.readPlatform(ac) })
 	case datacentre.WriteIntroduction:
 		ct.jobs.Go(func() { ct.writeIntroduction(ac) })
+	case datacentre.StoreCrashes:
+		ct.jobs.Go(func() { ct.storeCrashes(ac) })
 	case datacentre.LearnCrashes:
 		ct.crashes.Merge(ac.News)
 	case datacentre.LearnRollouts:
--- a/cmd/process/control_test.go
+++ b/cmd/process/control_test.go
@@ -62,6 +62,7 @@
 			Store:         hangingStore{},
 			Source:        rs,
 			Introductions: platform.NewIntroductions(hangingStore{}),
+			Crashes:       platform.NewCrashRows(hangingStore{}),
 		},
 		nil, // roll-outs are off
 		newInvariants(set, zerolog.Nop()),
--- a/cmd/process/jobs.go
+++ b/cmd/process/jobs.go
@@ -31,6 +31,7 @@
 	Store         platform.Store
 	Source        configSource
 	Introductions *platform.Introductions
+	Crashes       *platform.CrashRows
 }
 
 // readPlatform reads the platform beside the control goroutine. The member requests
@@ -40,6 +41,7 @@
 	defer cancel()
 	if ac.Introductions {
 		ct.jobs.Go(func() { ct.readIntroductions() })
+		ct.jobs.Go(func() { ct.readCrashes() })
 	}
 	if ct.rollouts != nil {
 		ct.jobs.Go(func() { ct.rollouts.readOrders(ct.jobCtx) })
@@ -64,6 +66,36 @@
 	})
 }
 
+// readCrashes reads, once after the start, which requests are known to crash upstreams.
+func (ct *Control) readCrashes() {
+	if ct.crashesRead.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ct.jobCtx, jobTimeout)
+	defer cancel()
+	ne, err := ct.platform.Crashes.Read(ctx, time.Now())
+	if err != nil {
+		ct.log.Warn().Err(err).Str("event", "crashes_not_read").Msg("cannot read which requests crash upstreams; trying again later")
+		return
+	}
+	ct.crashesRead.Store(true)
+	if !ne.IsEmpty() {
+		ct.Emit(datacentre.StoredCrashesRead{News: ne})
+	}
+}
+
+// storeCrashes writes to the platform which requests crash upstreams.
+func (ct *Control) storeCrashes(ac datacentre.StoreCrashes) {
+	ctx, cancel := context.WithTimeout(ct.jobCtx, jobTimeout)
+	defer cancel()
+	if err := ct.platform.Crashes.Write(ctx, ac.DataCentre, ac.News, time.Now()); err != nil {
+		ct.log.Warn().Err(err).
+			Str("event", "crashes_not_stored").
+			Int("crashes", len(ac.News.Crashes)).
+			Msg("cannot store which requests crash upstreams; they are forgotten if all hosts are restarted at once")
+	}
+}
+
 func (ct *Control) readVersions(ctx context.Context, ac datacentre.ReadPlatform) (datacentre.PlatformRead, error) {
 	if ac.Snapshot {
 		return ct.readSnapshot(ctx)
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -169,7 +169,7 @@
 		func() *metrics.Set { return te.Metrics },
 		newIdentity, newRollouts, newAdvertisedAddresses, newControlCounters,
 		newCertificates, node.NewCounters, newDialer, newAdapters, platform.NewVersions, platform.NewKeyedCalls,
-		newIntroductions, newRolloutRows, newInvariants, newControl,
+		newIntroductions, newRolloutRows, newCrashRows, newInvariants, newControl,
 		newByteBudget, newUpstreamClient, newGate, upstream.NewAnnouncementServer,
 		newCallPool, newQuotas, newCallServer, newCaller, newRecord, newMesh, newKeyPair, newOperator, newHealth, newListener,
 		newProcess,
--- a/core/datacentre/crash_news_test.go
+++ b/core/datacentre/crash_news_test.go
@@ -70,6 +70,23 @@
 	assertKnown(t, si, 7)
 }
 
+// TestCrashesAreKnownAfterAllHostsWereRestarted kills all hosts at once, whose memory held what
+// was known.
+func TestCrashesAreKnownAfterAllHostsWereRestarted(t *testing.T) {
+	si := joinedMesh(t, 12, 3)
+	si.quarantineRequest(7)
+	si.run(newsTimeout)
+	for _, id := range si.hostIDs {
+		si.kill(id)
+	}
+	si.run(time.Second)
+	for _, id := range si.hostIDs {
+		si.startHost(id, si.bootstrapContacts()...)
+	}
+	si.run(10 * time.Second)
+	assertKnown(t, si, 7)
+}
+
 func TestCrashNewsReachesRestartedHost(t *testing.T) {
 	si := joinedMesh(t, 12, 3)
 	si.quarantineRequest(7)
--- a/core/datacentre/crashes.go
+++ b/core/datacentre/crashes.go
@@ -23,10 +23,22 @@
 	}
 }
 
+// handleStoredCrashes merges the crashes that the platform's table holds.
+func (me *Member) handleStoredCrashes(ne quarantine.News, now time.Time) {
+	fresh := me.mergeCrashes(ne, "", now)
+	if !fresh.IsEmpty() {
+		me.emit(LearnCrashes{News: fresh})
+	}
+}
+
 // mergeCrashes merges news of crashes, forwards the part that was not known to all linked
 // peers except the sender, and returns it.
 func (me *Member) mergeCrashes(ne quarantine.News, from host.ID, now time.Time) quarantine.News {
+	known := me.crashes.Checksum()
 	fresh := me.crashes.Merge(ne, now)
+	if me.crashes.Checksum() != known {
+		me.storeOwnCrashes()
+	}
 	for _, id := range me.peers() {
 		if id != from {
 			me.sendCrashNews(me.links[id], fresh, now)
@@ -35,6 +47,18 @@
 	return fresh
 }
 
+// storeOwnCrashes writes the crashes of quarantined requests to the platform if this host's
+// upstream was among those that crashed.
+func (me *Member) storeOwnCrashes() {
+	ne := me.crashes.Condemned()
+	if slices.ContainsFunc(ne.Crashes, func(cr quarantine.Crash) bool { return cr.Host == me.cfg.Host }) {
+		me.emit(StoreCrashes{
+			DataCentre: me.cfg.DataCentre,
+			News:       ne,
+		})
+	}
+}
+
 // sendMissingCrashes sends the crashes of quarantined requests to a peer whose checksum of
 // them differs. The peer may have missed news that was sent on a link that went silent.
 func (me *Member) sendMissingCrashes(pe *peer, checksum uint64, now time.Time) {
--- a/core/datacentre/events.go
+++ b/core/datacentre/events.go
@@ -71,6 +71,11 @@
 	Took time.Duration
 }
 
+// StoredCrashesRead delivers the crashes that the platform's table holds, once after the start.
+type StoredCrashesRead struct {
+	News quarantine.News
+}
+
 // IntroductionsRead delivers the contacts that a ReadPlatform action asked for. It comes
 // before the PlatformRead, which may take long or fail: a node without a version can
 // join the mesh, and its gate serves others.
@@ -109,6 +114,7 @@
 func (LocalUpstream) isEvent()       {}
 func (VersionAccepted) isEvent()     {}
 func (PlatformRead) isEvent()        {}
+func (StoredCrashesRead) isEvent()   {}
 func (IntroductionsRead) isEvent()   {}
 func (IntroductionWritten) isEvent() {}
 func (CrashesFound) isEvent()        {}
@@ -164,6 +170,13 @@
 	RemoteAddresses []string
 }
 
+// StoreCrashes writes the crashes of quarantined requests to the platform, for the time after
+// all hosts were restarted at once.
+type StoreCrashes struct {
+	DataCentre Name
+	News       quarantine.News
+}
+
 // LearnCrashes passes on news of crashes from other hosts to the ingress and the gate.
 type LearnCrashes struct {
 	News quarantine.News
@@ -239,6 +252,7 @@
 func (ReadPlatform) isAction()      {}
 func (WriteIntroduction) isAction() {}
 func (LearnCrashes) isAction()      {}
+func (StoreCrashes) isAction()      {}
 func (LearnRollouts) isAction()     {}
 func (RaiseIncarnation) isAction()  {}
 func (Note) isAction()              {}
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -195,6 +195,8 @@
 		me.handleIntroductionWritten(ev, now)
 	case CrashesFound:
 		me.mergeCrashes(ev.News, "", now)
+	case StoredCrashesRead:
+		me.handleStoredCrashes(ev.News, now)
 	case RolloutsFound:
 		me.mergeRollouts(ev.Records, "", now)
 	case Leave:
--- a/core/datacentre/simulation_test.go
+++ b/core/datacentre/simulation_test.go
@@ -71,6 +71,8 @@
 	accepted []*contract.Snapshot
 	deltas   []*contract.Delta
 	contacts map[Name][]string
+	// storedCrashes are the rows of crashes on the platform.
+	storedCrashes map[Name]quarantine.News
 	// older holds the hosts that ignore fields which an earlier release does not know.
 	older map[host.ID]bool
 	// introductionWrites counts the writes of introduction rows.
@@ -197,8 +199,10 @@
 		cutOff:     map[host.ID]bool{},
 		accepted:   []*contract.Snapshot{contract.EmptySnapshot()},
 		contacts:   map[Name][]string{},
-		bytes:      map[host.ID]int{},
-		noteCounts: map[NoteKind]int{},
+
+		storedCrashes: map[Name]quarantine.News{},
+		bytes:         map[host.ID]int{},
+		noteCounts:    map[NoteKind]int{},
 	}
 	for i := range cfg.hosts {
 		id := host.ID(fmt.Sprintf("host-%d", i))
@@ -323,6 +327,10 @@
 		}
 		si.introductionWrites++
 		si.contacts[ac.DataCentre] = ac.Addresses
+	case StoreCrashes:
+		if !si.platformDown && !si.cutOff[ho.id] {
+			si.storedCrashes[ac.DataCentre] = ac.News
+		}
 	case LearnCrashes:
 		ho.crashes.Crashes = append(ho.crashes.Crashes, ac.News.Crashes...)
 		ho.crashes.Survivals = append(ho.crashes.Survivals, ac.News.Survivals...)
@@ -584,6 +592,9 @@
 			contacts = append(contacts, si.contacts[name]...)
 		}
 		reply(IntroductionsRead{Contacts: contacts})
+		for _, name := range slices.Sorted(maps.Keys(si.storedCrashes)) {
+			reply(StoredCrashesRead{News: si.storedCrashes[name]})
+		}
 	}
 	if si.configurationUnreadable {
 		reply(PlatformRead{Err: errDown})
