perf: one connection shows whether a silent link works

Each call with a silent connection opened a new one to the same node, one after the other, also when one had been greeted since. They share the first now, and stop.

--- a/io/node/call_exchange.go
+++ b/io/node/call_exchange.go
@@ -43,9 +43,8 @@
 
 // Send sends one attempt to the gate at an address and returns when a refusal or the
 // head of the response has arrived, or the connection is lost or has been silent for
-// heartbeatTimeout. The body is nil when the
-// request contains it; otherwise it is read only when the gate asks for it, and then
-// closed before the attempt ends.
+// heartbeatTimeout. The body is nil when the request contains it; otherwise it is read only
+// when the gate asks for it, and then closed before the attempt ends.
 func (cp *CallPool) Send(ctx context.Context, address string, rq *wire.Request, body io.ReadCloser) upstream.Reply {
 	begun := time.Now()
 	cc, err := cp.acquire(ctx, address)
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -360,9 +360,10 @@
 	}
 }
 
-// TestSilentConnectionLosesItsCall drops all traffic on the connection of a call without
-// closing it: the call must be reported as silent, and be lost once newer connections work.
-func TestSilentConnectionLosesItsCall(t *testing.T) {
+// listenWithoutAnswer starts a listener for a gate that does not answer during the test. It
+// returns its address, and the channel that receives a value for each call.
+func listenWithoutAnswer(t *testing.T) (string, <-chan struct{}) {
+	t.Helper()
 	arrived := make(chan struct{}, 1)
 	end := make(chan struct{})
 	address, _ := listen(t, &stubGate{
@@ -372,7 +373,14 @@
 			return completeReply("never seen")
 		},
 	})
-	defer close(end)
+	t.Cleanup(func() { close(end) })
+	return address, arrived
+}
+
+// TestSilentConnectionLosesItsCall drops all traffic on the connection of a call without
+// closing it: the call must be reported as silent, and be lost once newer connections work.
+func TestSilentConnectionLosesItsCall(t *testing.T) {
+	address, arrived := listenWithoutAnswer(t)
 	px := testkit.NewProxy(t, address)
 	cp := newCallPool(t)
 	silences := make(chan Silence, 1)
@@ -393,16 +401,7 @@
 // TestCallToSilentHostWaitsForItsDeadline drops all traffic to a host, on new connections too:
 // nothing shows if the host is gone or its link is full.
 func TestCallToSilentHostWaitsForItsDeadline(t *testing.T) {
-	arrived := make(chan struct{}, 1)
-	end := make(chan struct{})
-	address, _ := listen(t, &stubGate{
-		serve: func(context.Context, *wire.Request, io.ReadCloser) upstream.Reply {
-			arrived <- struct{}{}
-			<-end
-			return completeReply("never seen")
-		},
-	})
-	defer close(end)
+	address, arrived := listenWithoutAnswer(t)
 	pr := newBlackholeProxy(t, address)
 	cp := newCallPool(t)
 	go func() {
--- a/io/node/silence.go
+++ b/io/node/silence.go
@@ -107,7 +107,7 @@
 // awaitData waits for the end of a silence, and reports it.
 func (ex *exchange) awaitData() error {
 	since := time.Now().Add(-heartbeatTimeout)
-	stop := ex.pool.probe(ex.ctx, ex.address)
+	stop := ex.pool.probe(ex.ctx, ex.address, since)
 	defer stop()
 	var greetedAt time.Time
 	for {
@@ -152,12 +152,13 @@
 	return cp.peer(address).greetedAt
 }
 
-// probe opens a new connection to a node to see whether that works, unless another call does
-// so. It repeats failed attempts until ctx ends or stop is called.
-func (cp *CallPool) probe(ctx context.Context, address string) (stop func()) {
+// probe opens a new connection to a node to see whether that works, unless one has been greeted
+// since a time. It repeats failed attempts until ctx ends or stop is called.
+func (cp *CallPool) probe(ctx context.Context, address string, since time.Time) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
-		for ctx.Err() == nil && !cp.probeOnce(ctx, address) {
+		for ctx.Err() == nil && !cp.greetedAt(address).After(since) {
+			cp.probeOnce(ctx, address)
 			select {
 			case <-ctx.Done():
 			case <-time.After(probeInterval):
@@ -167,13 +168,13 @@
 	return cancel
 }
 
-// probeOnce opens a new connection to a node and reports whether that succeeded.
-func (cp *CallPool) probeOnce(ctx context.Context, address string) bool {
+// probeOnce opens a new connection to a node, unless another call does so.
+func (cp *CallPool) probeOnce(ctx context.Context, address string) {
 	cp.mu.Lock()
 	pe := cp.peer(address)
 	if pe.probing {
 		cp.mu.Unlock()
-		return false
+		return
 	}
 	pe.probing = true
 	cp.mu.Unlock()
@@ -181,9 +182,7 @@
 	cp.mu.Lock()
 	pe.probing = false
 	cp.mu.Unlock()
-	if err != nil {
-		return false
+	if err == nil {
+		cp.release(address, cc, true)
 	}
-	cp.release(address, cc, true)
-	return true
 }
--- a/io/platform/crash_rows.go
+++ b/io/platform/crash_rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -68,7 +69,9 @@
 	Bytes, Limit int
 }
 
-func (er *OversizeError) Error() string { return "the value is too large for a row" }
+func (er *OversizeError) Error() string {
+	return fmt.Sprintf("%d bytes are too many for a row, which may hold %d", er.Bytes, er.Limit)
+}
 
 // Read returns the crashes in the rows of all data centres. Rows that can't be read are left
 // out.
