feat: cancelled calls and the steps of a drain are logged

A call that ends because its host stops, because its connection is lost or because its ingress cancels it looked the same at the gate. Log line call_cancelled and counter lynxfold_cancelled_calls_total tell them apart; drain_step shows what is in flight at each step of a drain. cut in the line "node ended" was read before the parts were closed; it counts the calls that the end has cancelled now.

--- a/cmd/process/drain.go
+++ b/cmd/process/drain.go
@@ -24,13 +24,15 @@
 	defer cancel()
 	pr.caller.Drain(begun.Add(pr.settings.Caller.DrainWithin))
 	sleep(ctx, pr.settings.Caller.LingerFor)
+	pr.logDrainStep("leave", begun)
 	pr.control.Emit(datacentre.Leave{})
 	pr.gate.Drain(time.Now().Add(leavePropagation))
 	if err := pr.caller.Shutdown(ctx); err != nil {
 		pr.log.Warn().Err(err).Str("step", "caller").Msg("calls still in flight at the end of the drain")
 	}
+	pr.logDrainStep("callers_gone", begun)
 	pr.waitForCalls(ctx)
-	cut := pr.caller.ActiveCalls() + pr.gate.Running()
+	pr.logDrainStep("calls_ended", begun)
 	stopTicking()
 	pr.stop("upstream", pr.announceListener.Shutdown)
 	pr.stop("operator", pr.operator.Shutdown)
@@ -43,11 +45,23 @@
 	pr.client.Close()
 	pr.goroutines.Wait()
 	pr.log.Info().
-		Int("cut", cut).
+		Int("cut", pr.caller.CutCalls()+pr.callServer.CutCalls()).
 		Dur("took", time.Since(begun)).
 		Msg("node ended")
 }
 
+// logDrainStep logs a step of the drain with the calls that are in flight.
+func (pr *Process) logDrainStep(step string, begun time.Time) {
+	pr.log.Info().
+		Str("event", "drain_step").
+		Str("step", step).
+		Int("caller_calls", pr.caller.ActiveCalls()).
+		Int("gate_running", pr.gate.Running()).
+		Int("node_calls", pr.callServer.ActiveCalls()).
+		Dur("took", time.Since(begun)).
+		Msg("drain step")
+}
+
 func (pr *Process) stop(step string, shutdown func() error) {
 	if err := shutdown(); err != nil {
 		pr.log.Warn().Err(err).Str("step", step).Msg("step failed to shut down")
--- a/cmd/process/process.go
+++ b/cmd/process/process.go
@@ -378,11 +378,22 @@
 	return cp
 }
 
-func newCallServer(ga *upstream.Gate, qs *node.Quotas, set *metrics.Set) *node.CallServer {
+func newCallServer(ga *upstream.Gate, qs *node.Quotas, set *metrics.Set, log zerolog.Logger) *node.CallServer {
 	delays := set.GetOrCreateHistogram(`lynxfold_request_delay_seconds`)
 	cs := node.NewCallServer(ga)
 	cs.Quotas = qs
 	cs.ObserveDelay = func(delay time.Duration) { delays.Update(delay.Seconds()) }
+	cs.OnCancelled = func(ca node.CancelledCall) {
+		set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_cancelled_calls_total{cause=%q}`, ca.Cause)).Inc()
+		log.Warn().
+			Err(ca.Err).
+			Str("event", "call_cancelled").
+			Str("request", string(ca.Request)).
+			Str("attempt", string(ca.Attempt)).
+			Str("cause", string(ca.Cause)).
+			Int64("took_ms", ca.Duration.Milliseconds()).
+			Msg("call from another host was cancelled")
+	}
 	return cs
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -81,6 +81,8 @@
 	log            httpLogger
 	lastCallNumber atomic.Uint64
 	activeCalls    atomic.Int64
+	// cutCalls counts the calls that were cancelled because the node ends.
+	cutCalls atomic.Int64
 	// hostLimits are this host's limits, which can change at run time.
 	hostLimits atomic.Pointer[Limits]
 	// draining reports that connections are closed after their next answer, so
@@ -217,6 +219,9 @@
 // ActiveCalls returns the number of calls whose answers are not complete.
 func (sv *Server) ActiveCalls() int { return int(sv.activeCalls.Load()) }
 
+// CutCalls returns the number of calls that were cancelled because the node ends.
+func (sv *Server) CutCalls() int { return int(sv.cutCalls.Load()) }
+
 // pick chooses an upstream. It is safe for concurrent use.
 func (sv *Server) pick(ex *exchange, tried []host.ID, withCapacity bool, now time.Time) (datacentre.Upstream, bool) {
 	sv.mu.Lock()
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -370,6 +370,7 @@
 	se.mu.Lock()
 	defer se.mu.Unlock()
 	se.aborted = true
+	se.server.cutCalls.Add(int64(len(se.cancellableCalls())))
 	se.disconnect()
 }
 
@@ -378,11 +379,23 @@
 func (se *session) cancelCalls() {
 	se.mu.Lock()
 	defer se.mu.Unlock()
+	calls := se.cancellableCalls()
+	se.server.cutCalls.Add(int64(len(calls)))
+	for _, ex := range calls {
+		ex.cancel()
+	}
+}
+
+// cancellableCalls returns the pending calls that have not been cancelled, except keyed
+// ones. se.mu must be held.
+func (se *session) cancellableCalls() []*exchange {
+	var calls []*exchange
 	for _, pr := range se.queue {
-		if pr.exchange != nil && !pr.exchange.target.Terms.Keyed {
-			pr.exchange.cancel()
+		if ex := pr.exchange; ex != nil && !ex.target.Terms.Keyed && ex.context.Err() == nil {
+			calls = append(calls, ex)
 		}
 	}
+	return calls
 }
 
 // goneReason returns why the answers of this connection can't be delivered.
--- a/io/node/call_rollout.go
+++ b/io/node/call_rollout.go
@@ -58,7 +58,7 @@
 
 // serveRolloutReport answers one report; a node without roll-outs declines it.
 func (sc *serverConn) serveRolloutReport(ac *activeCall, rr *wire.RolloutReport) {
-	defer ac.cancel()
+	defer ac.cancel(nil)
 	sc.setWriteDeadline(rolloutReplyTimeout.Microseconds())
 	reply := &wire.RolloutReply{Declined: true}
 	if sc.OnRolloutReport != nil {
--- a/io/node/call_server.go
+++ b/io/node/call_server.go
@@ -35,18 +35,23 @@
 	// Serve is called.
 	OnRolloutReport func(rr *wire.RolloutReport) *wire.RolloutReply
 
+	// OnCancelled is called when a call that was cancelled has ended. It may be nil, and is
+	// set before Serve is called.
+	OnCancelled func(ca CancelledCall)
+
 	gate        Gate
 	activeCalls atomic.Int64
+	cutCalls    atomic.Int64
 	transits    transits
 	receiver    receiver
 	// baseCtx is the parent of the context of each call.
 	baseCtx context.Context
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 }
 
 // NewCallServer builds the server side of calls to a gate.
 func NewCallServer(ga Gate) *CallServer {
-	baseCtx, cancel := context.WithCancel(context.Background())
+	baseCtx, cancel := context.WithCancelCause(context.Background())
 	return &CallServer{
 		gate:    ga,
 		baseCtx: baseCtx,
@@ -55,7 +60,10 @@
 }
 
 // Close cancels all calls.
-func (cs *CallServer) Close() { cs.cancel() }
+func (cs *CallServer) Close() { cs.cancel(&CancelError{Cause: CancelledByShutdown}) }
+
+// CutCalls returns the number of calls that Close has cancelled and that have ended.
+func (cs *CallServer) CutCalls() int { return int(cs.cutCalls.Load()) }
 
 // Serve serves the calls on one connection until it is closed.
 func (cs *CallServer) Serve(co *Conn) {
@@ -95,7 +103,7 @@
 // activeCall is the call or query that a connection carries.
 type activeCall struct {
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// idempotent calls, and queries, are cancelled when their connection is lost.
 	idempotent bool
 	// readerStarted is set when another goroutine has taken over reading the connection.
@@ -108,7 +116,7 @@
 	for {
 		fr, err := sc.conn.readFrame()
 		if err != nil {
-			sc.connLost()
+			sc.connLost(err)
 			return
 		}
 		next := true
@@ -121,7 +129,7 @@
 			next = sc.serveCall(nil, func(ac *activeCall, _ io.ReadCloser) { sc.serveRolloutReport(ac, ki.RolloutReport) })
 		case *wire.Frame_QuotaRequest:
 			if !sc.serveQuota(ki.QuotaRequest) {
-				sc.connLost()
+				sc.connLost(&UnexpectedFrameError{})
 				next = false
 			}
 		case *wire.Frame_Body:
@@ -140,7 +148,7 @@
 func (sc *serverConn) serveCall(rq *wire.Request, serve func(ac *activeCall, body io.ReadCloser)) bool {
 	ac, body, ok := sc.beginCall(rq)
 	if !ok {
-		sc.connLost()
+		sc.connLost(&UnexpectedFrameError{})
 		return false
 	}
 	serve(ac, body)
@@ -178,7 +186,7 @@
 		return nil, nil, false
 	}
 	sc.activeCalls.Add(1)
-	ctx, cancel := context.WithCancel(sc.baseCtx)
+	ctx, cancel := context.WithCancelCause(sc.baseCtx)
 	sc.current = &activeCall{
 		ctx:        ctx,
 		cancel:     cancel,
@@ -271,18 +279,21 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	if sc.current != nil {
-		sc.current.cancel()
+		sc.current.cancel(&CancelError{Cause: CancelledByIngress})
 	}
 }
 
 // connLost closes a connection that failed or on which a call started too early. A call
 // that is not idempotent keeps running, because its ingress will query the outcome on
 // another connection.
-func (sc *serverConn) connLost() {
+func (sc *serverConn) connLost(cause error) {
 	sc.conn.close()
 	sc.mu.Lock()
 	if sc.current != nil && sc.current.idempotent {
-		sc.current.cancel()
+		sc.current.cancel(&CancelError{
+			Cause: CancelledByLoss,
+			Err:   cause,
+		})
 	}
 	sc.readEnded = true
 	sc.mu.Unlock()
@@ -299,7 +310,8 @@
 
 // serveRequest runs one request and sends the answer.
 func (sc *serverConn) serveRequest(ac *activeCall, rq *wire.Request, body io.ReadCloser) {
-	defer ac.cancel()
+	defer ac.cancel(nil)
+	defer sc.reportCancelled(ac, rq, time.Now())
 	sc.subtractDelay(rq)
 	sc.setWriteDeadline(rq.GetRemainingUs())
 	hb := sc.startHeartbeat(ac)
@@ -369,7 +381,7 @@
 
 // serveQuery runs one query and sends the verdict.
 func (sc *serverConn) serveQuery(ac *activeCall, qu *wire.Query) {
-	defer ac.cancel()
+	defer ac.cancel(nil)
 	sc.setWriteDeadline(qu.GetRemainingUs())
 	hb := sc.startHeartbeat(ac)
 	ctx, cancel := context.WithTimeout(ac.ctx, time.Duration(qu.GetRemainingUs())*time.Microsecond)
