fix: a call that a leaving gate admits is not cut

Callers saw 502 (link_lost) 0.1 to 0.3 s after an idempotent request whose route allows no retry, while an upstream was at work on it, beside planned stops (LOST).

Cause: a gate admits calls for 0.1 s after its host has announced that it leaves. The drain looked once whether calls run; when none did, it closed the process meanwhile, and the calls that were admitted in that time were cut when the call server was closed, some 0.1 s later.

The drain now waits until the gate refuses all calls and none is in flight. Then each node that has a connection here is told, after the answer to what the connection carries, that further calls are not run; it goes elsewhere. A call that crosses this was lost with its connection, although it had not run. The call server is closed first, 0.2 s later at most.

--- a/cmd/process/drain.go
+++ b/cmd/process/drain.go
@@ -2,20 +2,27 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"lynxfold/core/datacentre"
 )
 
-// leavePropagation is the time until other nodes have learned that this one leaves.
-const leavePropagation = 100 * time.Millisecond
+const (
+	// leavePropagation is the time until other nodes have learned that this one leaves.
+	leavePropagation = 100 * time.Millisecond
+	// leaveWithin limits the wait for calls on their way from other nodes, which are told
+	// that they do not run.
+	leaveWithin = 200 * time.Millisecond
+)
 
 // Abort ends a drain at once and cuts calls in flight.
 func (pr *Process) Abort() { pr.abort() }
 
 // drain first directs callers to other hosts while calls are still served. Then it
-// announces that this host leaves, drains the gate, and stops all components once no
-// call is in flight or the time limit has passed.
+// announces that this host leaves and drains the gate. Once the gate refuses all calls and
+// none is in flight, or the time limit has passed, it tells the nodes that still send calls
+// and stops all components.
 func (pr *Process) drain(stopTicking func()) {
 	begun := time.Now()
 	pr.log.Info().Msg("node drains")
@@ -26,20 +33,28 @@
 	sleep(ctx, pr.settings.Caller.LingerFor)
 	pr.logDrainStep("leave", begun)
 	pr.control.Emit(datacentre.Leave{})
-	pr.gate.Drain(time.Now().Add(leavePropagation))
+	refuseFrom := time.Now().Add(leavePropagation)
+	pr.gate.Drain(refuseFrom)
 	if err := pr.caller.Shutdown(ctx); err != nil {
 		pr.log.Warn().Err(err).Str("step", "caller").Msg("calls still in flight at the end of the drain")
 	}
 	pr.logDrainStep("callers_gone", begun)
+	sleep(ctx, time.Until(refuseFrom))
 	pr.waitForCalls(ctx)
 	pr.logDrainStep("calls_ended", begun)
+	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveWithin)
+	defer cancelLeave()
+	var left sync.WaitGroup
+	left.Go(func() { pr.callServer.Leave(leaveCtx) })
 	stopTicking()
 	pr.stop("upstream", pr.announceListener.Shutdown)
 	pr.stop("operator", pr.operator.Shutdown)
 	pr.stop("health", pr.health.Shutdown)
+	left.Wait()
+	pr.logDrainStep("left", begun)
+	pr.callServer.Close()
 	pr.callPool.Close()
 	pr.control.links.Close()
-	pr.callServer.Close()
 	pr.linkListener.Close()
 	pr.control.shutdown()
 	pr.client.Close()
--- a/io/node/call_conn.go
+++ b/io/node/call_conn.go
@@ -195,6 +195,13 @@
 // close closes the TCP connection immediately, without a TLS close alert.
 func (cc *callConn) close() { _ = cc.co.raw.Close() }
 
+// closeWrite ends the sending direction after what was written.
+func (cc *callConn) closeWrite() {
+	if tc, ok := cc.co.raw.(*net.TCPConn); ok {
+		_ = tc.CloseWrite()
+	}
+}
+
 // reset closes the TCP connection and discards what the peer has not received yet.
 func (cc *callConn) reset() {
 	if tc, ok := cc.co.raw.(*net.TCPConn); ok {
--- a/io/node/call_server.go
+++ b/io/node/call_server.go
@@ -47,6 +47,14 @@
 	// baseCtx is the parent of the context of each call.
 	baseCtx context.Context
 	cancel  context.CancelCauseFunc
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	conns map[*serverConn]struct{}
+	// leaving is set when no further calls are served.
+	leaving bool
+	// emptied is closed when leaving is set and conns is empty.
+	emptied chan struct{}
 }
 
 // NewCallServer builds the server side of calls to a gate.
@@ -56,6 +64,8 @@
 		gate:    ga,
 		baseCtx: baseCtx,
 		cancel:  cancel,
+		conns:   map[*serverConn]struct{}{},
+		emptied: make(chan struct{}),
 	}
 }
 
@@ -71,6 +81,10 @@
 		CallServer: cs,
 		conn:       &callConn{co: co},
 	}
+	if !cs.add(sc) {
+		return
+	}
+	defer cs.remove(sc)
 	// A heartbeat is the greeting that the dialling side waits for.
 	if !sc.writeFrame(&wire.Frame{}) {
 		return
@@ -90,6 +104,10 @@
 
 	mu      sync.Mutex
 	current *activeCall
+	// unfinished counts the calls that have begun and whose answers have not been sent.
+	unfinished int
+	// left is set when the other node was told that no further calls are served.
+	left bool
 	// heartbeat is used only by the goroutine that serves the current call.
 	heartbeat *heartbeat
 	// readEnded is set when nothing more is read from the connection.
@@ -119,6 +137,9 @@
 			sc.connLost(err)
 			return
 		}
+		if sc.hasLeft() {
+			continue
+		}
 		next := true
 		switch ki := fr.GetKind().(type) {
 		case *wire.Frame_Request:
@@ -147,12 +168,19 @@
 // read loop is to end: the connection is out of step, or another goroutine reads it.
 func (sc *serverConn) serveCall(rq *wire.Request, serve func(ac *activeCall, body io.ReadCloser)) bool {
 	ac, body, ok := sc.beginCall(rq)
+	if !ok && sc.hasLeft() {
+		return true
+	}
 	if !ok {
 		sc.connLost(&UnexpectedFrameError{})
 		return false
 	}
 	serve(ac, body)
-	return !sc.endCall(ac)
+	takenOver := sc.endCall(ac)
+	if sc.isLeaving() {
+		sc.leaveIfIdle()
+	}
+	return !takenOver
 }
 
 // startReader starts another read loop while a call is served; it returns false when one
@@ -173,19 +201,21 @@
 	sc.activeCalls.Add(-1)
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
+	sc.unfinished--
 	return ac.readerStarted
 }
 
 // beginCall registers a call, or a query when rq is nil, as the connection's current one.
 // The returned body is nil when the request contains it. beginCall returns false when the
-// previous call or its body has not ended.
+// previous call or its body has not ended, or no further calls are served.
 func (sc *serverConn) beginCall(rq *wire.Request) (*activeCall, io.ReadCloser, bool) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if sc.current != nil || sc.pendingBody != nil {
+	if sc.current != nil || sc.pendingBody != nil || sc.left {
 		return nil, nil, false
 	}
 	sc.activeCalls.Add(1)
+	sc.unfinished++
 	ctx, cancel := context.WithCancelCause(sc.baseCtx)
 	sc.current = &activeCall{
 		ctx:        ctx,
--- a/testkit/faults.go
+++ b/testkit/faults.go
@@ -78,6 +78,12 @@
 	}
 }
 
+// AddResponseLatency delays all data sent from the host on the connections that others have
+// opened to it.
+func (ho *Host) AddResponseLatency(delay time.Duration) {
+	addToxic(ho.mesh.T, ho.Proxy, "delay-downstream", "latency", "downstream", map[string]int64{"latency": delay.Milliseconds()})
+}
+
 // LimitPlatformBandwidth limits each connection from the platform to the hosts to a rate
 // in kilobytes a second.
 func (me *Mesh) LimitPlatformBandwidth(kilobytesPerSecond int64) {
