fix: pipelined calls that were passed on are answered during a drain

Callers that send requests behind each other on a connection to a host that got SIGTERM got one answer and the end of the connection, although upstreams were at work on the requests behind it (LOST).

Cause: a draining node closed each connection after its next answer, and dropped the requests in the queue as if they had not been read.

From the first answer during a drain on, no further request is read, and the connection is closed after the answers to those that were.

TestPipelinedCallsAreAnsweredDuringDrain (real processes) failed before: the first of six answers closed the connection.

--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -300,8 +300,9 @@
 	for len(se.queue) > 0 && se.queue[0].ready {
 		head := se.queue[0]
 		skip := se.broken
+		final := se.isFinal(head)
 		se.mu.Unlock()
-		ok := !skip && se.write(head)
+		ok := !skip && se.write(head, final)
 		se.server.releaseContext(head)
 		se.mu.Lock()
 		se.queue = se.queue[1:]
@@ -324,11 +325,22 @@
 	_ = se.conn.Close()
 }
 
-// write writes an answer. It returns false if the connection must be closed.
-func (se *session) write(pr *pendingRequest) bool {
+// isFinal reports whether the connection is closed after an answer. While the node drains,
+// no further requests are read, and it is closed after the answers to those in the queue,
+// which may have been passed on. se.mu must be held.
+func (se *session) isFinal(pr *pendingRequest) bool {
+	if se.server.draining.Load() {
+		se.closing = true
+	}
+	return pr.httpCtx.Request.Header.ConnectionClose() || pr.httpCtx.Response.ConnectionClose() ||
+		se.closing && len(se.queue) == 1
+}
+
+// write writes an answer, which is final if the connection is closed after it. It returns
+// false if the connection must be closed.
+func (se *session) write(pr *pendingRequest, final bool) bool {
 	ctx := pr.httpCtx
 	rs := &ctx.Response
-	final := ctx.Request.Header.ConnectionClose() || rs.ConnectionClose() || se.server.draining.Load()
 	switch {
 	case final:
 		rs.SetConnectionClose()
