fix: a draining node passes on no request that it can't answer

Callers whose request body was complete late in the drain of their node got 504 (unknown) at its end, for requests that may not be repeated too, while an upstream was at work on them (LOST).

Cause: a request's deadline was shortened to the end of the drain, but the request was passed on whatever was left, and a long body was streamed to an upstream at the caller's pace.

A draining node now receives a body whole, within the byte budget of all bodies, before it passes the request on, and it does so only if the time that is usual for the kind of call, and half of it more, is left. Any other request is refused as not run (503, draining), so that its caller can go to another node. A short body that is not complete at the request's deadline is refused with 408 now, as a long one, in place of 400.

TestCallsWithLateBodiesAreNotCut (real processes; short and long bodies, with a length and in chunks) failed before for all four late ones, which ran and got 504; the early ones ran.

--- a/io/caller/exchange_start.go
+++ b/io/caller/exchange_start.go
@@ -49,6 +49,12 @@
 		se.finish(pr)
 		return false
 	}
+	if ex.refuseLate() {
+		sv.cfg.Buffers.Give(int64(len(ex.bufferedBody)))
+		ex.token.giveBack()
+		se.finish(pr)
+		return false
+	}
 	ex.fingerprint = upstream.Fingerprint([]byte(ex.method), []byte(ex.uri), ex.headers, ex.bodyPrefix())
 	go func() {
 		defer se.finish(pr)
@@ -118,26 +124,29 @@
 	if stream == nil || length == 0 {
 		return true
 	}
+	_ = ex.conn.SetReadDeadline(ex.receiveBy())
 	if length < 0 || length > maxBufferedBodyBytes {
-		ex.streamedBody = &streamedBody{
+		bo := &streamedBody{
 			conn:   ex.conn,
 			stream: stream,
 			length: int64(max(length, -1)),
 			limit:  ex.server.bodyLimitBytes(),
 			done:   make(chan struct{}),
 		}
-		_ = ex.conn.SetReadDeadline(ex.deadline)
+		if ex.server.draining.Load() && !ex.target.Terms.Keyed {
+			return ex.receiveBody(bo)
+		}
+		ex.streamedBody = bo
 		return ex.readBodyPrefix()
 	}
 	if !ex.server.cfg.Buffers.Take(int64(length)) {
 		ex.refuseUnread(fasthttp.StatusServiceUnavailable, ReasonTooManyBodies)
 		return false
 	}
-	_ = ex.conn.SetReadDeadline(ex.deadline)
 	ex.bufferedBody = make([]byte, length)
 	if _, err := io.ReadFull(stream, ex.bufferedBody); err != nil {
 		ex.server.cfg.Buffers.Give(int64(length))
-		ex.refuseIncomplete(call.ReasonCallerGone)
+		ex.refuseIncomplete(incompleteBodyReason(err))
 		return false
 	}
 	return true
@@ -184,6 +193,9 @@
 // connection.
 func (ex *exchange) refuseIncomplete(re host.Reason) {
 	status := fasthttp.StatusBadRequest
+	if ex.isLateBody(re) {
+		status, re = fasthttp.StatusServiceUnavailable, host.ReasonDraining
+	}
 	switch re {
 	case call.ReasonCallerGone:
 		ex.server.cfg.Counters.countCallerGone()
--- a/testkit/drain_test.go
+++ b/testkit/drain_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -120,3 +121,101 @@
 	assert.Equal(t, len(me.Runs()[fmt.Sprintf("call-%d", reads+1)]), 0)
 	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
 }
+
+// lateBodySettings leave 3 s after SIGTERM for calls.
+const lateBodySettings = "[caller]\nlinger_for = 500ms\ndrain_within = 3s\n"
+
+// startLateBodyMesh starts a mesh whose nodes know that the calls of these tests take 0.8 s.
+func startLateBodyMesh(t *testing.T) *testkit.Mesh {
+	t.Helper()
+	me := testkit.StartMesh(t, testkit.MeshConfig{
+		Hosts: []testkit.HostSpec{
+			{ID: ingressID, DataCentre: "press-hall"},
+			upstreamHost("curing-room-1"),
+			upstreamHost("curing-room-2"),
+		},
+		Settings: lateBodySettings,
+	})
+	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
+	status, _ := me.Apply(ingressID, 0, callsDocument)
+	assert.Equal(t, status, fasthttp.StatusOK)
+	waitForUpstreams(t, me, 2)
+	ca := testkit.NewCallersWithPrefix(me, "before")
+	stop := ca.StartLoad(4, func(int) { ca.Call(ingressID, "POST", "/bookings?work=800ms", 10) })
+	time.Sleep(2 * time.Second)
+	stop()
+	return me
+}
+
+// postSlowly sends a request in two parts, the second one after a channel is closed, and
+// returns the response.
+func postSlowly(ho *testkit.Host, head, first, rest string, resume <-chan struct{}) (*http.Response, error) {
+	nc, err := net.Dial("tcp", ho.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = nc.Close() }()
+	_ = nc.SetDeadline(time.Now().Add(waitTimeout))
+	if _, err := io.WriteString(nc, head+first); err != nil {
+		return nil, err
+	}
+	<-resume
+	// The node may have refused the request already.
+	_, _ = io.WriteString(nc, rest)
+	rs, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.ReadAll(rs.Body)
+	return rs, err
+}
+
+// TestCallsWithLateBodiesAreNotCut sends requests that may not be repeated to a node that
+// drains, whose bodies are complete soon or late. The late ones were passed on, and cut at the
+// end of the drain: they are refused as not run.
+func TestCallsWithLateBodiesAreNotCut(t *testing.T) {
+	me := startLateBodyMesh(t)
+	ho := me.Hosts[ingressID]
+	waitForDrain(t, ho)
+	soon, late := make(chan struct{}), make(chan struct{})
+	time.AfterFunc(400*time.Millisecond, func() { close(soon) })
+	time.AfterFunc(2200*time.Millisecond, func() { close(late) })
+	short, long := strings.Repeat("s", 500), strings.Repeat("l", 100_000)
+	var done sync.WaitGroup
+	for _, it := range []struct {
+		name   string
+		path   string
+		resume <-chan struct{}
+		half   string
+		status int
+		runs   int
+	}{
+		{name: "short-soon", path: "/bookings", resume: soon, half: short, status: 200, runs: 1},
+		{name: "long-soon", path: "/scans", resume: soon, half: long, status: 200, runs: 1},
+		{name: "short-late", path: "/bookings", resume: late, half: short, status: 503},
+		{name: "long-late", path: "/scans", resume: late, half: long, status: 503},
+	} {
+		for _, chunked := range []bool{false, true} {
+			id := fmt.Sprintf("%s-%t", it.name, chunked)
+			head := fmt.Sprintf("POST %s?work=800ms HTTP/1.1\r\nHost: x\r\n%s: %s\r\n", it.path, upstreamstandin.HeaderCallID, id)
+			first, rest := it.half, it.half
+			if chunked {
+				head += "Transfer-Encoding: chunked\r\n\r\n"
+				first = fmt.Sprintf("%x\r\n%s\r\n", len(it.half), it.half)
+				rest = first + "0\r\n\r\n"
+			} else {
+				head += fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*len(it.half))
+			}
+			done.Go(func() {
+				rs, err := postSlowly(ho, head, first, rest, it.resume)
+				if assert.Check(t, err == nil, "%s: %v", id, err) {
+					assert.Check(t, rs.StatusCode == it.status, "%s: status %d, outcome %s", id, rs.StatusCode, rs.Header.Get("Lynxfold-Outcome"))
+				}
+				assert.Check(t, len(me.Runs()[id]) == it.runs, "%s ran %d times", id, len(me.Runs()[id]))
+			})
+		}
+	}
+	done.Wait()
+	assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
+	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
+}
