fix: a gate admits no attempt that outlasts the drain of its host

Callers at other hosts got 502 for calls that were cut when the host beside the upstream ended its drain, although another gate had room.

Cause: until its host leaves, a gate admits attempts by their own deadline alone. It knows when its host stops now, and refuses an attempt whose usual time ends later as not run (draining): the ingress takes it elsewhere outside its retry budget.

--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -106,6 +106,9 @@
 	if !now.Before(at.Deadline) {
 		return ReasonDeadline
 	}
+	if ga.outlastsHost(at, now) {
+		return ReasonDraining
+	}
 	if en.deferred && at.BodyWait > maxLateBodyWait {
 		return ReasonQueueFull
 	}
@@ -134,6 +137,12 @@
 	return ReasonNone
 }
 
+// outlastsHost reports whether an attempt that is dispatched at a time is expected to run
+// when the host stops.
+func (ga *Gate) outlastsHost(at Attempt, now time.Time) bool {
+	return !ga.stopAt.IsZero() && ga.stopAt.Before(at.Deadline) && now.Add(ga.estimateFor(at).upper()).After(ga.stopAt)
+}
+
 // queueFull reports whether the queue has no room for an attempt. Less urgent attempts
 // take no room from it, since they are dispatched after it. The queues of both classes
 // use at most half of the ledger, and running attempts the other half.
--- a/core/host/dispatch.go
+++ b/core/host/dispatch.go
@@ -18,6 +18,10 @@
 			ga.refuse(en, ReasonDeadline, now)
 			continue
 		}
+		if ga.outlastsHost(en.attempt, now) {
+			ga.refuse(en, ReasonDraining, now)
+			continue
+		}
 		if ga.objectiveExpired(en, now) {
 			ga.refuse(en, ReasonQueueFull, now)
 			continue
--- a/core/host/events.go
+++ b/core/host/events.go
@@ -93,6 +93,12 @@
 	RefuseFrom time.Time
 }
 
+// Stopping states when the gate's host stops: attempts that are expected to run at that time
+// are refused.
+type Stopping struct {
+	At time.Time
+}
+
 // IncarnationRaised raises the incarnation of the gate: attempts that name an earlier
 // one are refused from now on.
 type IncarnationRaised struct {
@@ -138,6 +144,7 @@
 func (IncarnationRaised) isEvent() {}
 func (Announced) isEvent()         {}
 func (UpstreamLost) isEvent()      {}
+func (Stopping) isEvent()          {}
 func (Drain) isEvent()             {}
 func (NestedCalled) isEvent()      {}
 func (Tick) isEvent()              {}
--- a/core/host/gate.go
+++ b/core/host/gate.go
@@ -39,6 +39,8 @@
 	// attempts; zero means never.
 	nodeCutoff     time.Time
 	upstreamCutoff time.Time
+	// stopAt is when the host stops; zero while that is unknown.
+	stopAt time.Time
 
 	ledger *ledger
 	queue  queue
@@ -113,6 +115,8 @@
 		ga.handleUpstreamLost(ev, now)
 	case Drain:
 		ga.handleDrain(ev, now)
+	case Stopping:
+		ga.stopAt = ev.At
 	case IncarnationRaised:
 		ga.cfg.Incarnation = max(ga.cfg.Incarnation, ev.Incarnation)
 	case NestedCalled:
--- a/core/host/gate_test.go
+++ b/core/host/gate_test.go
@@ -154,6 +154,10 @@
 		after := 0
 		td.MaybeScanArgs(t, "after", &after)
 		return host.Drain{RefuseFrom: sc.now.Add(time.Duration(after) * time.Millisecond)}
+	case "stopping":
+		in := 0
+		td.MaybeScanArgs(t, "in", &in)
+		return host.Stopping{At: sc.now.Add(time.Duration(in) * time.Millisecond)}
 	case "advance":
 		var ms int
 		_, err := fmt.Sscan(name, &ms)
--- a/io/upstream/gate.go
+++ b/io/upstream/gate.go
@@ -184,6 +184,9 @@
 	}
 }
 
+// Stopping tells the gate when its host stops: attempts that would run then are refused.
+func (ga *Gate) Stopping(at time.Time) { ga.step(host.Stopping{At: at}) }
+
 // Drain makes the gate admit attempts only to free slots, and none from refuseFrom on.
 func (ga *Gate) Drain(refuseFrom time.Time) { ga.step(host.Drain{RefuseFrom: refuseFrom}) }
 
--- a/testkit/drain_test.go
+++ b/testkit/drain_test.go
@@ -219,3 +219,35 @@
 	assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
 	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
 }
+
+// TestCallsThatOutlastTheDrainGoElsewhere stops a host under calls that take longer than the
+// rest of its drain: its gate admitted them, and they were cut at the end.
+func TestCallsThatOutlastTheDrainGoElsewhere(t *testing.T) {
+	me := testkit.StartMesh(t, testkit.MeshConfig{
+		Hosts: []testkit.HostSpec{
+			{ID: ingressID, DataCentre: "press-hall"},
+			upstreamHost("curing-room-1"),
+			upstreamHost("curing-room-2"),
+		},
+		Settings: "[caller]\nlinger_for = 1s\ndrain_within = 1500ms\n",
+	})
+	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
+	status, _ := me.Apply(ingressID, 0, callsDocument)
+	assert.Equal(t, status, fasthttp.StatusOK)
+	waitForUpstreams(t, me, 2)
+	ca := testkit.NewCallers(me)
+	stop := ca.StartLoad(8, func(worker int) {
+		ca.Call(ingressID, "GET", fmt.Sprintf("/reports?work=%dms", 700+20*worker), 0)
+		time.Sleep(time.Duration(10*worker) * time.Millisecond)
+	})
+	time.Sleep(4 * time.Second)
+	ho := me.Hosts["curing-room-1"]
+	ho.Signal(syscall.SIGTERM)
+	assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
+	stop()
+	t.Log(ca.CheckOutcomes(t))
+	for _, cr := range ca.Results() {
+		assert.Check(t, cr.Outcome == "ran", "%+v", cr)
+	}
+	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
+}
