--- a/core/host/admit.go
+++ b/core/host/admit.go
@@ -103,11 +103,8 @@
 	if re := ga.quarantineReason(at, now); re != ReasonNone {
 		return re
 	}
-	if !now.Before(at.Deadline) {
-		return ReasonDeadline
-	}
-	if ga.outlastsHost(at, now) {
-		return ReasonDraining
+	if re := ga.timeReason(at, now); re != ReasonNone {
+		return re
 	}
 	if en.deferred && at.BodyWait > maxLateBodyWait {
 		return ReasonQueueFull
@@ -137,6 +134,18 @@
 	return ReasonNone
 }
 
+// timeReason returns why no time is left for an attempt that is dispatched at once, or
+// ReasonNone.
+func (ga *Gate) timeReason(at Attempt, now time.Time) Reason {
+	switch {
+	case !now.Before(at.Deadline):
+		return ReasonDeadline
+	case ga.outlastsHost(at, now):
+		return ReasonDraining
+	}
+	return ReasonNone
+}
+
 // outlastsHost reports whether an attempt that is dispatched at a time is expected to run
 // when the host stops.
 func (ga *Gate) outlastsHost(at Attempt, now time.Time) bool {
