fix: SIGHUP during the start of a node does not end it

Operators who change settings just as a host restarts lost the host: the signal ended the process, and where nothing starts it again the host was gone.

Cause: the handler was set up once the node had been made; until then the default action of the signal holds. It is received from the beginning of the command on, and handled once the node runs.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -73,25 +73,40 @@
 	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 }
 
-// onHangup calls a function on each SIGHUP until it is stopped.
-func onHangup(call func()) (stop func()) {
-	hangups := make(chan os.Signal, 1)
-	ended := make(chan struct{})
-	signal.Notify(hangups, syscall.SIGHUP)
+// hangups receives the signal SIGHUP. While nothing receives it, the signal ends the process.
+type hangups struct {
+	signals chan os.Signal
+	ended   chan struct{}
+}
+
+// receiveHangups receives SIGHUP until stop is called. One that arrives before handle is
+// called is kept.
+func receiveHangups() *hangups {
+	hu := &hangups{
+		signals: make(chan os.Signal, 1),
+		ended:   make(chan struct{}),
+	}
+	signal.Notify(hu.signals, syscall.SIGHUP)
+	return hu
+}
+
+// handle calls a function on each SIGHUP until stop is called.
+func (hu *hangups) handle(call func()) {
 	go func() {
 		for {
 			select {
-			case <-hangups:
+			case <-hu.signals:
 				call()
-			case <-ended:
+			case <-hu.ended:
 				return
 			}
 		}
 	}()
-	return func() {
-		signal.Stop(hangups)
-		close(ended)
-	}
+}
+
+func (hu *hangups) stop() {
+	signal.Stop(hu.signals)
+	close(hu.ended)
 }
 
 // watchInterval is the time between two checks whether a file has changed.
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -42,6 +42,8 @@
 }
 
 func (co *nodeCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	hu := receiveHangups()
+	defer hu.stop()
 	if co.settings == "" {
 		_, _ = fmt.Fprintln(co.err, "node: --settings is needed")
 		return exitUsage
@@ -80,8 +82,7 @@
 		return exitFailure
 	}
 	reload := func() { pr.Reload(co.load()) }
-	stop := onHangup(reload)
-	defer stop()
+	hu.handle(reload)
 	go watchFile(ctx, co.settings, settingsInfo, reload)
 	go func() {
 		<-ctx.Done()
