fix: silence in the middle of an answer does not cut it

Callers got the first part of a long answer and the end of the connection, with time left until the deadline, on a link on which nothing arrived for some time (LOST).

Cause: a silent connection counts as broken once a newer one to the same host has been greeted and 1.6 s more have brought nothing. That holds for a queue that both share, not for a connection that waits for a lost packet or whose window is full. Before the answer begins the call can go elsewhere then; once it has begun, ending it only cuts it.

Once an answer has begun, its connection is read until it is closed or the deadline passes.

TestSilenceInAnswerDoesNotCutIt failed before (truncated after 3.2 s of 20 s).

--- a/io/node/call_exchange.go
+++ b/io/node/call_exchange.go
@@ -263,7 +263,8 @@
 		}
 		fr, err := rb.exchange.nextFrame()
 		if isTimeout(err) && rb.exchange.ctx.Err() == nil {
-			fr, err = rb.exchange.nextFrameAfterSilence()
+			// The rest of an answer can come from nowhere else, however long it takes.
+			fr, err = rb.exchange.nextFrameAfterSilence(rb.exchange.awaitData)
 		}
 		if err != nil || fr.GetBody() == nil || fr.GetBody().GetAborted() {
 			return 0, &TruncatedError{}
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -472,6 +472,35 @@
 	}
 }
 
+// TestSilenceInAnswerDoesNotCutIt makes a gate silent in the middle of an answer while newer
+// connections to it work: the answer was cut with time left until the deadline.
+func TestSilenceInAnswerDoesNotCutIt(t *testing.T) {
+	const silence = 2 * (heartbeatTimeout + brokenAfter)
+	address := listenCalls(t, func(co *Conn) {
+		writeParts(co, 0, &wire.Frame{})
+		if _, err := (&callConn{co: co}).readFrame(); err != nil {
+			return
+		}
+		writeParts(co, 0, &wire.Frame{Kind: &wire.Frame_Response{Response: &wire.Response{Status: 200, Length: 10}}})
+		writeParts(co, 0, bodyFrame([]byte("first"), false, false))
+		time.Sleep(silence)
+		writeParts(co, 0, bodyFrame([]byte(" last"), true, false))
+		_, _ = co.Reader.Peek(1)
+	})
+	cp := newCallPool(t)
+	re := cp.Send(testContext(t), address, requestOf("a.1.1.1i", 0), nil)
+	assert.Assert(t, re.Body != nil, "%+v", re)
+	time.AfterFunc(2*heartbeatTimeout, func() {
+		cc, err := cp.acquireNew(testContext(t), address)
+		assert.Check(t, err == nil, "%v", err)
+		cp.release(address, cc, false)
+	})
+	got, err := io.ReadAll(re.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "first last")
+	assert.NilError(t, re.Body.Close())
+}
+
 // TestAnswerCutAtAnyByteIsNotComplete ends a gate's answer after each of its bytes.
 func TestAnswerCutAtAnyByteIsNotComplete(t *testing.T) {
 	var answer []byte
--- a/io/node/silence.go
+++ b/io/node/silence.go
@@ -65,7 +65,7 @@
 
 // Await implements upstream.PendingReply.
 func (pr *pendingReply) Await() upstream.Reply {
-	fr, err := pr.exchange.nextFrameAfterSilence()
+	fr, err := pr.exchange.nextFrameAfterSilence(pr.exchange.awaitDataOrLoss)
 	return pr.exchange.reply(fr, err)
 }
 
@@ -91,10 +91,10 @@
 
 // nextFrameAfterSilence returns the next frame of the answer on a connection that has been
 // silent for heartbeatTimeout. A full link delays frames by more than that, so that it waits
-// until the connection is closed or counts as broken, or the call ends.
-func (ex *exchange) nextFrameAfterSilence() (*wire.Frame, error) {
+// until await fails at a silence.
+func (ex *exchange) nextFrameAfterSilence(await func() error) (*wire.Frame, error) {
 	for {
-		if err := ex.awaitData(); err != nil {
+		if err := await(); err != nil {
 			return nil, err
 		}
 		fr, err := ex.nextFrame()
@@ -104,12 +104,30 @@
 	}
 }
 
-// awaitData waits for the end of a silence, and reports it.
+// awaitData waits for the end of a silence, and reports it. It fails when the connection is
+// closed or the call ends.
 func (ex *exchange) awaitData() error {
-	since := time.Now().Add(-heartbeatTimeout)
-	stop := ex.pool.probe(ex.ctx, ex.address, since)
+	return ex.awaitDataUnless(func(time.Time) bool { return false })
+}
+
+// awaitDataOrLoss is like awaitData, and also fails when the connection counts as broken.
+func (ex *exchange) awaitDataOrLoss() error {
+	stop := ex.pool.probe(ex.ctx, ex.address, time.Now().Add(-heartbeatTimeout))
 	defer stop()
 	var greetedAt time.Time
+	return ex.awaitDataUnless(func(since time.Time) bool {
+		if at := ex.pool.greetedAt(ex.address); greetedAt.IsZero() && at.After(since) {
+			greetedAt = at
+		}
+		return !greetedAt.IsZero() && time.Since(greetedAt) >= brokenAfter
+	})
+}
+
+// awaitDataUnless waits for the end of a silence, and reports it. It fails when the
+// connection is closed, when the call ends, or when broken reports that the connection, which
+// has been silent since a time, counts as broken.
+func (ex *exchange) awaitDataUnless(broken func(since time.Time) bool) error {
+	since := time.Now().Add(-heartbeatTimeout)
 	for {
 		err := ex.conn.awaitByte(heartbeatTimeout)
 		switch {
@@ -122,11 +140,7 @@
 		case !isTimeout(err):
 			ex.pool.reportSilence(ex.address, since, SilenceEndedByClose)
 			return err
-		}
-		if at := ex.pool.greetedAt(ex.address); greetedAt.IsZero() && at.After(since) {
-			greetedAt = at
-		}
-		if !greetedAt.IsZero() && time.Since(greetedAt) >= brokenAfter {
+		case broken(since):
 			ex.pool.reportSilence(ex.address, since, SilenceEndedByLoss)
 			return &SilentTooLongError{Duration: time.Since(since)}
 		}
