test: the soak starts a node again that SIGHUP has ended before its program began

In the soak nothing started the host again, as each deployment's supervisor does, so that a version was not in force everywhere. The fault checks itself now: a process that has started must not be ended by SIGHUP.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -55,9 +55,9 @@
 		ho.Signal(syscall.SIGSTOP)
 		return func() { ho.Signal(syscall.SIGCONT) }
 	}},
-	{name: "settings reloaded", begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
+	{name: "settings reloaded", begin: func(sr *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.Signal(syscall.SIGHUP)
-		return func() {}
+		return func() { sr.startAfterHangup(ho) }
 	}},
 	{name: "upstream killed", needsUpstream: true, begin: func(_ *soakRun, ho *testkit.Host, _ *rand.Rand) func() {
 		ho.KillUpstream()
@@ -70,6 +70,16 @@
 	{name: "upstream drains", needsUpstream: true, begin: beginDrain},
 }
 
+// startAfterHangup starts a node again that SIGHUP has ended, as a supervisor does. It may
+// end only a process whose program has not begun.
+func (sr *soakRun) startAfterHangup(ho *testkit.Host) {
+	if !ho.WaitExit(100 * time.Millisecond) {
+		return
+	}
+	assert.Check(sr.t, !ho.HasStarted(), "seed %d: SIGHUP ended the running node %s", sr.seed, ho.Spec.ID)
+	ho.Start()
+}
+
 // drainGrace is how long a draining upstream may still get new calls: 3 s by the
 // settings, and 500 ms for an announcement and a call.
 const drainGrace = 3500 * time.Millisecond
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -86,6 +87,8 @@
 	settingsFile    string
 	process         *exec.Cmd
 	exited          chan struct{}
+	// logOffset is the length of the log when the process was started.
+	logOffset int64
 }
 
 var binary = sync.OnceValues(func() (string, error) {
@@ -280,6 +283,8 @@
 	cmd := exec.Command(Binary(t), "node", "--settings", ho.settingsFile)
 	log, err := os.OpenFile(ho.settingsFile+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(t, err)
+	ho.logOffset, err = log.Seek(0, io.SeekEnd)
+	assert.NilError(t, err)
 	cmd.Stdout = log
 	cmd.Stderr = log
 	cmd.Env = append(os.Environ(), "LYNXFOLD_FATAL_INVARIANTS=1")
@@ -344,6 +349,9 @@
 	}
 }
 
+// HasStarted reports whether the node's latest process has opened its sockets.
+func (ho *Host) HasStarted() bool { return strings.Contains(ho.Log()[ho.logOffset:], "node started") }
+
 // SettingsFile returns the path of the node's settings file.
 func (ho *Host) SettingsFile() string { return ho.settingsFile }
 
