feat: answers that are dropped with their connection are logged and counted

One way there is an earlier answer on the same connection that broke off. answers_dropped and lynxfold_answers_dropped_total show it.

--- a/io/caller/counters.go
+++ b/io/caller/counters.go
@@ -22,6 +22,7 @@
 	attempts       *metrics.Counter
 	linksLost      *metrics.Counter
 	callersGone    *metrics.Counter
+	answersDropped *metrics.Counter
 	customers      *customerCounters
 	// retries, attemptDurations and answers are updated on most calls, so their
 	// metrics are cached by label.
@@ -58,6 +59,7 @@
 		attempts:       set.GetOrCreateCounter(`lynxfold_attempts_total`),
 		linksLost:      set.GetOrCreateCounter(`lynxfold_lanes_lost_total`),
 		callersGone:    set.GetOrCreateCounter(`lynxfold_callers_gone_total`),
+		answersDropped: set.GetOrCreateCounter(`lynxfold_answers_dropped_total`),
 		customers:      newCustomerCounters(set),
 		retries: newMetricFamily(func(reason call.RetryReason) *metrics.Counter {
 			return set.GetOrCreateCounter(fmt.Sprintf(`lynxfold_retries_total{reason=%q}`, reason))
@@ -131,6 +133,9 @@
 
 func (co *Counters) countLinkLost() { co.linksLost.Inc() }
 
+// countDropped counts requests whose answers are dropped with their connection.
+func (co *Counters) countDropped(n int) { co.answersDropped.Add(n) }
+
 func (co *Counters) countCallerGone() { co.callersGone.Inc() }
 
 func (co *Counters) countQuery(ve *wire.Verdict, err error) {
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"lynxfold/core/call"
@@ -307,6 +308,7 @@
 		se.mu.Lock()
 		se.queue = se.queue[1:]
 		if !ok {
+			se.reportDropped()
 			se.disconnect()
 		}
 		close(head.answered)
@@ -318,6 +320,23 @@
 	}
 }
 
+// reportDropped reports the requests whose answers are dropped when the connection is closed.
+// se.mu must be held.
+func (se *session) reportDropped() {
+	if se.broken || len(se.queue) == 0 {
+		return
+	}
+	requests := zerolog.Arr()
+	for _, pr := range se.queue {
+		requests.Str(se.server.cfg.Protocol.RequestID(&pr.httpCtx.Request.Header))
+	}
+	se.server.cfg.Counters.countDropped(len(se.queue))
+	se.server.cfg.Log.Warn().
+		Str("event", "answers_dropped").
+		Array("requests", requests).
+		Msg("connection is closed before requests behind the last one are answered")
+}
+
 // disconnect closes the connection. The requests that are still in the queue get no
 // answer, as if they had not been read. se.mu must be held.
 func (se *session) disconnect() {
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -277,3 +277,19 @@
 		}
 	}
 }
+
+// TestAnswersDroppedWithTheirConnectionAreCounted sends reads behind one whose answer breaks off:
+// the connection ends, and the others are counted as dropped.
+func TestAnswersDroppedWithTheirConnectionAreCounted(t *testing.T) {
+	fx := startFixture(t, Config{}, standin.Config{})
+	nc, rd := fx.dial(t)
+	for _, path := range []string{"/results?work=200ms&bytes=1000000&truncate=true", "/results", "/results"} {
+		_, err := io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
+		assert.NilError(t, err)
+	}
+	rs, err := http.ReadResponse(rd, nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, rs.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	eventually(t, "the dropped answers are counted", func() bool { return fx.server.cfg.Counters.answersDropped.Get() == 2 })
+}
