fix: a leaving host says so on connections that were idle for long

Calls that crossed the end of their host could still be lost with their connection. Cause: the write deadline of a connection's last call holds on, so that the refusal could not be written once it had passed, and the connection was closed in place of it.

TestCallSentToLeavingHostIsNotRun failed with an idle time before the fix.

--- a/io/node/leave.go
+++ b/io/node/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lynxfold/core/host"
 	"lynxfold/io/upstream"
@@ -82,6 +83,7 @@
 	if !idle {
 		return
 	}
+	_ = sc.conn.co.SetWriteDeadline(time.Now().Add(heartbeatTimeout))
 	if sc.writeFrame(replyFrame(upstream.RefusalReply(host.ReasonDraining, true))) {
 		sc.conn.closeWrite()
 	}
--- a/io/node/leave_test.go
+++ b/io/node/leave_test.go
@@ -46,8 +46,9 @@
 	return left
 }
 
-// TestCallSentToLeavingHostIsNotRun sends a call that crosses the news that its host leaves:
-// it was lost with its connection, so that its outcome was unknown.
+// TestCallSentToLeavingHostIsNotRun sends a call that crosses the news that its host leaves, on
+// a connection that was idle for some time: it was lost with its connection, so that its
+// outcome was unknown.
 func TestCallSentToLeavingHostIsNotRun(t *testing.T) {
 	var served atomic.Int32
 	cs, address := serveCalls(t, &stubGate{
@@ -57,7 +58,10 @@
 		},
 	})
 	cp := newCallPool(t)
-	assert.Equal(t, string(cp.Send(testContext(t), address, requestOf("a.1.1.1", 0), nil).Response.GetBody()), "a.1.1.1")
+	first := requestOf("a.1.1.1", 0)
+	first.RemainingUs = time.Second.Microseconds()
+	assert.Equal(t, string(cp.Send(testContext(t), address, first, nil).Response.GetBody()), "a.1.1.1")
+	time.Sleep(time.Second + 2*heartbeatTimeout)
 	cc, err := cp.acquire(testContext(t), address)
 	assert.NilError(t, err)
 	left := leave(t, cs)
