fix: requests left unread in a drain do not reset their connection

Callers that send requests behind each other could lose the last answers of a draining node: it closed the connection with requests unread, which resets it and discards what is on its way (LOST). Cause: the connection lingered only after a body that was not read. It does so now after each answer that is the last one by the node's choice.

TestPipelinedCallsAreAnsweredDuringDrain, with 2,000 requests behind the six, ended with "connection reset by peer" before, and with the end of the stream now.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -54,8 +54,9 @@
 		}
 		if ls.openConns.Add(1) <= int64(ls.server.cfg.MaxConnections) {
 			return &conn{
-				Conn:     nc,
-				listener: ls,
+				Conn:      nc,
+				listener:  ls,
+				readEnded: make(chan struct{}),
 			}, nil
 		}
 		ls.openConns.Add(-1)
@@ -70,9 +71,11 @@
 type conn struct {
 	net.Conn
 	listener *listener
-	// unread reports that part of a request was not read.
+	// unread reports that part of a request, or a request behind the last one, was not read.
 	unread atomic.Bool
 	closed atomic.Bool
+	// readEnded is closed when the session reads the connection no more.
+	readEnded chan struct{}
 }
 
 // Close closes the connection. A connection with an unread request lingers first.
@@ -109,9 +112,11 @@
 
 // linger closes the write side and discards input until the caller closes the
 // connection, which shows that it has read the answer, or lingerTimeout has
-// passed.
+// passed. It first ends a read of the session.
 func (co *conn) linger(tc *net.TCPConn) {
 	_ = tc.CloseWrite()
+	_ = tc.SetReadDeadline(time.Unix(1, 0))
+	<-co.readEnded
 	_ = tc.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.Copy(io.Discard, tc)
 	_ = tc.Close()
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -88,6 +88,7 @@
 	se.closing = true
 	se.mu.Unlock()
 	se.pending.Wait()
+	close(se.conn.readEnded)
 	_ = se.conn.Close()
 }
 
@@ -351,8 +352,15 @@
 	if se.server.draining.Load() {
 		se.closing = true
 	}
-	return pr.httpCtx.Request.Header.ConnectionClose() || pr.httpCtx.Response.ConnectionClose() ||
-		se.closing && len(se.queue) == 1
+	if pr.httpCtx.Request.Header.ConnectionClose() || pr.httpCtx.Response.ConnectionClose() {
+		return true
+	}
+	if !se.closing || len(se.queue) > 1 {
+		return false
+	}
+	// Requests behind it may have arrived.
+	se.conn.unread.Store(true)
+	return true
 }
 
 // write writes an answer, which is final if the connection is closed after it. It returns
--- a/testkit/drain_test.go
+++ b/testkit/drain_test.go
@@ -95,7 +95,8 @@
 
 // TestPipelinedCallsAreAnsweredDuringDrain sends calls behind each other to a node that
 // drains: those that were passed on were dropped when the first answer closed the connection.
-// One that may not be repeated waits for those before it, and does not run.
+// Those that may not be repeated wait for those before them, and do not run; that they are not
+// read must not reset the connection, which could discard the last answers on their way.
 func TestPipelinedCallsAreAnsweredDuringDrain(t *testing.T) {
 	const reads = 6
 	me, _ := startBookingMesh(t)
@@ -105,7 +106,10 @@
 	for range reads - 1 {
 		targets = append(targets, "GET /results?work=600ms")
 	}
-	nc := pipeline(t, ho, append(targets, "POST /bookings?work=10ms"))
+	for range 2_000 {
+		targets = append(targets, "POST /bookings?work=10ms")
+	}
+	nc := pipeline(t, ho, targets)
 	answers := bufio.NewReader(nc)
 	for i := range reads {
 		rs, err := http.ReadResponse(answers, nil)
