fix: a gate leaves time for the last answers of its host

An attempt that is expected to end just as its host stops is refused, with the margin that the calls of callers have: its answer has to be sent, and a slow machine is late.

--- a/cmd/process/drain.go
+++ b/cmd/process/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lynxfold/core/datacentre"
+	"lynxfold/io/caller"
 )
 
 const (
@@ -31,7 +32,7 @@
 	defer cancel()
 	stopAt := begun.Add(pr.settings.Caller.DrainWithin)
 	pr.caller.Drain(stopAt)
-	pr.gate.Stopping(stopAt)
+	pr.gate.Stopping(stopAt.Add(-caller.DrainAnswerMargin))
 	sleep(ctx, pr.settings.Caller.LingerFor)
 	pr.logDrainStep("leave", begun)
 	pr.control.Emit(datacentre.Leave{})
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -181,15 +181,15 @@
 // deadlines of new requests so that they are answered before the node stops at
 // stopAt.
 func (sv *Server) Drain(stopAt time.Time) {
-	by := stopAt.Add(-drainAnswerMargin)
+	by := stopAt.Add(-DrainAnswerMargin)
 	sv.drainDeadline.Store(&by)
 	sv.draining.Store(true)
 }
 
-// drainAnswerMargin is the time between the deadline of calls that start during
+// DrainAnswerMargin is the time between the deadline of calls that start during
 // the drain and the time at which the node stops. It allows their answers,
 // including refusals, to reach the callers.
-const drainAnswerMargin = 300 * time.Millisecond
+const DrainAnswerMargin = 300 * time.Millisecond
 
 // Shutdown closes the listener and idle connections and waits until all calls are
 // answered or the context ends.
--- a/io/caller/sessions.go
+++ b/io/caller/sessions.go
@@ -74,7 +74,7 @@
 		close(done)
 	}()
 	if stopAt, ok := ctx.Deadline(); ok {
-		ti := time.AfterFunc(time.Until(stopAt.Add(-drainAnswerMargin)), ss.cancelCalls)
+		ti := time.AfterFunc(time.Until(stopAt.Add(-DrainAnswerMargin)), ss.cancelCalls)
 		defer ti.Stop()
 	}
 	select {
