fix: the connection of a call that a leaving host has refused is not used again

A call was in doubt (502, link_lost) that was sent on a connection on which a leaving host had just refused another one: the refusal had arrived, the end of the connection had not. Found by TestCallsAdmittedByLeavingHostsAreAnswered at a load of 20 to 30, in 2 of 8 runs (1 of some 430 calls each); the log of the ingress shows the refusal and the loss 2 ms apart. TestConnectionOfLeavingHostIsNotReused failed before.

--- a/io/node/call_exchange.go
+++ b/io/node/call_exchange.go
@@ -105,7 +105,8 @@
 	}
 	switch ki := fr.GetKind().(type) {
 	case *wire.Frame_Refusal:
-		ex.finish(true)
+		// The connection of a host that leaves ends after the refusal.
+		ex.finish(ki.Refusal.GetReason() != string(host.ReasonDraining))
 		return upstream.Reply{Refusal: ki.Refusal}
 	case *wire.Frame_Response:
 		return ex.startResponse(ki.Response)
--- a/io/node/leave_test.go
+++ b/io/node/leave_test.go
@@ -179,3 +179,22 @@
 		cancel()
 	}
 }
+
+// TestConnectionOfLeavingHostIsNotReused sends a call after one that a leaving host has refused,
+// before the end of their connection arrives: the second one was lost with it.
+func TestConnectionOfLeavingHostIsNotReused(t *testing.T) {
+	address := listenCalls(t, func(co *Conn) {
+		writeParts(co, 0, &wire.Frame{})
+		if _, err := (&callConn{co: co}).readFrame(); err != nil {
+			return
+		}
+		writeParts(co, 0, replyFrame(upstream.RefusalReply(host.ReasonDraining, true)))
+		time.Sleep(100 * time.Millisecond)
+	})
+	cp := newCallPool(t)
+	for _, id := range []string{"a.1.1.1", "a.1.2.1"} {
+		re := cp.Send(testContext(t), address, requestOf(id, 0), nil)
+		assert.Check(t, !re.LinkLost, "%s: %s", id, re.Detail)
+		assert.Check(t, re.Refusal.GetNotRun(), id)
+	}
+}
--- a/testkit/drain_test.go
+++ b/testkit/drain_test.go
@@ -64,6 +64,9 @@
 	for _, cr := range ca.Results() {
 		assert.Check(t, cr.Outcome == "ran" || cr.Outcome == "not_run", "%+v", cr)
 	}
+	if t.Failed() {
+		t.Log(me.Hosts[ingressID].Log())
+	}
 }
 
 // pipeline writes requests with the given targets on one connection to a host, without
