fix: answers behind one that breaks off arrive

Cause: a long answer is passed on as it arrives. When it breaks off, at its deadline or with a host, only the end of the connection can say so, and that drops the answers behind it.

An answer that requests wait behind is received whole first, within the byte budget of all bodies; one that breaks off is a 502 or 504 then. While one is on its way, no read behind it is passed on. Answers without a length are passed on as before.

TestAnswersBehindOneThatBreaksOffArrive and TestReadBehindAnswerOnItsWayWaits failed before.

--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -39,6 +39,9 @@
 	queue []*pendingRequest
 	// writing reports that a goroutine is writing the answers that are ready.
 	writing bool
+	// streaming reports that the answer being written may still break off, with the
+	// connection.
+	streaming bool
 	// receiving reports that a request has begun to arrive.
 	receiving bool
 	// closing reports that the connection will be closed after the answers in the
@@ -260,7 +263,7 @@
 		return nil
 	}
 	newest := se.queue[len(se.queue)-1]
-	if pr.concurrent && newest.concurrent && len(se.queue) < maxPipelined {
+	if pr.concurrent && newest.concurrent && !se.streaming && len(se.queue) < maxPipelined {
 		return nil
 	}
 	return newest.answered
@@ -303,10 +306,20 @@
 		head := se.queue[0]
 		skip := se.broken
 		final := se.isFinal(head)
+		taken := int64(0)
+		if !skip {
+			taken = se.reserveAnswer(head)
+			se.streaming = head.httpCtx.Response.IsBodyStream() && taken == 0
+		}
 		se.mu.Unlock()
+		if taken > 0 {
+			se.receiveAnswer(head)
+		}
 		ok := !skip && se.write(head, final)
 		se.server.releaseContext(head)
+		se.server.cfg.Buffers.Give(taken)
 		se.mu.Lock()
+		se.streaming = false
 		se.queue = se.queue[1:]
 		if !ok {
 			se.reportDropped()
@@ -321,6 +334,41 @@
 	}
 }
 
+// reserveAnswer reserves room for a long answer that requests wait behind, and returns its
+// length: if it broke off while it is written, their answers would be lost with the
+// connection. It returns 0 for all other answers, and when there is no room. se.mu must be
+// held.
+func (se *session) reserveAnswer(pr *pendingRequest) int64 {
+	rs := &pr.httpCtx.Response
+	length := int64(rs.Header.ContentLength())
+	if len(se.queue) == 1 || !rs.IsBodyStream() || length <= 0 || !se.server.cfg.Buffers.Take(length) {
+		return 0
+	}
+	return length
+}
+
+// receiveAnswer receives a long answer whole before it is written. One that breaks off is
+// replaced by a failure.
+func (se *session) receiveAnswer(pr *pendingRequest) {
+	rs := &pr.httpCtx.Response
+	data := make([]byte, rs.Header.ContentLength())
+	if _, err := io.ReadFull(rs.BodyStream(), data); err != nil {
+		pr.exchange.logTruncatedAnswer(err)
+		re := call.Result{
+			Outcome: call.OutcomeUnknown,
+			Reason:  host.ReasonUpstreamTruncated,
+		}
+		if !time.Now().Before(pr.exchange.deadline) {
+			re.Reason = host.ReasonDeadline
+		}
+		se.server.refuse(pr.httpCtx, httpStatus(re), re)
+		return
+	}
+	_ = rs.CloseBodyStream()
+	rs.ImmediateHeaderFlush = false
+	rs.SetBodyRaw(data)
+}
+
 // reportDropped reports the requests whose answers are dropped when the connection is closed.
 // se.mu must be held.
 func (se *session) reportDropped() {
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -278,15 +278,59 @@
 	}
 }
 
-// TestAnswersDroppedWithTheirConnectionAreCounted sends reads behind one whose answer breaks off:
-// the connection ends, and the others are counted as dropped.
-func TestAnswersDroppedWithTheirConnectionAreCounted(t *testing.T) {
-	fx := startFixture(t, Config{}, standin.Config{})
-	nc, rd := fx.dial(t)
-	for _, path := range []string{"/results?work=200ms&bytes=1000000&truncate=true", "/results", "/results"} {
+// writeReads sends reads behind each other on a connection.
+func writeReads(t *testing.T, nc net.Conn, paths ...string) {
+	t.Helper()
+	for _, path := range paths {
 		_, err := io.WriteString(nc, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
 		assert.NilError(t, err)
 	}
+}
+
+// TestAnswersBehindOneThatBreaksOffArrive sends reads behind one whose long answer breaks off:
+// the others were passed on, and their answers dropped with the connection.
+func TestAnswersBehindOneThatBreaksOffArrive(t *testing.T) {
+	fx := startFixture(t, Config{}, standin.Config{})
+	nc, rd := fx.dial(t)
+	writeReads(t, nc, "/results?work=200ms&bytes=1000000&truncate=true", "/results", "/results?work=200ms&bytes=1000000", "/results")
+	for i, status := range []int{http.StatusBadGateway, http.StatusOK, http.StatusOK, http.StatusOK} {
+		rs, err := http.ReadResponse(rd, nil)
+		assert.NilError(t, err, "answer %d", i)
+		n, err := io.Copy(io.Discard, rs.Body)
+		assert.NilError(t, err, "answer %d", i)
+		assert.Equal(t, rs.StatusCode, status, "answer %d", i)
+		assert.Check(t, i != 2 || n == 1_000_000)
+	}
+	assert.Check(t, fx.server.cfg.Buffers.Take(upstream.DefaultBufferBytes), "all room is given back")
+}
+
+// TestReadBehindAnswerOnItsWayWaits sends a read while a long answer is being written: it is not
+// passed on before that answer is complete.
+func TestReadBehindAnswerOnItsWayWaits(t *testing.T) {
+	const bodyBytes = 30_000_000
+	fx := startFixture(t, Config{}, standin.Config{})
+	nc, rd := fx.dial(t)
+	writeReads(t, nc, fmt.Sprintf("/results?bytes=%d", bodyBytes))
+	rs, err := http.ReadResponse(rd, nil)
+	assert.NilError(t, err)
+	writeReads(t, nc, "/results")
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, len(fx.ledger()), 1)
+	n, err := io.Copy(io.Discard, rs.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(bodyBytes))
+	rs, err = http.ReadResponse(rd, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, rs.StatusCode, http.StatusOK)
+	assert.Equal(t, len(fx.ledger()), 2)
+}
+
+// TestAnswersDroppedWithTheirConnectionAreCounted sends reads behind one whose answer breaks off,
+// without room to receive it whole: the connection ends, and the others are counted as dropped.
+func TestAnswersDroppedWithTheirConnectionAreCounted(t *testing.T) {
+	fx := startFixture(t, Config{Buffers: upstream.NewByteBudget(0)}, standin.Config{})
+	nc, rd := fx.dial(t)
+	writeReads(t, nc, "/results?work=200ms&bytes=1000000&truncate=true", "/results", "/results")
 	rs, err := http.ReadResponse(rd, nil)
 	assert.NilError(t, err)
 	_, err = io.Copy(io.Discard, rs.Body)
