--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -323,7 +323,7 @@
 	if cfg.ColdFactor == 0 {
 		cfg.ColdFactor = 1
 	}
-	sv, err := upstreamstandin.Start("127.0.0.1:0", cfg)
+	sv, err := upstreamstandin.Start(FreeAddress(ho.mesh.T), cfg)
 	assert.NilError(ho.mesh.T, err)
 	ho.Upstream = sv
 	ho.mesh.T.Cleanup(sv.Kill)
