--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -183,7 +183,7 @@
 		settingsFile:    filepath.Join(me.T.TempDir(), hs.ID+".ini"),
 	}
 	if cfg.Proxied || cfg.ProxiedRemote {
-		ho.Proxy = toxiproxy.NewProxy(me.proxyServer, hs.ID, loopbackAddress(), ho.LinkAddress)
+		ho.Proxy = toxiproxy.NewProxy(me.proxyServer, hs.ID, FreeAddress(me.T), ho.LinkAddress)
 		assert.NilError(me.T, ho.Proxy.Start())
 		me.T.Cleanup(ho.Proxy.Stop)
 	}
@@ -230,7 +230,7 @@
 	}
 	dc := ho.Spec.DataCentre
 	if me.PlatformProxies[dc] == nil {
-		px := toxiproxy.NewProxy(me.proxyServer, "platform-"+dc, loopbackAddress(), strings.TrimPrefix(me.PlatformURL, "http://"))
+		px := toxiproxy.NewProxy(me.proxyServer, "platform-"+dc, FreeAddress(me.T), strings.TrimPrefix(me.PlatformURL, "http://"))
 		assert.NilError(me.T, px.Start())
 		me.T.Cleanup(px.Stop)
 		me.PlatformProxies[dc] = px
