test: FreeAddress never occupies an address that it has returned

Callers of the suite saw "bind: address already in use" when a proxy or an upstream listened on an address that FreeAddress had returned (TestFewTrialsWhileNewsIsSlow, mesh.go:187).

Cause: FreeAddress let the kernel choose a port and closed the listener. In a parallel test the kernel could choose a port that was returned already and not yet listened on. FreeAddress rejected it, but occupied it until then.

Change: FreeAddress counts through the ports below the ephemeral range and tries each once. Listeners on the wildcard address can't take these ports either.

--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -3,14 +3,17 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -112,29 +115,37 @@
 	return path
 }
 
-// loopbackAddress returns a loopback address derived from the process id, with
-// port 0. As no other test process or outgoing connection uses this address, a port
-// that is free on it stays free until the node listens.
+// loopbackAddress returns a loopback address derived from the process id, which no other
+// test process and no outgoing connection uses.
 func loopbackAddress() string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
 }
 
-// returnedAddresses are the addresses that FreeAddress has returned.
-var returnedAddresses sync.Map
+// nextPort is the next port that FreeAddress tries. Ports of the ephemeral range are not
+// tried, as listeners on the wildcard address get them too.
+var nextPort atomic.Uint32
 
-// FreeAddress returns a loopback address with a port that is not in use. It never
-// returns the same address and port twice.
+const (
+	firstPort        = 1024
+	ephemeralPortMin = 32768
+)
+
+// FreeAddress returns a loopback address with a port that is not in use. It tries each
+// port once, so that it never occupies an address that it has returned.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
 	for {
-		li, err := net.Listen("tcp", loopbackAddress())
+		port := firstPort + nextPort.Add(1) - 1
+		assert.Assert(t, port < ephemeralPortMin, "no free ports left")
+		address := net.JoinHostPort(loopbackAddress(), strconv.Itoa(int(port)))
+		li, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		assert.NilError(t, err)
-		address := li.Addr().String()
 		assert.NilError(t, li.Close())
-		if _, alreadyReturned := returnedAddresses.LoadOrStore(address, true); !alreadyReturned {
-			return address
-		}
+		return address
 	}
 }
 
