fix: upstreams can call through a node that stops until their runs end

Callers saw: in a planned stop of one host, in calm, requests that ran at its upstream were answered with 500, among them requests that may not be repeated.

Cause: a drain closed the listener and the idle connections of callers after linger_for. An upstream that makes a call as part of a run calls through the node of its host, and could not connect while the node still waited for that run.

Change: after linger_for the node serves the calls of its upstream until that runs nothing more, and refuses all others as not run (503, draining). The log has a new drain step, runs_ended. The upstream stand-in can make a call at the end of a run.

--- a/cmd/process/drain.go
+++ b/cmd/process/drain.go
@@ -20,31 +20,15 @@
 // Abort ends a drain at once and cuts calls in flight.
 func (pr *Process) Abort() { pr.abort() }
 
-// drain first directs callers to other hosts while calls are still served. Then it
-// announces that this host leaves and drains the gate. Once the gate refuses all calls and
-// none is in flight, or the time limit has passed, it tells the nodes that still send calls
-// and stops all components.
+// drain ends the calls in flight, tells the nodes that still send calls, and stops all
+// components.
 func (pr *Process) drain(stopTicking func()) {
 	begun := time.Now()
 	pr.log.Info().Msg("node drains")
 	pr.control.health.draining.Store(true)
 	ctx, cancel := context.WithTimeout(pr.abortCtx, pr.settings.Caller.DrainWithin)
 	defer cancel()
-	stopAt := begun.Add(pr.settings.Caller.DrainWithin)
-	pr.caller.Drain(stopAt)
-	pr.gate.Stopping(stopAt.Add(-caller.DrainAnswerMargin))
-	sleep(ctx, pr.settings.Caller.LingerFor)
-	pr.logDrainStep("leave", begun)
-	pr.control.Emit(datacentre.Leave{})
-	refuseFrom := time.Now().Add(leavePropagation)
-	pr.gate.Drain(refuseFrom)
-	if err := pr.caller.Shutdown(ctx); err != nil {
-		pr.log.Warn().Err(err).Str("step", "caller").Msg("calls still in flight at the end of the drain")
-	}
-	pr.logDrainStep("callers_gone", begun)
-	sleep(ctx, time.Until(refuseFrom))
-	pr.waitForCalls(ctx)
-	pr.logDrainStep("calls_ended", begun)
+	pr.drainCalls(ctx, begun)
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, leaveWithin)
 	defer cancelLeave()
 	var left sync.WaitGroup
@@ -68,6 +52,32 @@
 		Msg("node ended")
 }
 
+// drainCalls first directs callers to other hosts while calls are still served. Then it
+// announces that this host leaves and drains the gate. As long as the upstream runs calls, it
+// can make calls of its own. drainCalls returns once the gate refuses all calls and none is in
+// flight, or the time limit has passed.
+func (pr *Process) drainCalls(ctx context.Context, begun time.Time) {
+	stopAt := begun.Add(pr.settings.Caller.DrainWithin)
+	answerBy := stopAt.Add(-caller.DrainAnswerMargin)
+	pr.caller.Drain(stopAt)
+	pr.gate.Stopping(answerBy)
+	sleep(ctx, pr.settings.Caller.LingerFor)
+	pr.logDrainStep("leave", begun)
+	pr.control.Emit(datacentre.Leave{})
+	refuseFrom := time.Now().Add(leavePropagation)
+	pr.gate.Drain(refuseFrom)
+	pr.caller.ServeNestedOnly()
+	sleep(ctx, time.Until(refuseFrom))
+	pr.waitForCalls(ctx, answerBy)
+	pr.logDrainStep("runs_ended", begun)
+	if err := pr.caller.Shutdown(ctx); err != nil {
+		pr.log.Warn().Err(err).Str("step", "caller").Msg("calls still in flight at the end of the drain")
+	}
+	pr.logDrainStep("callers_gone", begun)
+	pr.waitForCalls(ctx, stopAt)
+	pr.logDrainStep("calls_ended", begun)
+}
+
 // logDrainStep logs a step of the drain with the calls that are in flight.
 func (pr *Process) logDrainStep(step string, begun time.Time) {
 	pr.log.Info().
@@ -86,9 +96,10 @@
 	}
 }
 
-// waitForCalls waits until the upstream runs no more calls and all answers are sent.
-func (pr *Process) waitForCalls(ctx context.Context) {
-	for pr.gate.Running()+pr.callServer.ActiveCalls() > 0 && ctx.Err() == nil {
+// waitForCalls waits until the upstream runs no more calls and all answers to other nodes are
+// sent, or a time is reached.
+func (pr *Process) waitForCalls(ctx context.Context, until time.Time) {
+	for pr.gate.Running()+pr.callServer.ActiveCalls() > 0 && ctx.Err() == nil && time.Now().Before(until) {
 		sleep(ctx, tickInterval/10)
 	}
 }
--- a/io/caller/drain.go
+++ b/io/caller/drain.go
@@ -36,17 +36,22 @@
 // refuseLate refuses a request that can't be answered before the node stops, and reports
 // whether it did. Its caller can go to another node, as it has not run.
 func (ex *exchange) refuseLate() bool {
-	now := time.Now()
-	if by := ex.passOnBy(); by.IsZero() || now.Before(by) {
+	if by := ex.passOnBy(); by.IsZero() || time.Now().Before(by) {
 		return false
 	}
-	re := notRunResult(host.ReasonDraining)
-	re.RetryAfter = now
-	ex.server.refuseEarly(ex.httpCtx, fasthttp.StatusServiceUnavailable, re)
+	ex.server.refuseDraining(ex.httpCtx)
 	ex.closeIfUnread()
 	return true
 }
 
+// refuseDraining refuses a request because the node drains. Its caller can go to another node
+// at once.
+func (sv *Server) refuseDraining(ctx *fasthttp.RequestCtx) {
+	re := notRunResult(host.ReasonDraining)
+	re.RetryAfter = time.Now()
+	sv.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, re)
+}
+
 // receiveBody buffers a long body before the request is passed on. While the node drains, a
 // body that keeps an upstream waiting may not be complete in time. It returns false if the
 // request has already been answered.
--- a/io/caller/header_check.go
+++ b/io/caller/header_check.go
@@ -23,6 +23,10 @@
 		return fasthttp.StatusServiceUnavailable, admission{}
 	}
 	he := &ctx.Request.Header
+	if sv.nestedOnly.Load() && !sv.cfg.Protocol.IsNested(he) {
+		sv.refuseDraining(ctx)
+		return fasthttp.StatusServiceUnavailable, admission{}
+	}
 	if int64(len(he.RawHeaders())+len(he.RequestURI())) > sv.headerLimitBytes() {
 		sv.refuseEarly(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, notRunResult(call.ReasonBadRequest))
 		return fasthttp.StatusRequestHeaderFieldsTooLarge, admission{}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -91,9 +91,11 @@
 	// drainDeadline is the deadline of calls that start while the node drains;
 	// nil before that.
 	drainDeadline atomic.Pointer[time.Time]
-	retryBudgets  *serviceBudgets
-	hedgeBudgets  *serviceBudgets
-	writeBudget   *writeBudget
+	// nestedOnly reports that all other calls are refused.
+	nestedOnly   atomic.Bool
+	retryBudgets *serviceBudgets
+	hedgeBudgets *serviceBudgets
+	writeBudget  *writeBudget
 	// keyedCalls tracks the keyed calls, which can outlive their exchanges.
 	keyedCalls sync.WaitGroup
 	sessions   sessions
@@ -191,6 +193,10 @@
 // including refusals, to reach the callers.
 const DrainAnswerMargin = 300 * time.Millisecond
 
+// ServeNestedOnly makes the server refuse all calls but those that the upstream of this host
+// makes for the requests that it still runs.
+func (sv *Server) ServeNestedOnly() { sv.nestedOnly.Store(true) }
+
 // Shutdown closes the listener and idle connections and waits until all calls are
 // answered or the context ends.
 func (sv *Server) Shutdown(ctx context.Context) error {
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -20,6 +20,7 @@
 	"lynxfold/core/call"
 	"lynxfold/core/contract"
 	"lynxfold/core/datacentre"
+	"lynxfold/core/host"
 	"lynxfold/io/upstream"
 	"lynxfold/io/upstream/standin"
 )
@@ -337,3 +338,36 @@
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	eventually(t, "the dropped answers are counted", func() bool { return fx.server.cfg.Counters.answersDropped.Get() == 2 })
 }
+
+// TestOnlyNestedCallsAreServed guards against a node that stops and passes on more than the
+// calls of its upstream.
+func TestOnlyNestedCallsAreServed(t *testing.T) {
+	fx := startFixture(t, Config{}, standin.Config{})
+	fx.server.Drain(time.Now().Add(waitTimeout))
+	fx.server.ServeNestedOnly()
+	for id, it := range map[string]struct {
+		method  string
+		attempt string
+		status  int
+	}{
+		"nested":        {method: "POST", attempt: "1", status: http.StatusOK},
+		"external":      {method: "POST", status: http.StatusServiceUnavailable},
+		"external-read": {method: "GET", status: http.StatusServiceUnavailable},
+	} {
+		rq, err := http.NewRequest(it.method, "http://"+fx.address+"/bookings", strings.NewReader(id))
+		assert.NilError(t, err)
+		rq.Header.Set(standin.HeaderCallID, id)
+		if it.attempt != "" {
+			rq.Header.Set(call.HeaderAttempt, it.attempt)
+		}
+		rs, err := http.DefaultClient.Do(rq)
+		assert.NilError(t, err)
+		_ = rs.Body.Close()
+		assert.Equal(t, rs.StatusCode, it.status, id)
+		assert.Check(t, rs.Close, id)
+		if it.status != http.StatusOK {
+			assert.Equal(t, rs.Header.Get(HeaderReason), string(host.ReasonDraining), id)
+		}
+	}
+	assert.Equal(t, len(fx.ledger()), 1)
+}
--- a/io/upstream/standin/serve.go
+++ b/io/upstream/standin/serve.go
@@ -51,8 +51,17 @@
 	ParamStatus = "status"
 	// ParamCrash makes the call crash the server at the end of its service time.
 	ParamCrash = "crash"
+	// ParamCall is the path of a call that the server makes at the end of the service time. If
+	// it fails, the response has status 500.
+	ParamCall = "call"
 )
 
+// headerAttempt marks the calls that the server makes as part of another call.
+const headerAttempt = "Lynxfold-Attempt"
+
+// callTimeout limits the calls that the server makes.
+const callTimeout = 5 * time.Second
+
 // headerAttemptID identifies an attempt; responses repeat it.
 const headerAttemptID = "Lynxfold-Attempt-Id"
 
@@ -96,14 +105,38 @@
 		sv.crash(entry)
 		cancelled = true
 	}
+	calledOK := cancelled || sv.callThrough(ctx)
 	sv.finishRun(entry, cancelled)
 	if cancelled {
 		ctx.SetConnectionClose()
 		return
 	}
+	if !calledOK {
+		ctx.Error("call failed", fasthttp.StatusInternalServerError)
+		return
+	}
 	sv.respond(ctx, call, size)
 }
 
+// callThrough makes the call that the query parameters ask for, on a new connection, and
+// reports whether it succeeded.
+func (sv *Server) callThrough(ctx *fasthttp.RequestCtx) bool {
+	path := ctx.QueryArgs().Peek(ParamCall)
+	if len(path) == 0 {
+		return true
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	rs := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(rs)
+	req.SetRequestURI(sv.cfg.CallThrough + string(path))
+	req.Header.SetBytesV(headerAttempt, ctx.Request.Header.Peek(headerAttempt))
+	req.Header.Set(HeaderCallID, string(ctx.Request.Header.Peek(HeaderCallID))+".1")
+	req.SetConnectionClose()
+	err := (&fasthttp.Client{}).DoTimeout(req, rs, callTimeout)
+	return err == nil && rs.StatusCode() == fasthttp.StatusOK
+}
+
 // respond writes the response that the query parameters ask for.
 func (sv *Server) respond(ctx *fasthttp.RequestCtx, call string, received int) {
 	args := ctx.QueryArgs()
--- a/io/upstream/standin/server.go
+++ b/io/upstream/standin/server.go
@@ -31,6 +31,8 @@
 	AnnounceTo string
 	// AnnounceInterval is the announcement interval.
 	AnnounceInterval time.Duration
+	// CallThrough is the URL of the node that calls of ParamCall go to.
+	CallThrough string
 	// RestartAfter is the time after which a crashed server listens again at its address.
 	RestartAfter time.Duration
 }
--- a/testkit/drain_test.go
+++ b/testkit/drain_test.go
@@ -258,3 +258,34 @@
 	}
 	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
 }
+
+// TestUpstreamsCallThroughLeavingHosts stops a host whose upstream makes a call at the end of
+// each of its runs: a call after linger_for found the listener closed, and its run failed.
+func TestUpstreamsCallThroughLeavingHosts(t *testing.T) {
+	me := testkit.StartMesh(t, testkit.MeshConfig{
+		Hosts: []testkit.HostSpec{
+			{ID: ingressID, DataCentre: "press-hall"},
+			upstreamHost("curing-room-1"),
+			upstreamHost("curing-room-2"),
+		},
+		Settings: drainSettings,
+	})
+	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
+	status, _ := me.Apply(ingressID, 0, callsDocument)
+	assert.Equal(t, status, fasthttp.StatusOK)
+	waitForUpstreams(t, me, 2)
+	ca := testkit.NewCallers(me)
+	stop := ca.StartLoad(6, func(worker int) {
+		ca.Call(ingressID, "POST", fmt.Sprintf("/bookings?work=%dms&call=/results", 700+20*worker), 10)
+	})
+	time.Sleep(time.Second)
+	ho := me.Hosts["curing-room-1"]
+	ho.Signal(syscall.SIGTERM)
+	assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
+	stop()
+	t.Log(ca.CheckOutcomes(t))
+	for _, cr := range ca.Results() {
+		assert.Check(t, cr.Outcome == "ran" && cr.Status == fasthttp.StatusOK, "%+v", cr)
+	}
+	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
+}
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -328,6 +328,7 @@
 		return
 	}
 	cfg.AnnounceTo = "http://" + ho.AnnounceAddress
+	cfg.CallThrough = "http://" + ho.CallerAddress
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = 200 * time.Millisecond
 	}
