test: no process inherits the socket with which FreeAddress tries an address

Callers of the suite still saw "bind: address already in use" at addresses that FreeAddress had returned (TestRequestThatCrashesUpstreamsStopsReachingThem, TestFewTrialsWhileNewsIsSlow).

Cause: tests run in parallel. A node that one of them started while another tried an address inherited the open socket, and the address stayed in use until the node executed its program.

Change: an address is tried under syscall.ForkLock. The process with which package os checks once what the kernel supports does not take this lock, so it is started before.

--- a/testkit/address_test.go
+++ b/testkit/address_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os/exec"
 	"sync"
 	"testing"
 
@@ -28,3 +29,36 @@
 	}
 	wg.Wait()
 }
+
+// TestFreeAddressBesideStartingProcesses guards against a process that inherits the socket
+// with which FreeAddress has tried an address, and holds it until it executes its program.
+func TestFreeAddressBesideStartingProcesses(t *testing.T) {
+	stop := make(chan struct{})
+	var starting, listening sync.WaitGroup
+	for range 8 {
+		starting.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command("true").Run()
+				}
+			}
+		})
+	}
+	for range 4 {
+		listening.Go(func() {
+			for range 200 {
+				li, err := net.Listen("tcp", FreeAddress(t))
+				if !assert.Check(t, err) {
+					return
+				}
+				_ = li.Close()
+			}
+		})
+	}
+	listening.Wait()
+	close(stop)
+	starting.Wait()
+}
--- a/testkit/mesh.go
+++ b/testkit/mesh.go
@@ -139,16 +139,32 @@
 		port := firstPort + nextPort.Add(1) - 1
 		assert.Assert(t, port < ephemeralPortMin, "no free ports left")
 		address := net.JoinHostPort(loopbackAddress(), strconv.Itoa(int(port)))
-		li, err := net.Listen("tcp", address)
+		err := tryListen(address)
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
 		}
 		assert.NilError(t, err)
-		assert.NilError(t, li.Close())
 		return address
 	}
 }
 
+// probeProcessHandles makes package os start the process with which it checks, without
+// ForkLock, what the kernel supports.
+var probeProcessHandles = sync.OnceFunc(func() { _, _ = os.FindProcess(os.Getpid()) })
+
+// tryListen listens on an address and stops at once. A process that is started meanwhile would
+// hold a copy of the socket until it executes its program.
+func tryListen(address string) error {
+	probeProcessHandles()
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	li, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	return li.Close()
+}
+
 // silenceToxics drops the messages that toxics log for each interrupted write. Meshes of
 // parallel tests share the logger.
 var silenceToxics = sync.OnceFunc(func() { log.Logger = nopLog() })
