refactor: tests of the drain share one way to start a mesh; closesAfter replaces isFinal

isFinal also ends the reading of the connection while the node drains, which its name hid. No behaviour changes.

--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -305,7 +305,7 @@
 	for len(se.queue) > 0 && se.queue[0].ready {
 		head := se.queue[0]
 		skip := se.broken
-		final := se.isFinal(head)
+		final := se.closesAfter(head)
 		taken := int64(0)
 		if !skip {
 			taken = se.reserveAnswer(head)
@@ -393,10 +393,10 @@
 	_ = se.conn.Close()
 }
 
-// isFinal reports whether the connection is closed after an answer. While the node drains,
+// closesAfter reports whether the connection closes after an answer. While the node drains,
 // no further requests are read, and it is closed after the answers to those in the queue,
 // which may have been passed on. se.mu must be held.
-func (se *session) isFinal(pr *pendingRequest) bool {
+func (se *session) closesAfter(pr *pendingRequest) bool {
 	if se.server.draining.Load() {
 		se.closing = true
 	}
--- a/testkit/calls_test.go
+++ b/testkit/calls_test.go
@@ -48,19 +48,24 @@
 // startBookingMesh starts a mesh of an ingress host and two hosts with upstreams.
 func startBookingMesh(t *testing.T) (*testkit.Mesh, *testkit.Callers) {
 	t.Helper()
-	me := testkit.StartMesh(t, testkit.MeshConfig{
-		Proxied: true,
-		Hosts: []testkit.HostSpec{
-			{ID: ingressID, DataCentre: "press-hall"},
-			upstreamHost("curing-room-1"),
-			upstreamHost("curing-room-2"),
-		},
-	})
+	me := startCallsMesh(t, 2, testkit.MeshConfig{Proxied: true})
+	return me, testkit.NewCallers(me)
+}
+
+// startCallsMesh starts a mesh of an ingress host and a number of hosts with upstreams, named
+// curing-room-1 and so on, with callsDocument in force.
+func startCallsMesh(t *testing.T, upstreams int, cfg testkit.MeshConfig) *testkit.Mesh {
+	t.Helper()
+	cfg.Hosts = []testkit.HostSpec{{ID: ingressID, DataCentre: "press-hall"}}
+	for i := range upstreams {
+		cfg.Hosts = append(cfg.Hosts, upstreamHost(fmt.Sprintf("curing-room-%d", i+1)))
+	}
+	me := testkit.StartMesh(t, cfg)
 	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
 	status, _ := me.Apply(ingressID, 0, callsDocument)
 	assert.Equal(t, status, fasthttp.StatusOK)
-	waitForUpstreams(t, me, 2)
-	return me, testkit.NewCallers(me)
+	waitForUpstreams(t, me, upstreams)
+	return me
 }
 
 func upstreamHost(id string) testkit.HostSpec {
--- a/testkit/drain_test.go
+++ b/testkit/drain_test.go
@@ -27,21 +27,12 @@
 // the gate had run nothing a moment before.
 func TestCallsAdmittedByLeavingHostsAreAnswered(t *testing.T) {
 	const gates = 6
-	cfg := testkit.MeshConfig{
+	me := startCallsMesh(t, gates, testkit.MeshConfig{
 		Proxied:  true,
-		Hosts:    []testkit.HostSpec{{ID: ingressID, DataCentre: "press-hall"}},
 		Settings: drainSettings,
-	}
-	for i := range gates {
-		cfg.Hosts = append(cfg.Hosts, upstreamHost(fmt.Sprintf("curing-room-%d", i+1)))
-	}
-	me := testkit.StartMesh(t, cfg)
+	})
 	ca := testkit.NewCallers(me)
 	ca.EnableKeepAlive()
-	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
-	status, _ := me.Apply(ingressID, 0, callsDocument)
-	assert.Equal(t, status, fasthttp.StatusOK)
-	waitForUpstreams(t, me, gates)
 	me.Hosts[ingressID].AddLatency(300 * time.Millisecond)
 	stop := ca.StartLoad(24, func(worker int) {
 		ca.Call(ingressID, "GET", fmt.Sprintf("/reports?work=%dms", 20+worker), 0)
@@ -49,13 +40,13 @@
 	})
 	time.Sleep(500 * time.Millisecond)
 	for i := range gates {
-		ho := me.Hosts[cfg.Hosts[i+1].ID]
+		ho := me.Hosts[fmt.Sprintf("curing-room-%d", i+1)]
 		ho.AddResponseLatency(100 * time.Millisecond)
 		ho.Signal(syscall.SIGTERM)
 		time.Sleep(130 * time.Millisecond)
 	}
 	for i := range gates {
-		ho := me.Hosts[cfg.Hosts[i+1].ID]
+		ho := me.Hosts[fmt.Sprintf("curing-room-%d", i+1)]
 		assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
 		assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
 	}
@@ -135,18 +126,7 @@
 // startLateBodyMesh starts a mesh whose nodes know that the calls of these tests take 0.8 s.
 func startLateBodyMesh(t *testing.T) *testkit.Mesh {
 	t.Helper()
-	me := testkit.StartMesh(t, testkit.MeshConfig{
-		Hosts: []testkit.HostSpec{
-			{ID: ingressID, DataCentre: "press-hall"},
-			upstreamHost("curing-room-1"),
-			upstreamHost("curing-room-2"),
-		},
-		Settings: lateBodySettings,
-	})
-	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
-	status, _ := me.Apply(ingressID, 0, callsDocument)
-	assert.Equal(t, status, fasthttp.StatusOK)
-	waitForUpstreams(t, me, 2)
+	me := startCallsMesh(t, 2, testkit.MeshConfig{Settings: lateBodySettings})
 	ca := testkit.NewCallersWithPrefix(me, "before")
 	stop := ca.StartLoad(4, func(int) { ca.Call(ingressID, "POST", "/bookings?work=800ms", 10) })
 	time.Sleep(2 * time.Second)
@@ -230,18 +210,7 @@
 // TestCallsThatOutlastTheDrainGoElsewhere stops a host under calls that take longer than the
 // rest of its drain: its gate admitted them, and they were cut at the end.
 func TestCallsThatOutlastTheDrainGoElsewhere(t *testing.T) {
-	me := testkit.StartMesh(t, testkit.MeshConfig{
-		Hosts: []testkit.HostSpec{
-			{ID: ingressID, DataCentre: "press-hall"},
-			upstreamHost("curing-room-1"),
-			upstreamHost("curing-room-2"),
-		},
-		Settings: "[caller]\nlinger_for = 1s\ndrain_within = 1500ms\n",
-	})
-	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
-	status, _ := me.Apply(ingressID, 0, callsDocument)
-	assert.Equal(t, status, fasthttp.StatusOK)
-	waitForUpstreams(t, me, 2)
+	me := startCallsMesh(t, 2, testkit.MeshConfig{Settings: "[caller]\nlinger_for = 1s\ndrain_within = 1500ms\n"})
 	ca := testkit.NewCallers(me)
 	stop := ca.StartLoad(8, func(worker int) {
 		ca.Call(ingressID, "GET", fmt.Sprintf("/reports?work=%dms", 700+20*worker), 0)
@@ -262,18 +231,7 @@
 // TestUpstreamsCallThroughLeavingHosts stops a host whose upstream makes a call at the end of
 // each of its runs: a call after linger_for found the listener closed, and its run failed.
 func TestUpstreamsCallThroughLeavingHosts(t *testing.T) {
-	me := testkit.StartMesh(t, testkit.MeshConfig{
-		Hosts: []testkit.HostSpec{
-			{ID: ingressID, DataCentre: "press-hall"},
-			upstreamHost("curing-room-1"),
-			upstreamHost("curing-room-2"),
-		},
-		Settings: drainSettings,
-	})
-	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
-	status, _ := me.Apply(ingressID, 0, callsDocument)
-	assert.Equal(t, status, fasthttp.StatusOK)
-	waitForUpstreams(t, me, 2)
+	me := startCallsMesh(t, 2, testkit.MeshConfig{Settings: drainSettings})
 	ca := testkit.NewCallers(me)
 	stop := ca.StartLoad(6, func(worker int) {
 		ca.Call(ingressID, "POST", fmt.Sprintf("/bookings?work=%dms&call=/results", 700+20*worker), 10)
