fix: a rate limit of one upstream does not make the others look full

Callers saw: a call was refused as not run (503, queue_full, no_candidate) although an idle upstream of its service was known.

Cause: the load of an upstream without a report is taken from the mean of its data centre. A gate under a rate limit reports its wait as load. That was left out of the mean only once the upstream had refused an attempt; after one that was served, the others looked full, and the retry found no upstream with room.

Change: a report that attempts wait beside free slots is not part of the mean.

Measured: TestLimitedUpstreamDoesNotMakeOthersLookFull failed before.

--- a/core/call/chooser_test.go
+++ b/core/call/chooser_test.go
@@ -437,3 +437,25 @@
 	assert.Assert(t, found)
 	assert.Equal(t, up.Host, host.ID("press-hall-1"))
 }
+
+// TestLimitedUpstreamDoesNotMakeOthersLookFull lets an upstream with free slots state a rate
+// limit: its wait was taken for the load of the data centre, and no call went to the other.
+func TestLimitedUpstreamDoesNotMakeOthersLookFull(t *testing.T) {
+	cf := newChooserFixture(t, map[datacentre.Name]int{local: 2})
+	ob := succeeded(2*time.Millisecond, 2_000_000)
+	ob.Load = host.Load{
+		Slots:       20,
+		Wait:        4 * time.Second,
+		ServiceTime: 2 * time.Millisecond,
+	}
+	ob.HasDetail = true
+	limited := cf.all[0]
+	_, found := cf.chooser.PickHost(service, cf.all, limited.Host, nil, cf.now)
+	assert.Assert(t, found)
+	cf.chooser.Started(limited)
+	cf.chooser.Ended(limited, ob, cf.now)
+	cf.now = cf.now.Add(50 * time.Millisecond)
+	up, found := cf.chooser.PickWithCapacity(service, cf.all, []host.ID{limited.Host}, cf.now)
+	assert.Assert(t, found)
+	assert.Equal(t, up.Host, cf.all[1].Host)
+}
--- a/core/call/expectation.go
+++ b/core/call/expectation.go
@@ -56,7 +56,7 @@
 	sum, weights := 0.0, 0.0
 	for _, it := range po.upstreams {
 		// A rate limit says nothing about the load of the others.
-		if it.site != si || it.loadAt.IsZero() || now.Before(it.limitedUntil) {
+		if it.site != si || it.loadAt.IsZero() || it.loadLimited || now.Before(it.limitedUntil) {
 			continue
 		}
 		we := math.Exp(-now.Sub(it.loadAt).Seconds() / siteWindow.Seconds())
@@ -198,6 +198,7 @@
 	us.active = min(float64(ob.LoadPermille)/1000, maxReportedFill) * us.slots()
 	us.loadAt = now
 	us.sentSince = 0
+	us.loadLimited = ob.HasDetail && ob.Load.Wait > 0 && ob.Load.Running < int(ob.Load.Slots)
 	if !ob.HasDetail {
 		return
 	}
--- a/core/call/upstream_stats.go
+++ b/core/call/upstream_stats.go
@@ -58,6 +58,8 @@
 	active    float64
 	loadAt    time.Time
 	sentSince int
+	// loadLimited reports that attempts wait at the gate beside free slots.
+	loadLimited bool
 	// site is shared by the upstreams of the pool in the same data centre.
 	site *siteLoad
 	// serviceTime is the mean service time that the gate reported; 0 when unknown.
--- a/testkit/rate_limits_test.go
+++ b/testkit/rate_limits_test.go
@@ -284,6 +284,9 @@
 		assert.NilError(t, err)
 		assert.Check(t, strings.Contains(string(values), "lynxfold_gate_rate_limit 0.25"), "%s", values)
 	}
+	if t.Failed() {
+		t.Log(me.Hosts[ingressID].Log())
+	}
 	ca.CheckOutcomes(t)
 }
 
