--- a/cmd/process/dependency_log.go
+++ b/cmd/process/dependency_log.go
@@ -31,13 +31,28 @@
 			Int("links", links).
 			Msg("link to another host opened")
 	case node.SessionClosed:
-		dl.log.Info().
+		le := dl.log.Info().
 			Str("event", "link_closed").
 			Str("peer", string(ev.Session.Peer())).
 			Str("reason", string(ev.Session.Reason())).
-			Int("links", links).
-			Msg("link to another host closed")
+			Int("links", links)
+		logBacklog(le, ev.Session.Backlog())
+		le.Msg("link to another host closed")
+	}
+}
+
+// logBacklog adds what waited on a link that was closed as the peer is too slow.
+func logBacklog(le *zerolog.Event, bl *node.Backlog) {
+	if bl == nil {
+		return
+	}
+	kinds := zerolog.Dict()
+	for kind, count := range bl.Kinds {
+		kinds.Int(kind, count)
 	}
+	le.Dict("queued", kinds).
+		Int64("queued_bytes", bl.Bytes).
+		Int64("oldest_ms", time.Since(bl.OldestAt).Milliseconds())
 }
 
 // memberEvent logs changes of whether this node reads the platform and whether the
--- a/io/node/session.go
+++ b/io/node/session.go
@@ -55,6 +55,7 @@
 	bulk         *stream
 	conn         *countingConn
 	closeOnce    sync.Once
+	backlog      atomic.Pointer[Backlog]
 	counters     *Counters
 	// releaseJoinSlot frees the join slot that the session occupies, if any.
 	releaseJoinSlot func()
@@ -88,8 +89,18 @@
 // queuedMessage is a message in a send queue; its size is in bytes. In the queue of the
 // control stream, a nil message closes the session.
 type queuedMessage struct {
-	message *wire.Control
-	size    int
+	message  *wire.Control
+	size     int
+	queuedAt time.Time
+}
+
+// Backlog is what waited on the control stream of a session whose queue was full.
+type Backlog struct {
+	// Kinds counts the messages by kind.
+	Kinds map[string]int
+	Bytes int64
+	// OldestAt is when the message that waited longest was queued.
+	OldestAt time.Time
 }
 
 // countingConn counts the bytes read from a connection.
@@ -231,17 +242,43 @@
 		return
 	}
 	if !se.control.enqueue(ms, size) {
+		se.backlog.CompareAndSwap(nil, se.control.takeBacklog())
 		se.close(ClosedSlowPeer)
 	}
 }
 
+// Backlog returns what waited when the session was closed as the peer is too slow, or nil.
+func (se *Session) Backlog() *Backlog { return se.backlog.Load() }
+
+// takeBacklog removes all messages from the queue.
+func (st *stream) takeBacklog() *Backlog {
+	bl := &Backlog{
+		Kinds: map[string]int{},
+		Bytes: st.queuedBytes.Load(),
+	}
+	for {
+		select {
+		case qm := <-st.queue:
+			if qm.message == nil {
+				continue
+			}
+			bl.Kinds[kindOf(qm.message)]++
+			if bl.OldestAt.IsZero() {
+				bl.OldestAt = qm.queuedAt
+			}
+		default:
+			return bl
+		}
+	}
+}
+
 // enqueue adds a message to the send queue; it returns false when the queue is full.
 func (st *stream) enqueue(ms *wire.Control, size int) bool {
 	if waiting := st.queuedBytes.Load(); waiting > 0 && waiting+int64(size) > maxQueuedBytes {
 		return false
 	}
 	select {
-	case st.queue <- queuedMessage{message: ms, size: size}:
+	case st.queue <- queuedMessage{message: ms, size: size, queuedAt: time.Now()}:
 		st.queuedBytes.Add(int64(size))
 		return true
 	default:
