fix: news of crashes does not fill the links that carry configuration

Cause: each suspect of a crash that then runs without one was told to each peer in a message of its own. 512 of these filled the queue of a link, which closes it; the next link was filled in the same way.

Change: a peer is sent 16 such messages between two ticks at once. What comes beyond that is sent with the next tick, many in a message.

--- a/core/datacentre/crash_news_test.go
+++ b/core/datacentre/crash_news_test.go
@@ -196,3 +196,47 @@
 	assert.Equal(t, sent, before, "nothing is sent again while all hosts know")
 	t.Logf("%d bytes for %d crashes over %d links, largest message %d", before, crashes, links, largest)
 }
+
+// TestCrashNewsEnds reports more runs without a crash than a host remembers, each of a request
+// that was suspected: the news circulated without end, and filled the links' send queues.
+func TestCrashNewsEnds(t *testing.T) {
+	const crashes, suspects, queueLength = 200, 16, 512
+	si := joinedMesh(t, 24, 2)
+	type second struct {
+		from, to host.ID
+		at       int64
+	}
+	sent := map[second]int{}
+	total := 0
+	si.onSend = func(from, to host.ID, _ int, ms *wire.Control) {
+		if ms.GetCrashNews() != nil {
+			sent[second{from: from, to: to, at: si.now.Unix()}]++
+			total++
+		}
+	}
+	for i := range crashes {
+		var requests []host.Fingerprint
+		for n := range suspects {
+			requests = append(requests, host.Fingerprint(1000*i+n+1))
+		}
+		reporter := si.hostIDs[i%len(si.hostIDs)]
+		si.crashUpstream(reporter, requests...)
+		si.run(5 * time.Millisecond)
+		for _, fp := range requests {
+			si.step(si.hosts[reporter], CrashesFound{
+				News: quarantine.News{Survivals: []quarantine.Survival{{Request: fp, At: si.now}}},
+			})
+		}
+		si.run(5 * time.Millisecond)
+	}
+	most := 0
+	for _, count := range sent {
+		most = max(most, count)
+	}
+	assert.Check(t, most < queueLength, "%d messages within a second on one link", most)
+	si.run(10 * time.Second)
+	before := total
+	si.run(10 * time.Second)
+	assert.Equal(t, total, before, "news circulates")
+	t.Logf("%d messages, %d within a second on one link", total, most)
+}
--- a/core/datacentre/crashes.go
+++ b/core/datacentre/crashes.go
@@ -15,6 +15,14 @@
 // configuration.
 const maxCrashesPerMessage = 16
 
+// maxSurvivalsPerMessage bounds the survivals in one message in the same way.
+const maxSurvivalsPerMessage = 256
+
+// maxCrashNewsPerTick bounds the messages with news of crashes that a peer is sent at once
+// between two ticks. Further news waits for the next tick and is sent in few messages, so that
+// it does not fill the queue of the link, which also carries configuration.
+const maxCrashNewsPerTick = 16
+
 // handleCrashNews merges news of crashes from a peer.
 func (me *Member) handleCrashNews(cn *wire.CrashNews, from host.ID, now time.Time) {
 	fresh := me.mergeCrashes(quarantine.NewsFromWire(cn, now), from, now)
@@ -41,12 +49,36 @@
 	}
 	for _, id := range me.peers() {
 		if id != from {
-			me.sendCrashNews(me.links[id], fresh, now)
+			me.queueCrashNews(me.links[id], fresh, now)
 		}
 	}
 	return fresh
 }
 
+// queueCrashNews sends news of crashes to a peer at once, or with the next tick if the peer was
+// sent much since the last one.
+func (me *Member) queueCrashNews(pe *peer, ne quarantine.News, now time.Time) {
+	if !pe.acceptsCrashNews || ne.IsEmpty() {
+		return
+	}
+	if pe.crashNewsSent < maxCrashNewsPerTick {
+		me.sendCrashNews(pe, ne, now)
+		return
+	}
+	pe.crashNews.Crashes = append(pe.crashNews.Crashes, ne.Crashes...)
+	pe.crashNews.Survivals = append(pe.crashNews.Survivals, ne.Survivals...)
+}
+
+// flushCrashNews sends the news of crashes that waited for the tick.
+func (me *Member) flushCrashNews(now time.Time) {
+	for _, id := range me.peers() {
+		pe := me.links[id]
+		pe.crashNewsSent = 0
+		me.sendCrashNews(pe, pe.crashNews, now)
+		pe.crashNews = quarantine.News{}
+	}
+}
+
 // storeOwnCrashes writes the crashes of quarantined requests to the platform if this host's
 // upstream was among those that crashed.
 func (me *Member) storeOwnCrashes() {
@@ -76,13 +108,15 @@
 	if !pe.acceptsCrashNews || ne.IsEmpty() {
 		return
 	}
-	parts := []quarantine.News{{Survivals: ne.Survivals}}
+	var parts []quarantine.News
+	for chunk := range slices.Chunk(ne.Survivals, maxSurvivalsPerMessage) {
+		parts = append(parts, quarantine.News{Survivals: chunk})
+	}
 	for chunk := range slices.Chunk(ne.Crashes, maxCrashesPerMessage) {
 		parts = append(parts, quarantine.News{Crashes: chunk})
 	}
 	for _, part := range parts {
-		if !part.IsEmpty() {
-			me.send(pe.id, &wire.Control{Kind: &wire.Control_CrashNews{CrashNews: part.ToWire(now)}})
-		}
+		me.send(pe.id, &wire.Control{Kind: &wire.Control_CrashNews{CrashNews: part.ToWire(now)}})
 	}
+	pe.crashNewsSent += len(parts)
 }
--- a/core/datacentre/links.go
+++ b/core/datacentre/links.go
@@ -8,6 +8,7 @@
 	"lynxfold/core/contract"
 	"lynxfold/core/host"
 	"lynxfold/core/link"
+	"lynxfold/core/quarantine"
 	"lynxfold/core/wire"
 )
 
@@ -20,6 +21,10 @@
 	acceptsPacked bool
 	// acceptsCrashNews is set if the peer reads news of crashes.
 	acceptsCrashNews bool
+	// crashNews waits for the next tick; crashNewsSent counts the messages with such news that
+	// the peer was sent since the last one.
+	crashNews     quarantine.News
+	crashNewsSent int
 	// acceptsRolloutNews is set if the peer reads records of roll-outs.
 	acceptsRolloutNews bool
 	// closing is set once either end has announced that it closes the link.
--- a/core/datacentre/member.go
+++ b/core/datacentre/member.go
@@ -236,6 +236,7 @@
 	me.suspectLostHosts(now)
 	me.announceUpstream(now)
 	me.flushOutbox()
+	me.flushCrashNews(now)
 	me.tickReach(now)
 	me.dialMissingLinks(now)
 	me.rediscover(now)
