--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -47,33 +47,32 @@
 
 func listenTLS(t *testing.T, ga Gate, ce *Certificates) (string, *Listener) {
 	t.Helper()
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	ls := NewListener(li, ListenerConfig{
-		Certificates: ce,
-		Calls:        NewCallServer(ga).Serve,
-		Control:      func(*Conn) {},
-		Refused:      func(*RefusedError) {},
-	})
-	go func() { _ = ls.Serve() }()
-	t.Cleanup(ls.Close)
-	return li.Addr().String(), ls
+	return startListener(t, ce, NewCallServer(ga).Serve)
 }
 
 // listenCalls starts a listener that passes call connections to a function of the test,
 // and returns its address.
-func listenCalls(t *testing.T, calls func(co *Conn)) string {
+func listenCalls(t testing.TB, calls func(co *Conn)) string {
+	t.Helper()
+	address, _ := startListener(t, nil, calls)
+	return address
+}
+
+// startListener starts a listener that passes call connections to a function, and returns its
+// address.
+func startListener(t testing.TB, ce *Certificates, calls func(co *Conn)) (string, *Listener) {
 	t.Helper()
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ls := NewListener(li, ListenerConfig{
-		Calls:   calls,
-		Control: func(*Conn) {},
-		Refused: func(*RefusedError) {},
+		Certificates: ce,
+		Calls:        calls,
+		Control:      func(*Conn) {},
+		Refused:      func(*RefusedError) {},
 	})
 	go func() { _ = ls.Serve() }()
 	t.Cleanup(ls.Close)
-	return li.Addr().String()
+	return li.Addr().String(), ls
 }
 
 func newCallPool(t *testing.T) *CallPool {
--- a/io/node/leave_test.go
+++ b/io/node/leave_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,17 +17,8 @@
 // serveCalls starts a call server for a gate, and returns it and its address.
 func serveCalls(t *testing.T, ga Gate) (*CallServer, string) {
 	t.Helper()
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	cs := NewCallServer(ga)
-	ls := NewListener(li, ListenerConfig{
-		Calls:   cs.Serve,
-		Control: func(*Conn) {},
-		Refused: func(*RefusedError) {},
-	})
-	go func() { _ = ls.Serve() }()
-	t.Cleanup(ls.Close)
-	return cs, li.Addr().String()
+	return cs, listenCalls(t, cs.Serve)
 }
 
 // leave makes a server leave in the background; the returned channel is closed when all
--- a/io/node/quotas_test.go
+++ b/io/node/quotas_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -28,18 +27,9 @@
 // listenQuotas starts a listener that answers quota requests and returns its address.
 func listenQuotas(t testing.TB, qk QuotaKeeper) string {
 	t.Helper()
-	li, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	cs := NewCallServer(&stubGate{})
 	cs.Quotas = qk
-	ls := NewListener(li, ListenerConfig{
-		Calls:   cs.Serve,
-		Control: func(*Conn) {},
-		Refused: func(*RefusedError) {},
-	})
-	go func() { _ = ls.Serve() }()
-	t.Cleanup(ls.Close)
-	return li.Addr().String()
+	return listenCalls(t, cs.Serve)
 }
 
 // newQuotas returns the Quotas of the host "asker", which knows the hosts with the addresses.
--- a/testkit/calls_test.go
+++ b/testkit/calls_test.go
@@ -60,6 +60,13 @@
 	for i := range upstreams {
 		cfg.Hosts = append(cfg.Hosts, upstreamHost(fmt.Sprintf("curing-room-%d", i+1)))
 	}
+	return startMeshForCalls(t, upstreams, cfg)
+}
+
+// startMeshForCalls starts a mesh with callsDocument in force, and waits until the ingress host
+// knows a number of upstreams.
+func startMeshForCalls(t *testing.T, upstreams int, cfg testkit.MeshConfig) *testkit.Mesh {
+	t.Helper()
 	me := testkit.StartMesh(t, cfg)
 	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
 	status, _ := me.Apply(ingressID, 0, callsDocument)
--- a/testkit/crashing_request_test.go
+++ b/testkit/crashing_request_test.go
@@ -43,15 +43,11 @@
 		hosts = append(hosts, hs)
 		ids = append(ids, hs.ID)
 	}
-	me := testkit.StartMesh(t, testkit.MeshConfig{
+	me := startMeshForCalls(t, crashUpstreams, testkit.MeshConfig{
 		Proxied:  true,
 		Hosts:    hosts,
 		Settings: "[caller]\nretry_burst = 200\nretry_per_second = 100\n[upstream]\nquarantine_for = " + quarantineFor.String() + "\n",
 	})
-	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
-	status, _ := me.Apply(ingressID, 0, callsDocument)
-	assert.Equal(t, status, fasthttp.StatusOK)
-	waitForUpstreams(t, me, crashUpstreams)
 	ca := testkit.NewCallersWithPrefix(me, "warm")
 	for _, id := range ids {
 		testkit.Eventually(t, waitTimeout, "calls run at "+id, func() bool {
--- a/testkit/drain_test.go
+++ b/testkit/drain_test.go
@@ -47,8 +47,7 @@
 	}
 	for i := range gates {
 		ho := me.Hosts[fmt.Sprintf("curing-room-%d", i+1)]
-		assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
-		assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
+		checkDrained(t, ho)
 	}
 	stop()
 	t.Log(ca.CheckOutcomes(t))
@@ -60,6 +59,13 @@
 	}
 }
 
+// checkDrained waits until a node that drains has ended, and checks that it has cut no call.
+func checkDrained(t *testing.T, ho *testkit.Host) {
+	t.Helper()
+	assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
+	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
+}
+
 // pipeline writes requests with the given targets on one connection to a host, without
 // waiting for their answers. A target is a method and a path, and the ids of the calls are
 // call-1 and so on.
@@ -115,9 +121,8 @@
 	}
 	_, err := answers.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
-	assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
+	checkDrained(t, ho)
 	assert.Equal(t, len(me.Runs()[fmt.Sprintf("call-%d", reads+1)]), 0)
-	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
 }
 
 // lateBodySettings leave 3 s after SIGTERM for calls.
@@ -203,8 +208,7 @@
 		}
 	}
 	done.Wait()
-	assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
-	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
+	checkDrained(t, ho)
 }
 
 // TestCallsThatOutlastTheDrainGoElsewhere stops a host under calls that take longer than the
@@ -219,13 +223,12 @@
 	time.Sleep(4 * time.Second)
 	ho := me.Hosts["curing-room-1"]
 	ho.Signal(syscall.SIGTERM)
-	assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
+	checkDrained(t, ho)
 	stop()
 	t.Log(ca.CheckOutcomes(t))
 	for _, cr := range ca.Results() {
 		assert.Check(t, cr.Outcome == "ran", "%+v", cr)
 	}
-	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
 }
 
 // TestUpstreamsCallThroughLeavingHosts stops a host whose upstream makes a call at the end of
@@ -239,11 +242,10 @@
 	time.Sleep(time.Second)
 	ho := me.Hosts["curing-room-1"]
 	ho.Signal(syscall.SIGTERM)
-	assert.Check(t, ho.WaitExit(waitTimeout), "%s", ho.Log())
+	checkDrained(t, ho)
 	stop()
 	t.Log(ca.CheckOutcomes(t))
 	for _, cr := range ca.Results() {
 		assert.Check(t, cr.Outcome == "ran" && cr.Status == fasthttp.StatusOK, "%+v", cr)
 	}
-	assert.Check(t, strings.Contains(ho.Log(), `"cut":0`), "%s", ho.Log())
 }
--- a/testkit/rollouts_test.go
+++ b/testkit/rollouts_test.go
@@ -50,14 +50,10 @@
 	for _, id := range []string{"new-1", "new-2"} {
 		hosts = append(hosts, testkit.HostSpec{ID: id, DataCentre: "press-hall"})
 	}
-	me := testkit.StartMesh(t, testkit.MeshConfig{
+	me := startMeshForCalls(t, 2, testkit.MeshConfig{
 		Hosts:    hosts,
 		Settings: "[rollout]\ncanary_share = 0.1\ncanary_slack = 50\nrollback_within = 5s\n",
 	})
-	testkit.Eventually(t, waitTimeout, "the ingress host answers", func() bool { return me.Status(ingressID) != nil })
-	status, _ := me.Apply(ingressID, 0, callsDocument)
-	assert.Equal(t, status, fasthttp.StatusOK)
-	waitForUpstreams(t, me, 2)
 	for _, id := range rolloutIngresses {
 		testkit.Eventually(t, waitTimeout, "calls run at "+id, func() bool {
 			return testkit.NewCallersWithPrefix(me, "warm-"+id).Call(id, "GET", "/results", 0).Outcome == "ran"
